--- /dev/null
+++ b/resultcode/error.go
@@ -0,0 +1,91 @@
+package resultcode
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Execution states what is known about whether a request ran.
+type Execution string
+
+const (
+	// NotRun is a proof: the request has not run and no attempt of it will.
+	NotRun Execution = "not_run"
+	// Ran means that the request ran to its end once.
+	Ran Execution = "ran"
+	// Unknown means that the request may have run.
+	Unknown Execution = "unknown"
+)
+
+// Error is a failed operation with its numbered code.
+type Error struct {
+	Code Code
+	// Message names the field, value or party at fault.
+	Message string
+	// Execution is what the caller may rely on. Empty means NotRun.
+	Execution Execution
+	// RetryAfter is when a new request may succeed; zero means that no time is
+	// known.
+	RetryAfter time.Duration
+	// Err is the cause, if any.
+	Err error
+}
+
+// New returns an Error with NotRun.
+func New(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Message: fmt.Sprintf(format, args...), Execution: NotRun}
+}
+
+// Wrap returns an Error with NotRun and the cause err.
+func Wrap(code Code, err error, format string, args ...any) *Error {
+	e := New(code, format, args...)
+	e.Err = err
+	return e
+}
+
+// WithExecution returns a copy of e with another execution verdict.
+func (e *Error) WithExecution(x Execution) *Error {
+	c := *e
+	c.Execution = x
+	return &c
+}
+
+// WithRetryAfter returns a copy of e with a time after which to retry.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// Verdict returns the execution verdict, NotRun if it is unset.
+func (e *Error) Verdict() Execution {
+	if e.Execution == "" {
+		return NotRun
+	}
+	return e.Execution
+}
+
+// Error returns the code's number and name, the message and the cause.
+func (e *Error) Error() string {
+	s := fmt.Sprintf("%d %s: %s", uint32(e.Code), e.Code, e.Message)
+	if e.Err != nil {
+		s += ": " + e.Err.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// As returns the Error in err's chain. Any other error becomes an Internal
+// Error with an unknown execution, because nothing is known about it.
+func As(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Code: Internal, Message: "unexpected error", Execution: Unknown, Err: err}
+}
