--- /dev/null
+++ b/agent/endpoint/engine.go
@@ -0,0 +1,252 @@
+package endpoint
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+const (
+	// maxEventBytes bounds one server-sent event of an engine.
+	maxEventBytes = 1 << 20
+
+	maxErrorBodyBytes  = 64 << 10
+	maxModelsBodyBytes = 1 << 20
+)
+
+// Engine is a model engine with the OpenAI-compatible HTTP protocol.
+type Engine struct {
+	url    string
+	client *http.Client
+}
+
+// NewEngine returns the adapter for the engine at a base URL without a
+// trailing slash.
+func NewEngine(url string) *Engine {
+	return &Engine{url: url, client: &http.Client{Transport: newTransport(true)}}
+}
+
+// Check asks the engine's health route.
+func (e *Engine) Check(ctx context.Context) error {
+	return checkHealth(ctx, e.client, e.url+"/health")
+}
+
+// Models lists the ids that the engine serves.
+func (e *Engine) Models(ctx context.Context) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	resp, err := get(ctx, e.client, e.url+"/v1/models")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var list struct {
+		Data []struct {
+			ID string `json:"id"`
+		} `json:"data"`
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxModelsBodyBytes)).Decode(&list)
+	if err != nil {
+		return nil, fmt.Errorf("decode the engine's models: %w", err)
+	}
+	models := make([]string, 0, len(list.Data))
+	for _, m := range list.Data {
+		models = append(models, m.ID)
+	}
+	return models, nil
+}
+
+// Run streams a chat completion. Whatever the caller asked for, the engine is
+// always asked for a stream, so that the agent sees tokens as they are made.
+func (e *Engine) Run(ctx context.Context, req *rpc.RunRequest, emit Emit) *resultcode.Error {
+	body, err := engineBody(req)
+	if err != nil {
+		return resultcode.Wrap(resultcode.MalformedBody, err, "the body cannot be passed on")
+	}
+	var sent sendState
+	httpReq, err := http.NewRequestWithContext(sent.trace(ctx), http.MethodPost, e.url+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return resultcode.Wrap(resultcode.Internal, err, "build the engine request")
+	}
+	httpReq.Header.Set("Content-Type", "application/json")
+	httpReq.Header.Set("X-Request-Id", req.GetRequestId())
+	resp, err := e.client.Do(httpReq)
+	if err != nil {
+		return sent.failure(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return engineRefusal(resp)
+	}
+	s := engineStream{emit: emit, index: req.GetChat().GetFirstIndex()}
+	return s.copy(resp.Body)
+}
+
+// engineBody sets the fields that belong to the router in the caller's body.
+func engineBody(req *rpc.RunRequest) ([]byte, error) {
+	chat := req.GetChat()
+	fields := map[string]json.RawMessage{}
+	if err := json.Unmarshal(chat.GetBody(), &fields); err != nil {
+		return nil, err
+	}
+	fields["stream"] = json.RawMessage(`true`)
+	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	fields["priority"] = json.RawMessage(fmt.Sprint(req.GetTier()))
+	if chat.GetTextSoFar() == "" {
+		return json.Marshal(fields)
+	}
+	if err := continueFrom(fields, chat.GetTextSoFar()); err != nil {
+		return nil, err
+	}
+	return json.Marshal(fields)
+}
+
+// continueFrom appends the text that the caller already has as an assistant
+// message, which the engine continues instead of starting a new one.
+func continueFrom(fields map[string]json.RawMessage, text string) error {
+	var messages []json.RawMessage
+	if err := json.Unmarshal(fields["messages"], &messages); err != nil {
+		return err
+	}
+	last, err := json.Marshal(map[string]string{"role": "assistant", "content": text})
+	if err != nil {
+		return err
+	}
+	fields["messages"], err = json.Marshal(append(messages, last))
+	fields["continue_final_message"] = json.RawMessage(`true`)
+	fields["add_generation_prompt"] = json.RawMessage(`false`)
+	return err
+}
+
+// engineRefusal interprets an answer other than 200. Engines check a request
+// before they run it, so a client error proves that it did not run.
+func engineRefusal(resp *http.Response) *resultcode.Error {
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
+	message := errorMessage(text)
+	switch {
+	case resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable:
+		return resultcode.New(resultcode.EndpointOverloaded, "the engine answered %d: %s", resp.StatusCode, message)
+	case resp.StatusCode == http.StatusNotFound:
+		return resultcode.New(resultcode.UnknownModel, "the engine answered 404: %s", message)
+	case resp.StatusCode < http.StatusInternalServerError:
+		return resultcode.New(resultcode.EndpointRefused, "the engine answered %d: %s", resp.StatusCode, message)
+	}
+	return resultcode.New(resultcode.EndpointFailed, "the engine answered %d: %s", resp.StatusCode, message).
+		WithExecution(resultcode.Unknown)
+}
+
+func errorMessage(body []byte) string {
+	var e struct {
+		Error struct {
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(body, &e) == nil && e.Error.Message != "" {
+		return e.Error.Message
+	}
+	return string(bytes.ToValidUTF8(body, []byte("?")))
+}
+
+// engineStream turns the engine's server-sent events into frames.
+type engineStream struct {
+	emit  Emit
+	index uint32
+	usage []byte
+	// finished is set when a choice carried a finish reason.
+	finished bool
+}
+
+type engineChunk struct {
+	Choices []json.RawMessage `json:"choices"`
+	Usage   json.RawMessage   `json:"usage"`
+	Error   *struct {
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+type engineChoice struct {
+	Delta struct {
+		Content string `json:"content"`
+	} `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+var (
+	dataPrefix = []byte("data:")
+	doneMarker = []byte("[DONE]")
+	jsonNull   = []byte("null")
+)
+
+func (s *engineStream) copy(body io.Reader) *resultcode.Error {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
+	for scanner.Scan() {
+		data, ok := bytes.CutPrefix(scanner.Bytes(), dataPrefix)
+		if !ok {
+			continue
+		}
+		data = bytes.TrimSpace(data)
+		if bytes.Equal(data, doneMarker) {
+			return s.finish()
+		}
+		if err := s.event(data); err != nil {
+			return err
+		}
+	}
+	return interrupted(scanner.Err(), "the engine's stream ended before its end marker")
+}
+
+func (s *engineStream) event(data []byte) *resultcode.Error {
+	var chunk engineChunk
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return interrupted(err, "the engine sent an event that is not valid JSON")
+	}
+	if chunk.Error != nil {
+		return interrupted(errors.New(chunk.Error.Message), "the engine reported an error in its stream")
+	}
+	if len(chunk.Usage) > 0 && !bytes.Equal(chunk.Usage, jsonNull) {
+		s.usage = bytes.Clone(chunk.Usage)
+	}
+	for _, raw := range chunk.Choices {
+		if err := s.choice(raw); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *engineStream) choice(raw json.RawMessage) *resultcode.Error {
+	var choice engineChoice
+	if err := json.Unmarshal(raw, &choice); err != nil {
+		return interrupted(err, "the engine sent a choice that is not valid JSON")
+	}
+	s.finished = s.finished || choice.FinishReason != nil
+	chunk := &rpc.Chunk{Index: s.index, Data: bytes.Clone(raw), Text: choice.Delta.Content}
+	s.index++
+	if err := s.emit(&rpc.Frame{Kind: &rpc.Frame_Chunk{Chunk: chunk}}); err != nil {
+		return interrupted(err, "the stream was stopped")
+	}
+	return nil
+}
+
+func (s *engineStream) finish() *resultcode.Error {
+	if !s.finished {
+		return interrupted(nil, "the engine's stream ended without a finish reason")
+	}
+	if err := s.emit(&rpc.Frame{Kind: &rpc.Frame_Done{Done: &rpc.Done{Usage: s.usage}}}); err != nil {
+		return interrupted(err, "the stream was stopped")
+	}
+	return nil
+}
+
+func interrupted(err error, message string) *resultcode.Error {
+	return resultcode.Wrap(resultcode.EndpointFailed, err, "%s", message).WithExecution(resultcode.Unknown)
+}
--- /dev/null
+++ b/agent/endpoint/service.go
@@ -0,0 +1,170 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+const serviceChunkBytes = 32 << 10
+
+// Service is a plain HTTP service.
+type Service struct {
+	url string
+	// reuse keeps connections open, for idempotent calls only.
+	reuse *http.Client
+	// fresh opens a connection for each call. net/http sends a request again by
+	// itself when a reused connection breaks and the request carries an
+	// Idempotency-Key header; on a new connection it never does.
+	fresh *http.Client
+}
+
+// NewService returns the adapter for the service at a base URL without a
+// trailing slash.
+func NewService(url string) *Service {
+	return &Service{
+		url:   url,
+		reuse: serviceClient(newTransport(true)),
+		fresh: serviceClient(newTransport(false)),
+	}
+}
+
+func serviceClient(t *http.Transport) *http.Client {
+	return &http.Client{Transport: t, CheckRedirect: keepRedirect}
+}
+
+// keepRedirect passes a redirect on to the caller. Following it would send the
+// request a second time.
+func keepRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
+// Check asks the service's health route.
+func (s *Service) Check(ctx context.Context) error {
+	return checkHealth(ctx, s.reuse, s.url+"/health")
+}
+
+// Models returns nothing: a plain service has no models.
+func (s *Service) Models(context.Context) ([]string, error) {
+	return nil, nil
+}
+
+// Run passes a call on. Any HTTP answer of the service is the true answer.
+func (s *Service) Run(ctx context.Context, req *rpc.RunRequest, emit Emit) *resultcode.Error {
+	var sent sendState
+	httpReq, err := s.request(sent.trace(ctx), req)
+	if err != nil {
+		return resultcode.Wrap(resultcode.MalformedBody, err, "the call cannot be passed on")
+	}
+	client := s.fresh
+	if req.GetIdempotent() {
+		client = s.reuse
+	}
+	resp, err := client.Do(httpReq)
+	if err != nil {
+		return sent.failure(err)
+	}
+	defer resp.Body.Close()
+	if err := emit(headFrame(resp)); err != nil {
+		return interrupted(err, "the answer was stopped")
+	}
+	return copyBody(resp.Body, emit)
+}
+
+func (s *Service) request(ctx context.Context, req *rpc.RunRequest) (*http.Request, error) {
+	work := req.GetService()
+	target := s.url + work.GetPath()
+	if work.GetQuery() != "" {
+		target += "?" + work.GetQuery()
+	}
+	httpReq, err := http.NewRequestWithContext(ctx, work.GetMethod(), target, bytes.NewReader(work.GetBody()))
+	if err != nil {
+		return nil, err
+	}
+	for _, h := range work.GetHeaders() {
+		httpReq.Header.Add(h.GetName(), h.GetValue())
+	}
+	httpReq.Header.Set("X-Request-Id", req.GetRequestId())
+	if req.GetIdempotencyKey() != "" {
+		httpReq.Header.Set("Idempotency-Key", req.GetIdempotencyKey())
+	}
+	return httpReq, nil
+}
+
+// connectionHeaders concern one connection and are not passed on.
+var connectionHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+}
+
+func headFrame(resp *http.Response) *rpc.Frame {
+	head := &rpc.ResponseHead{Status: uint32(resp.StatusCode)}
+	for name, values := range resp.Header {
+		if connectionHeaders[name] {
+			continue
+		}
+		for _, v := range values {
+			head.Headers = append(head.Headers, &rpc.Header{Name: name, Value: v})
+		}
+	}
+	return &rpc.Frame{Kind: &rpc.Frame_Head{Head: head}}
+}
+
+func copyBody(body io.Reader, emit Emit) *resultcode.Error {
+	buf := make([]byte, serviceChunkBytes)
+	for index := uint32(0); ; {
+		n, err := body.Read(buf)
+		if n > 0 {
+			chunk := &rpc.Chunk{Index: index, Data: bytes.Clone(buf[:n])}
+			index++
+			if err := emit(&rpc.Frame{Kind: &rpc.Frame_Chunk{Chunk: chunk}}); err != nil {
+				return interrupted(err, "the answer was stopped")
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return finishService(emit)
+		}
+		if err != nil {
+			return interrupted(err, "the service's answer broke off")
+		}
+	}
+}
+
+func finishService(emit Emit) *resultcode.Error {
+	if err := emit(&rpc.Frame{Kind: &rpc.Frame_Done{Done: &rpc.Done{}}}); err != nil {
+		return interrupted(err, "the answer was stopped")
+	}
+	return nil
+}
+
+func checkHealth(ctx context.Context, client *http.Client, url string) error {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	resp, err := get(ctx, client, url)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+func get(ctx context.Context, client *http.Client, url string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, fmt.Errorf("the endpoint answered %d", resp.StatusCode)
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/agent/intake/unary.go
@@ -0,0 +1,93 @@
+package intake
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/pistachiowind/pistachiowind/agent/execution"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+// Identity is what an agent tells about itself.
+type Identity struct {
+	Incarnation      string
+	Service          string
+	AvailabilityZone string
+	Region           string
+}
+
+// Claims answers what this incarnation knows about a claim.
+type Claims interface {
+	Status(nonce string) (rpc.ClaimState, []byte)
+}
+
+// Orders passes fenced orders on.
+type Orders interface {
+	Execute(ctx context.Context, req *rpc.OrderRequest) *rpc.OrderResponse
+}
+
+// CatalogSource returns the catalog in force as JSON.
+type CatalogSource interface {
+	Snapshot(haveVersion uint64) *rpc.CatalogSnapshot
+}
+
+// Unary implements the twirp service Agent.
+type Unary struct {
+	Identity Identity
+	Worker   Worker
+	Claims   Claims
+	Orders   Orders
+	Catalog  CatalogSource
+	Models   func() []string
+}
+
+// Probe reports load and state.
+func (u *Unary) Probe(_ context.Context, req *rpc.ProbeRequest) (*rpc.ProbeResponse, error) {
+	if req.GetCatalogVersion() > u.Worker.CatalogVersion() {
+		u.Worker.SawCatalogVersion(req.GetCatalogVersion(), "")
+	}
+	return &rpc.ProbeResponse{
+		Agent:            u.Identity.Incarnation,
+		CatalogVersion:   u.Worker.CatalogVersion(),
+		Load:             u.Worker.Load(time.Now()),
+		Models:           u.Models(),
+		Service:          u.Identity.Service,
+		AvailabilityZone: u.Identity.AvailabilityZone,
+		Region:           u.Identity.Region,
+	}, nil
+}
+
+// Renounce gives an attempt up. For another incarnation nothing is known.
+func (u *Unary) Renounce(_ context.Context, req *rpc.RenounceRequest) (*rpc.RenounceResponse, error) {
+	resp := &rpc.RenounceResponse{Agent: u.Identity.Incarnation, Execution: rpc.Execution_EXECUTION_UNKNOWN}
+	if req.GetAgent() != u.Identity.Incarnation {
+		return resp, nil
+	}
+	id := execution.ID{Router: req.GetAttempt().GetRouter(), Ticket: req.GetAttempt().GetTicket()}
+	if id.Router == "" {
+		return nil, twirp.RequiredArgumentError("attempt.router")
+	}
+	resp.Execution = rpc.ExecutionOf(u.Worker.Renounce(time.Now(), id))
+	return resp, nil
+}
+
+// ClaimStatus reports what this incarnation knows about a claim that it wrote.
+func (u *Unary) ClaimStatus(_ context.Context, req *rpc.ClaimStatusRequest) (*rpc.ClaimStatusResponse, error) {
+	if req.GetAgent() != u.Identity.Incarnation {
+		return &rpc.ClaimStatusResponse{State: rpc.ClaimState_CLAIM_STATE_UNKNOWN}, nil
+	}
+	state, outcome := u.Claims.Status(req.GetNonce())
+	return &rpc.ClaimStatusResponse{State: state, Outcome: outcome}, nil
+}
+
+// FetchCatalog returns the catalog in force at this process.
+func (u *Unary) FetchCatalog(_ context.Context, req *rpc.FetchCatalogRequest) (*rpc.CatalogSnapshot, error) {
+	return u.Catalog.Snapshot(req.GetHaveVersion()), nil
+}
+
+// Order passes a fenced order on to the endpoint.
+func (u *Unary) Order(ctx context.Context, req *rpc.OrderRequest) (*rpc.OrderResponse, error) {
+	return u.Orders.Execute(ctx, req), nil
+}
--- /dev/null
+++ b/agent/intake/writer.go
@@ -0,0 +1,56 @@
+package intake
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+// streamWriter writes frames to one router connection and flushes each, so that
+// no token waits in a buffer.
+type streamWriter struct {
+	streams *Streams
+	w       http.ResponseWriter
+	rc      *http.ResponseController
+}
+
+func newStreamWriter(w http.ResponseWriter, s *Streams) *streamWriter {
+	w.Header().Set("Content-Type", "application/vnd.pistachiowind.frames")
+	return &streamWriter{streams: s, w: w, rc: http.NewResponseController(w)}
+}
+
+func (o *streamWriter) write(f *rpc.Frame) error {
+	if err := o.rc.SetWriteDeadline(time.Now().Add(frameWriteTimeout)); err != nil {
+		return err
+	}
+	if err := rpc.WriteMessage(o.w, f); err != nil {
+		return err
+	}
+	return o.rc.Flush()
+}
+
+// refuse ends the stream with a refusal. A write error is of no use here: the
+// router treats a stream without an end as broken.
+func (o *streamWriter) refuse(err *resultcode.Error) {
+	_ = o.write(o.refusedFrame(err))
+}
+
+func (o *streamWriter) refusedFrame(err *resultcode.Error) *rpc.Frame {
+	s := o.streams
+	refused := Refusal(err)
+	refused.Agent = s.incarnation
+	refused.Load = s.worker.Load(time.Now())
+	return &rpc.Frame{CatalogVersion: s.worker.CatalogVersion(), Kind: &rpc.Frame_Refused{Refused: refused}}
+}
+
+// Refusal converts an error to its message.
+func Refusal(err *resultcode.Error) *rpc.Refused {
+	return &rpc.Refused{
+		Code:         uint32(err.Code),
+		Message:      err.Error(),
+		Execution:    rpc.ExecutionOf(err.Verdict()),
+		RetryAfterMs: uint32(err.RetryAfter.Milliseconds()),
+	}
+}
--- /dev/null
+++ b/router/dispatch/client.go
@@ -0,0 +1,176 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+const (
+	// SilenceTimeout is the time without any frame after which a stream counts
+	// as silent. Agents send a heartbeat each second.
+	SilenceTimeout = 3 * time.Second
+
+	dialTimeout        = time.Second
+	idleConnTimeout    = 60 * time.Second
+	maxIdlePerAgent    = 64
+	maxIdleConnections = 1024
+	userTimeout        = 5 * time.Second
+	frameBacklog       = 16
+)
+
+// Client opens attempt streams to agents.
+type Client struct {
+	http *http.Client
+	// scheme is http, or https with mutual TLS.
+	scheme string
+}
+
+// NewClient returns a client. The transport's TLS settings decide whether
+// traffic is encrypted.
+func NewClient(transport *http.Transport) *Client {
+	scheme := "http"
+	if transport.TLSClientConfig != nil {
+		scheme = "https"
+	}
+	return &Client{http: &http.Client{Transport: transport}, scheme: scheme}
+}
+
+// HTTPClient returns the client for unary calls over the same connections.
+func (c *Client) HTTPClient() *http.Client { return c.http }
+
+// URL returns the base URL of a peer address.
+func (c *Client) URL(address string) string { return c.scheme + "://" + address }
+
+// NewTransport returns a transport for traffic between processes. Connections
+// that the peer stops acknowledging are reported as broken after seconds.
+func NewTransport() *http.Transport {
+	dialer := &net.Dialer{
+		Timeout: dialTimeout,
+		Control: func(_, _ string, raw syscall.RawConn) error { return rpc.SetUserTimeout(raw, userTimeout) },
+	}
+	return &http.Transport{
+		DialContext:           dialer.DialContext,
+		TLSHandshakeTimeout:   dialTimeout,
+		MaxIdleConns:          maxIdleConnections,
+		MaxIdleConnsPerHost:   maxIdlePerAgent,
+		IdleConnTimeout:       idleConnTimeout,
+		ResponseHeaderTimeout: SilenceTimeout,
+		DisableCompression:    true,
+	}
+}
+
+// streamEnd says how a stream ended without a final frame.
+type streamEnd int
+
+const (
+	// endNotOpened: no connection was made, so nothing was sent.
+	endNotOpened streamEnd = iota
+	// endBroken: the connection failed after the message may have been sent.
+	endBroken
+	// endSilent: no frame arrived within SilenceTimeout.
+	endSilent
+)
+
+// frameOrEnd is one event of a stream. After an end no further event follows.
+type frameOrEnd struct {
+	stream *stream
+	frame  *rpc.Frame
+	end    streamEnd
+	err    error
+}
+
+// stream is one connection on which an attempt's frames arrive.
+type stream struct {
+	events chan frameOrEnd
+	cancel context.CancelFunc
+}
+
+// close stops the stream. The attempt at the agent goes on.
+func (s *stream) close() { s.cancel() }
+
+// open posts the message to an agent and reads frames in the background until
+// the stream ends or is closed.
+func (c *Client) open(ctx context.Context, address, path string, m proto.Message) *stream {
+	ctx, cancel := context.WithCancel(ctx)
+	s := &stream{events: make(chan frameOrEnd, frameBacklog), cancel: cancel}
+	go func() {
+		defer cancel()
+		s.read(ctx, c, c.URL(address)+path, m)
+	}()
+	return s
+}
+
+func (s *stream) read(ctx context.Context, c *Client, url string, m proto.Message) {
+	var silent, connected atomic.Bool
+	readCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	watch := time.AfterFunc(SilenceTimeout, func() {
+		silent.Store(true)
+		stop()
+	})
+	defer watch.Stop()
+	err := c.exchange(readCtx, url, m, &connected, func(f *rpc.Frame) bool {
+		watch.Reset(SilenceTimeout)
+		return s.deliver(ctx, frameOrEnd{stream: s, frame: f})
+	})
+	end := frameOrEnd{stream: s, end: endBroken, err: err}
+	if silent.Load() {
+		end.end = endSilent
+	}
+	if !connected.Load() {
+		end.end = endNotOpened
+	}
+	s.deliver(ctx, end)
+}
+
+func (s *stream) deliver(ctx context.Context, e frameOrEnd) bool {
+	select {
+	case s.events <- e:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// exchange sends the message and passes each frame to handle until it returns
+// false or the stream ends. It never returns nil after an unfinished stream.
+func (c *Client) exchange(ctx context.Context, url string, m proto.Message, connected *atomic.Bool, handle func(*rpc.Frame) bool) error {
+	var body bytes.Buffer
+	if err := rpc.WriteMessage(&body, m); err != nil {
+		return err
+	}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, &body)
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("the agent answered %d", resp.StatusCode)
+	}
+	reader := rpc.NewReader(resp.Body)
+	for {
+		f := new(rpc.Frame)
+		if err := reader.Read(f); err != nil {
+			return err
+		}
+		if !handle(f) {
+			return context.Canceled
+		}
+	}
+}
--- /dev/null
+++ b/router/ingress/events.go
@@ -0,0 +1,105 @@
+package ingress
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/router/dispatch"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+// eventSink writes a streamed chat completion as server-sent events and flushes
+// each chunk.
+type eventSink struct {
+	c            echo.Context
+	requestID    string
+	includeUsage bool
+	// prefix is the envelope of each chunk up to its choices.
+	prefix []byte
+	line   []byte
+	opened bool
+}
+
+func newEventSink(c echo.Context, req *dispatch.Request, p *chatParameters) *eventSink {
+	return &eventSink{
+		c:            c,
+		requestID:    req.ID,
+		includeUsage: p.StreamOptions.IncludeUsage,
+		prefix:       chunkPrefix(req, p.Model),
+	}
+}
+
+// chunkPrefix builds the part of the envelope that all chunks of an answer
+// share. The router makes the envelope itself, so that it stays the same when
+// another engine continues the stream.
+func chunkPrefix(req *dispatch.Request, model string) []byte {
+	name, _ := json.Marshal(model)
+	return fmt.Appendf(nil, `data: {"id":"chatcmpl-%s","object":"chat.completion.chunk","created":%d,"model":%s,"choices":[`,
+		req.ID, req.Received.Unix(), name)
+}
+
+// Head does nothing: the head of a stream is written with its first chunk, so
+// that a refusal before it is still a plain HTTP answer.
+func (s *eventSink) Head(*rpc.ResponseHead) error { return nil }
+
+func (s *eventSink) open() {
+	if s.opened {
+		return
+	}
+	s.opened = true
+	h := s.c.Response().Header()
+	h.Set(echo.HeaderContentType, "text/event-stream; charset=utf-8")
+	h.Set(echo.HeaderCacheControl, "no-cache")
+	s.c.Response().WriteHeader(http.StatusOK)
+}
+
+// Chunk writes one chunk.
+func (s *eventSink) Chunk(chunk *rpc.Chunk) error {
+	s.open()
+	s.line = append(s.line[:0], s.prefix...)
+	s.line = append(s.line, chunk.GetData()...)
+	s.line = append(s.line, "]}\n\n"...)
+	return s.send()
+}
+
+// Done writes the usage, if the caller asked for it, and the end marker.
+func (s *eventSink) Done(done *rpc.Done) error {
+	s.open()
+	s.line = s.line[:0]
+	if s.includeUsage && len(done.GetUsage()) > 0 {
+		s.line = append(s.line, s.prefix...)
+		s.line = append(s.line, `],"usage":`...)
+		s.line = append(s.line, done.GetUsage()...)
+		s.line = append(s.line, "}\n\n"...)
+	}
+	s.line = append(s.line, "data: [DONE]\n\n"...)
+	return s.send()
+}
+
+func (s *eventSink) send() error {
+	if _, err := s.c.Response().Write(s.line); err != nil {
+		return err
+	}
+	return http.NewResponseController(s.c.Response().Writer).Flush()
+}
+
+// fail ends the answer with an error: as a plain HTTP answer before the first
+// chunk, and as an error event without an end marker after it.
+func (s *eventSink) fail(err *resultcode.Error) error {
+	if !s.opened {
+		return writeRefusal(s.c, err)
+	}
+	body, encodeErr := json.Marshal(newErrorBody(err, s.requestID))
+	if encodeErr != nil {
+		return encodeErr
+	}
+	s.line = append(s.line[:0], "event: error\ndata: "...)
+	s.line = append(s.line, body...)
+	s.line = append(s.line, "\n\n"...)
+	_ = s.send()
+	return nil
+}
--- /dev/null
+++ b/router/ingress/headers.go
@@ -0,0 +1,34 @@
+package ingress
+
+import (
+	"net/http"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/pistachiowind/pistachiowind/resultcode"
+)
+
+// singleHeaders must occur at most once: with two values it would be unclear
+// which one the caller meant.
+var singleHeaders = []string{"Authorization", ProfileHeader, KeyHeader, "Content-Type"}
+
+func checkHeaders(h http.Header) *resultcode.Error {
+	for _, name := range singleHeaders {
+		values := h.Values(name)
+		if len(values) > 1 {
+			return resultcode.New(resultcode.DuplicateHeader, "header %s occurs %d times", name, len(values))
+		}
+		if len(values) == 1 && !utf8.ValidString(values[0]) {
+			return resultcode.New(resultcode.InvalidUTF8, "header %s is not valid UTF-8", name)
+		}
+	}
+	return nil
+}
+
+func bearer(h http.Header) string {
+	scheme, key, ok := strings.Cut(h.Get("Authorization"), " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
--- /dev/null
+++ b/router/ingress/refusal.go
@@ -0,0 +1,85 @@
+package ingress
+
+import (
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/pistachiowind/pistachiowind/resultcode"
+)
+
+// errorBody is a refusal in the OpenAI error shape with the fields of this
+// router beside it.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string `json:"message"`
+	// Type is the name of the result code.
+	Type  string  `json:"type"`
+	Param *string `json:"param"`
+	// Code is the number of the result code; OpenAI clients expect a string.
+	Code      string               `json:"code"`
+	Execution resultcode.Execution `json:"execution"`
+	// RetryAfterMS is the time after which to come back; absent when not known.
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+	RequestID    string `json:"request_id,omitempty"`
+}
+
+func newErrorBody(err *resultcode.Error, requestID string) errorBody {
+	return errorBody{Error: errorDetail{
+		Message:      err.Message,
+		Type:         err.Code.String(),
+		Code:         strconv.FormatUint(uint64(err.Code), 10),
+		Execution:    err.Verdict(),
+		RetryAfterMS: err.RetryAfter.Milliseconds(),
+		RequestID:    requestID,
+	}}
+}
+
+// refuse answers a request that has not been answered yet.
+func (s *Server) refuse(c echo.Context, err *resultcode.Error) error {
+	s.opts.Observer.Refused(err)
+	return writeRefusal(c, err)
+}
+
+func writeRefusal(c echo.Context, err *resultcode.Error) error {
+	h := c.Response().Header()
+	h.Set(ExecutionHeader, string(err.Verdict()))
+	if err.RetryAfter > 0 {
+		h.Set("Retry-After", retryAfterSeconds(err.RetryAfter))
+	}
+	if c.Request().ProtoMajor == 1 && bodyUnread(err.Code) {
+		h.Set("Connection", "close")
+	}
+	return c.JSON(resultcode.Lookup(err.Code).Status, newErrorBody(err, h.Get(RequestIDHeader)))
+}
+
+// bodyUnread reports whether the rest of the body may still be on its way, so
+// that the connection cannot be used again.
+func bodyUnread(code resultcode.Code) bool {
+	return code == resultcode.BodyTooLarge || code == resultcode.BodyTimeout
+}
+
+// retryAfterSeconds rounds up, because the header has whole seconds.
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
+
+// routeError answers what echo refuses by itself: unknown paths and methods.
+func (s *Server) routeError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	var httpErr *echo.HTTPError
+	refusal := resultcode.Wrap(resultcode.Internal, err, "the request could not be handled")
+	if errors.As(err, &httpErr) && httpErr.Code < http.StatusInternalServerError {
+		refusal = resultcode.New(resultcode.UnknownRoute, "%s %s is not a route of this router", c.Request().Method, c.Request().URL.Path)
+	}
+	_ = s.refuse(c, refusal)
+}
--- /dev/null
+++ b/router/ingress/service.go
@@ -0,0 +1,147 @@
+package ingress
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+func (s *Server) service(c echo.Context) error {
+	in, refusal := s.admit(c)
+	if refusal != nil {
+		return s.refuse(c, refusal)
+	}
+	defer in.leave()
+	if refusal := s.prepareService(c, in); refusal != nil {
+		return s.refuse(c, refusal)
+	}
+	sink := &serviceSink{c: c}
+	if err := s.run(c, in, sink); err != nil {
+		return sink.fail(err)
+	}
+	return nil
+}
+
+func (s *Server) prepareService(c echo.Context, in *inbound) *resultcode.Error {
+	r := c.Request()
+	name := c.Param("service")
+	service, ok := in.index.Service(name)
+	if !ok {
+		return resultcode.New(resultcode.UnknownService, "service %q does not exist", name)
+	}
+	if err := in.resolveProfile(r.Header, service.DefaultProfile); err != nil {
+		return err
+	}
+	if !utf8.ValidString(r.URL.RawQuery) {
+		return resultcode.New(resultcode.InvalidUTF8, "the query is not valid UTF-8")
+	}
+	body, err := s.readBody(c)
+	if err != nil {
+		return err
+	}
+	in.Service = &rpc.ServiceWork{
+		Service: name,
+		Method:  r.Method,
+		Path:    servicePath(r.URL.EscapedPath()),
+		Query:   r.URL.RawQuery,
+		Headers: forwardedHeaders(r.Header),
+		Body:    body,
+	}
+	in.BodyDigest = serviceDigest(in.Service)
+	return nil
+}
+
+// servicePath returns the escaped path below the service, with a leading slash.
+func servicePath(escaped string) string {
+	rest := strings.TrimPrefix(escaped, "/services/")
+	_, below, ok := strings.Cut(rest, "/")
+	if !ok {
+		return "/"
+	}
+	return "/" + below
+}
+
+// serviceDigest covers everything that determines what the call does. A length
+// before each part keeps different calls from having the same digest.
+func serviceDigest(w *rpc.ServiceWork) []byte {
+	h := sha256.New()
+	for _, part := range []string{w.GetService(), w.GetMethod(), w.GetPath(), w.GetQuery(), string(w.GetBody())} {
+		h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
+		h.Write([]byte(part))
+	}
+	return h.Sum(nil)
+}
+
+// ownHeaderPrefix marks headers of this router; a caller's copy never reaches
+// an agent or endpoint.
+const ownHeaderPrefix = "X-Pistachiowind-"
+
+var notForwarded = map[string]bool{
+	"Authorization": true, "Idempotency-Key": true, "X-Request-Id": true, "Host": true,
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+	"Expect": true, "X-Fencing-Number": true,
+}
+
+func forwardedHeaders(h http.Header) []*rpc.Header {
+	var out []*rpc.Header
+	for _, name := range slices.Sorted(maps.Keys(h)) {
+		if notForwarded[name] || strings.HasPrefix(name, ownHeaderPrefix) {
+			continue
+		}
+		for _, v := range h[name] {
+			out = append(out, &rpc.Header{Name: name, Value: strings.ToValidUTF8(v, "\uFFFD")})
+		}
+	}
+	return out
+}
+
+// serviceSink passes a service's answer on.
+type serviceSink struct {
+	c      echo.Context
+	opened bool
+}
+
+// Head writes the status and headers.
+func (s *serviceSink) Head(head *rpc.ResponseHead) error {
+	h := s.c.Response().Header()
+	for _, header := range head.GetHeaders() {
+		h.Add(header.GetName(), header.GetValue())
+	}
+	h.Set(ExecutionHeader, string(resultcode.Ran))
+	if head.GetReplayed() {
+		h.Set("Idempotent-Replayed", "true")
+	}
+	s.opened = true
+	s.c.Response().WriteHeader(int(head.GetStatus()))
+	return nil
+}
+
+// Chunk writes a part of the body and flushes it.
+func (s *serviceSink) Chunk(chunk *rpc.Chunk) error {
+	if _, err := s.c.Response().Write(chunk.GetData()); err != nil {
+		return err
+	}
+	return http.NewResponseController(s.c.Response().Writer).Flush()
+}
+
+// Done does nothing: the server ends the body.
+func (s *serviceSink) Done(*rpc.Done) error { return nil }
+
+// fail refuses the call, or breaks the connection when a part of the answer has
+// been sent, so that the caller does not take it for the whole.
+func (s *serviceSink) fail(err *resultcode.Error) error {
+	if !s.opened {
+		return writeRefusal(s.c, err)
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/router/ingress/whole.go
@@ -0,0 +1,173 @@
+package ingress
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/router/dispatch"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+// maxWholeBytes bounds an answer that is collected before it is sent.
+const maxWholeBytes = 16 << 20
+
+// wholeSink collects a chat completion for a caller that did not ask for a
+// stream.
+type wholeSink struct {
+	req     *dispatch.Request
+	model   string
+	role    string
+	content strings.Builder
+	refusal strings.Builder
+	tools   []toolCall
+	finish  string
+	usage   json.RawMessage
+	bytes   int
+}
+
+type toolCall struct {
+	ID       string       `json:"id"`
+	Type     string       `json:"type"`
+	Function toolFunction `json:"function"`
+}
+
+type toolFunction struct {
+	Name      string `json:"name"`
+	Arguments string `json:"arguments"`
+}
+
+type deltaChoice struct {
+	Delta struct {
+		Role      string          `json:"role"`
+		Content   string          `json:"content"`
+		Refusal   string          `json:"refusal"`
+		ToolCalls []toolCallDelta `json:"tool_calls"`
+	} `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type toolCallDelta struct {
+	Index int `json:"index"`
+	toolCall
+}
+
+func newWholeSink(req *dispatch.Request, p *chatParameters) *wholeSink {
+	return &wholeSink{req: req, model: p.Model, role: "assistant"}
+}
+
+// Head does nothing; a chat answer has no head of its own.
+func (s *wholeSink) Head(*rpc.ResponseHead) error { return nil }
+
+// Chunk adds one chunk. It fails when the answer exceeds its bound.
+func (s *wholeSink) Chunk(chunk *rpc.Chunk) error {
+	s.bytes += len(chunk.GetData())
+	if s.bytes > maxWholeBytes {
+		return resultcode.New(resultcode.AnswerTooLarge, "the answer exceeds %d bytes", maxWholeBytes).
+			WithExecution(resultcode.Ran)
+	}
+	var choice deltaChoice
+	if err := json.Unmarshal(chunk.GetData(), &choice); err != nil {
+		return err
+	}
+	s.content.WriteString(choice.Delta.Content)
+	s.refusal.WriteString(choice.Delta.Refusal)
+	if choice.Delta.Role != "" {
+		s.role = choice.Delta.Role
+	}
+	if choice.FinishReason != nil {
+		s.finish = *choice.FinishReason
+	}
+	for _, delta := range choice.Delta.ToolCalls {
+		s.mergeTool(delta)
+	}
+	return nil
+}
+
+// maxToolCalls bounds the index of a tool call in one answer.
+const maxToolCalls = 256
+
+func (s *wholeSink) mergeTool(delta toolCallDelta) {
+	if delta.Index < 0 || delta.Index >= maxToolCalls {
+		return
+	}
+	for len(s.tools) <= delta.Index {
+		s.tools = append(s.tools, toolCall{Type: "function"})
+	}
+	call := &s.tools[delta.Index]
+	if delta.ID != "" {
+		call.ID = delta.ID
+	}
+	call.Function.Name += delta.Function.Name
+	call.Function.Arguments += delta.Function.Arguments
+}
+
+// Done keeps the usage.
+func (s *wholeSink) Done(done *rpc.Done) error {
+	s.usage = done.GetUsage()
+	return nil
+}
+
+type completion struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Created int64              `json:"created"`
+	Model   string             `json:"model"`
+	Choices []completionChoice `json:"choices"`
+	Usage   json.RawMessage    `json:"usage,omitempty"`
+}
+
+type completionChoice struct {
+	Index        int               `json:"index"`
+	Message      completionMessage `json:"message"`
+	FinishReason string            `json:"finish_reason"`
+}
+
+type completionMessage struct {
+	Role      string     `json:"role"`
+	Content   *string    `json:"content"`
+	Refusal   *string    `json:"refusal"`
+	ToolCalls []toolCall `json:"tool_calls,omitempty"`
+}
+
+func (s *wholeSink) answer(c echo.Context) error {
+	message := completionMessage{Role: s.role, ToolCalls: s.tools}
+	if content := s.content.String(); content != "" || len(s.tools) == 0 {
+		message.Content = &content
+	}
+	if refusal := s.refusal.String(); refusal != "" {
+		message.Refusal = &refusal
+	}
+	c.Response().Header().Set(ExecutionHeader, string(resultcode.Ran))
+	return c.JSON(http.StatusOK, completion{
+		ID:      "chatcmpl-" + s.req.ID,
+		Object:  "chat.completion",
+		Created: s.req.Received.Unix(),
+		Model:   s.model,
+		Choices: []completionChoice{{Message: message, FinishReason: s.finish}},
+		Usage:   s.usage,
+	})
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type modelListing struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+func modelList(names []string) modelListing {
+	list := modelListing{Object: "list", Data: []modelEntry{}}
+	for _, name := range names {
+		list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "site"})
+	}
+	return list
+}
