--- /dev/null
+++ b/standin/standin.go
@@ -0,0 +1,143 @@
+// Package standin holds test doubles of the platform: a model engine, plain
+// services, the table service, the object store, the VM list and the weight
+// store. Each is an http.Handler that speaks the published protocol, can be
+// used in process or served by a daemon, and has faults that are switched on
+// command, either with SetFaults or with POST /faults. GET /faults returns the
+// faults in effect. Setting faults replaces all earlier ones.
+//
+// A handler that has to break a connection panics with http.ErrAbortHandler,
+// which the HTTP server turns into a closed connection.
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"slices"
+	"time"
+)
+
+const (
+	maxFaultBytes = 64 << 10
+	maxFaultTime  = 24 * time.Hour
+	// maxBodyBytes bounds a request body. A chat body of 4 MiB may be followed
+	// by the text so far.
+	maxBodyBytes = 8 << 20
+)
+
+var errClosed = errors.New("standin: closed")
+
+var errFaultRange = errors.New("standin: a fault's number is negative or its time above a day")
+
+// checkMilliseconds checks times of faults.
+func checkMilliseconds(times ...int) error {
+	for _, n := range times {
+		if n < 0 || milliseconds(n) > maxFaultTime {
+			return errFaultRange
+		}
+	}
+	return nil
+}
+
+// faultSet is a struct of faults that can check its own values.
+type faultSet interface {
+	validate() error
+}
+
+// addFaultRoutes serves GET and POST /faults.
+func addFaultRoutes[F faultSet](mux *http.ServeMux, get func() F, set func(F) error) {
+	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, get())
+	})
+	mux.HandleFunc("POST /faults", func(w http.ResponseWriter, r *http.Request) {
+		var faults F
+		dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxFaultBytes))
+		dec.DisallowUnknownFields()
+		if err := dec.Decode(&faults); err != nil {
+			writeError(w, http.StatusBadRequest, "faults: "+err.Error())
+			return
+		}
+		if err := set(faults); err != nil {
+			writeError(w, http.StatusBadRequest, err.Error())
+			return
+		}
+		writeJSON(w, http.StatusOK, get())
+	})
+}
+
+// errorBody is the OpenAI error format.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    int    `json:"code"`
+}
+
+func writeError(w http.ResponseWriter, status int, message string) {
+	kind := "invalid_request_error"
+	if status >= http.StatusInternalServerError {
+		kind = "server_error"
+	}
+	writeJSON(w, status, errorBody{errorDetail{Message: message, Type: kind, Code: status}})
+}
+
+// writeJSON ignores a failed write: the client has gone and nobody can be told.
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(data, '\n'))
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	return io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+}
+
+// dropConnection ends the handler and closes the connection without an answer.
+func dropConnection() {
+	panic(http.ErrAbortHandler)
+}
+
+// milliseconds saturates instead of overflowing.
+func milliseconds(n int) time.Duration {
+	return time.Duration(min(n, math.MaxInt64/int(time.Millisecond))) * time.Millisecond
+}
+
+// history is a value with its past, for reports that lag.
+type history[T any] struct {
+	samples []sample[T]
+	limit   int
+}
+
+type sample[T any] struct {
+	at    time.Time
+	value T
+}
+
+// set records a value; at the limit, the older half of the past is dropped.
+func (h *history[T]) set(at time.Time, value T) {
+	if h.limit > 0 && len(h.samples) >= h.limit {
+		h.samples = append(h.samples[:0], h.samples[len(h.samples)/2:]...)
+	}
+	h.samples = append(h.samples, sample[T]{at, value})
+}
+
+// get returns the value as it was at a time, or the oldest one that is known.
+// At least one value must have been recorded.
+func (h *history[T]) get(at time.Time) T {
+	for _, s := range slices.Backward(h.samples) {
+		if !s.at.After(at) {
+			return s.value
+		}
+	}
+	return h.samples[0].value
+}
