Add telemetry with bounded instruments and a state log

Cause: router and agent need metrics and logs, several instances may run in one program, and 840 client accounts and 20 models must not multiply.

--- /dev/null
+++ b/telemetry/instrument.go
@@ -0,0 +1,183 @@
+package telemetry
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// Definition describes one instrument for docs/metrics.md.
+type Definition struct {
+	// Name is the name under which Prometheus reads the metric.
+	Name string
+	Kind Kind
+	// Labels are the label names.
+	Labels []string
+	// MaxSeries bounds the label combinations; further ones are recorded under
+	// the label overflow="true".
+	MaxSeries int
+	Help      string
+}
+
+// Kind is the type of an instrument.
+type Kind string
+
+const (
+	KindCounter   Kind = "counter"
+	KindGauge     Kind = "gauge"
+	KindHistogram Kind = "histogram"
+)
+
+// Labels is a struct of label values. pairs returns all of them, in the same
+// order for every value.
+type Labels interface {
+	comparable
+	pairs() []attribute.KeyValue
+}
+
+// series bounds the label combinations of one instrument and keeps their
+// attribute sets, so that recording does not build them again.
+type series[L Labels] struct {
+	max      int
+	mu       sync.RWMutex
+	sets     map[L]metric.MeasurementOption
+	overflow metric.MeasurementOption
+}
+
+func newSeries[L Labels](max int) *series[L] {
+	overflow := attribute.NewSet(attribute.Bool("overflow", true))
+	return &series[L]{
+		max:      max,
+		sets:     map[L]metric.MeasurementOption{},
+		overflow: metric.WithAttributeSet(overflow),
+	}
+}
+
+func (s *series[L]) option(l L) metric.MeasurementOption {
+	s.mu.RLock()
+	option, ok := s.sets[l]
+	s.mu.RUnlock()
+	if ok {
+		return option
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if option, ok := s.sets[l]; ok {
+		return option
+	}
+	if len(s.sets) >= s.max {
+		return s.overflow
+	}
+	option = metric.WithAttributeSet(attribute.NewSet(validPairs(l)...))
+	s.sets[l] = option
+	return option
+}
+
+// validPairs replaces invalid UTF-8, which would make a scrape fail.
+func validPairs[L Labels](l L) []attribute.KeyValue {
+	pairs := l.pairs()
+	for i := range pairs {
+		if pairs[i].Value.Type() != attribute.STRING {
+			continue
+		}
+		text := strings.ToValidUTF8(pairs[i].Value.AsString(), "_")
+		pairs[i].Value = attribute.StringValue(text)
+	}
+	return pairs
+}
+
+// Counter is a rising count. A nil Counter records nothing.
+type Counter[L Labels] struct {
+	inner  metric.Int64Counter
+	series *series[L]
+}
+
+// Add raises the count by n, which must not be negative.
+func (c *Counter[L]) Add(n int64, l L) {
+	if c == nil {
+		return
+	}
+	c.inner.Add(context.Background(), n, c.series.option(l))
+}
+
+// Gauge is a current value. A nil Gauge records nothing.
+type Gauge[L Labels] struct {
+	inner  metric.Float64Gauge
+	series *series[L]
+}
+
+// Set replaces the value.
+func (g *Gauge[L]) Set(value float64, l L) {
+	if g == nil {
+		return
+	}
+	g.inner.Record(context.Background(), value, g.series.option(l))
+}
+
+// Duration is a histogram of durations. A nil Duration records nothing.
+type Duration[L Labels] struct {
+	inner  metric.Float64Histogram
+	series *series[L]
+}
+
+// Record adds one duration.
+func (h *Duration[L]) Record(d time.Duration, l L) {
+	if h == nil {
+		return
+	}
+	h.inner.Record(context.Background(), d.Seconds(), h.series.option(l))
+}
+
+// requestBounds are the bucket bounds of request phases in seconds. They
+// contain the planned first-token target of 1.5 s.
+var requestBounds = []float64{.005, .01, .025, .05, .1, .25, .5, .75, 1, 1.5, 2.5, 5, 10, 30, 60, 120, 300, 600}
+
+// tokenBounds are the bucket bounds of the time between tokens in seconds.
+// They contain the planned target of 44 ms.
+var tokenBounds = []float64{.002, .005, .01, .015, .02, .03, .044, .06, .08, .1, .15, .25, .5, 1, 3, 10}
+
+func newCounter[L Labels](p *Provider, name string, max int, help string) *Counter[L] {
+	inner, err := p.meter.Int64Counter(name, metric.WithDescription(help))
+	p.define(KindCounter, name+"_total", max, help, names[L](), err)
+	return &Counter[L]{inner, newSeries[L](max)}
+}
+
+func newGauge[L Labels](p *Provider, name, unit string, max int, help string) *Gauge[L] {
+	inner, err := p.meter.Float64Gauge(name, metric.WithDescription(help), metric.WithUnit(unit))
+	if unit == "s" {
+		name += "_seconds"
+	}
+	p.define(KindGauge, name, max, help, names[L](), err)
+	return &Gauge[L]{inner, newSeries[L](max)}
+}
+
+func newDuration[L Labels](p *Provider, name string, bounds []float64, max int, help string) *Duration[L] {
+	inner, err := p.meter.Float64Histogram(name,
+		metric.WithDescription(help),
+		metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(bounds...),
+	)
+	p.define(KindHistogram, name+"_seconds", max, help, names[L](), err)
+	return &Duration[L]{inner, newSeries[L](max)}
+}
+
+func (p *Provider) define(kind Kind, name string, max int, help string, labels []string, err error) {
+	if err != nil {
+		p.errs = append(p.errs, err)
+	}
+	p.defs = append(p.defs, Definition{namespace + "_" + name, kind, labels, max, help})
+}
+
+func names[L Labels]() []string {
+	var zero L
+	pairs := zero.pairs()
+	out := make([]string, len(pairs))
+	for i := range pairs {
+		out[i] = string(pairs[i].Key)
+	}
+	return out
+}
--- /dev/null
+++ b/telemetry/log.go
@@ -0,0 +1,111 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/rs/zerolog"
+)
+
+// logTimeFormat is RFC 3339 in UTC with milliseconds.
+const logTimeFormat = "2006-01-02T15:04:05.000Z"
+
+// LogOptions configure NewLogger.
+type LogOptions struct {
+	// Level is debug, info, warn or error; empty means info.
+	Level string
+	// Format is json or console; empty means json.
+	Format string
+	// Role and Name are added to each line.
+	Role string
+	Name string
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+// NewLogger returns a logger on w, which receives one write per line.
+func NewLogger(w io.Writer, o LogOptions) (zerolog.Logger, error) {
+	if o.Level == "" {
+		o.Level = zerolog.LevelInfoValue
+	}
+	level, err := zerolog.ParseLevel(o.Level)
+	if err != nil {
+		return zerolog.Nop(), fmt.Errorf("log level: %w", err)
+	}
+	switch o.Format {
+	case "", "json":
+	case "console":
+		w = zerolog.ConsoleWriter{Out: w, NoColor: true, TimeFormat: logTimeFormat, TimeLocation: time.UTC}
+	default:
+		return zerolog.Nop(), fmt.Errorf("log format %q: allowed: json, console", o.Format)
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	logger := zerolog.New(w).Level(level).Hook(clock{o.Now})
+	return logger.With().Str("role", o.Role).Str("name", o.Name).Logger(), nil
+}
+
+// clock adds the time. zerolog's own time format is a global variable, which
+// instances in one program would share.
+type clock struct{ now func() time.Time }
+
+// Run implements zerolog.Hook.
+func (c clock) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str(zerolog.TimestampFieldName, c.now().UTC().Format(logTimeFormat))
+}
+
+// maxSubjects bounds the subjects whose last state a StateLog remembers; the
+// least recently used is dropped, and its next report is written again.
+const maxSubjects = 2048
+
+// StateLog writes a line only when the state of a subject changes, so that a
+// lasting failure does not fill the log; counters show how often it occurs.
+// It is safe for concurrent use.
+type StateLog struct {
+	logger zerolog.Logger
+	states *lru.Cache[string, string]
+}
+
+// NewStateLog returns a StateLog on logger.
+func NewStateLog(logger zerolog.Logger) *StateLog {
+	states, err := lru.New[string, string](maxSubjects)
+	if err != nil {
+		panic("telemetry: the bound of a StateLog must be positive")
+	}
+	return &StateLog{logger: logger, states: states}
+}
+
+// StateChange is a report about the state of a subject.
+type StateChange struct {
+	// Subject is what has the state, such as "endpoint engine-a3".
+	Subject string
+	State   string
+	// Cause is an error or reason; empty when none is known.
+	Cause string
+	// Warn raises the line's level from info to warn.
+	Warn bool
+}
+
+// Report writes c unless the subject already has the state.
+func (s *StateLog) Report(c StateChange) {
+	old, known := s.states.Get(c.Subject)
+	if known && old == c.State {
+		return
+	}
+	s.states.Add(c.Subject, c.State)
+	event := s.logger.Info()
+	if c.Warn {
+		event = s.logger.Warn()
+	}
+	event = event.Str("subject", c.Subject).Str("state", c.State)
+	if known {
+		event = event.Str("previous", old)
+	}
+	if c.Cause != "" {
+		event = event.Str("cause", c.Cause)
+	}
+	event.Msg("state changed")
+}
