Add the dispatcher and the agent's worker

Cause: attempts need a router side that follows them and an agent side that takes them from the queue to the endpoint. Change: stream client, the loop over the recovery machine, worker with queue, guard and limiter interfaces.

--- a/agent/endpoint/endpoint.go
+++ b/agent/endpoint/endpoint.go
@@ -86,3 +86,6 @@
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	return rpc.SetUserTimeout(c, userTimeout)
 }
+
+// RunFunc is the signature of Backend.Run.
+type RunFunc func(ctx context.Context, req *rpc.RunRequest, emit Emit) *resultcode.Error
--- a/agent/endpoint/engine.go
+++ b/agent/endpoint/engine.go
@@ -174,11 +174,27 @@
 
 type engineChoice struct {
 	Delta struct {
-		Content string `json:"content"`
+		Content          string          `json:"content"`
+		ToolCalls        json.RawMessage `json:"tool_calls"`
+		FunctionCall     json.RawMessage `json:"function_call"`
+		Refusal          json.RawMessage `json:"refusal"`
+		ReasoningContent json.RawMessage `json:"reasoning_content"`
+		Audio            json.RawMessage `json:"audio"`
 	} `json:"delta"`
 	FinishReason *string `json:"finish_reason"`
 }
 
+// opaque reports whether the delta holds more than text.
+func (c *engineChoice) opaque() bool {
+	d := &c.Delta
+	for _, part := range []json.RawMessage{d.ToolCalls, d.FunctionCall, d.Refusal, d.ReasoningContent, d.Audio} {
+		if len(part) > 0 && !bytes.Equal(part, jsonNull) {
+			return true
+		}
+	}
+	return false
+}
+
 var (
 	dataPrefix = []byte("data:")
 	doneMarker = []byte("[DONE]")
@@ -229,7 +245,13 @@
 		return interrupted(err, "the engine sent a choice that is not valid JSON")
 	}
 	s.finished = s.finished || choice.FinishReason != nil
-	chunk := &rpc.Chunk{Index: s.index, Data: bytes.Clone(raw), Text: choice.Delta.Content}
+	chunk := &rpc.Chunk{
+		Index:    s.index,
+		Data:     bytes.Clone(raw),
+		Text:     choice.Delta.Content,
+		Opaque:   choice.opaque(),
+		Finished: choice.FinishReason != nil,
+	}
 	s.index++
 	if err := s.emit(&rpc.Frame{Kind: &rpc.Frame_Chunk{Chunk: chunk}}); err != nil {
 		return interrupted(err, "the stream was stopped")
--- a/agent/execution/attempt.go
+++ b/agent/execution/attempt.go
@@ -150,6 +150,14 @@
 	}
 }
 
+// AppendControl adds a small frame without waiting, also above the bound. An
+// attempt has only a handful of such frames.
+func (a *Attempt) AppendControl(f *rpc.Frame) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.add(f, frameSize(f))
+}
+
 func (a *Attempt) tryAppend(f *rpc.Frame, size int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -159,10 +167,14 @@
 	if a.bytes+size > a.maxBytes && len(a.frames) > 0 {
 		return false
 	}
+	a.add(f, size)
+	return true
+}
+
+func (a *Attempt) add(f *rpc.Frame, size int) {
 	a.frames = append(a.frames, f)
 	a.bytes += size
 	a.wakeReader()
-	return true
 }
 
 func (a *Attempt) dropFirst() {
--- /dev/null
+++ b/agent/worker/run.go
@@ -0,0 +1,259 @@
+package worker
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/agent/queue"
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+var (
+	errPreempted = errors.New("worker: preempted for more urgent work")
+	errRenounced = errors.New("worker: given up by the router")
+	errOrphaned  = errors.New("worker: no router reads the attempt")
+)
+
+// progress is what a running attempt has emitted.
+type progress struct {
+	next  uint32
+	text  []byte
+	first bool
+	last  time.Time
+}
+
+// startReady starts waiting attempts while the concurrency limit allows it.
+func (w *Worker) startReady(now time.Time) {
+	for {
+		it, ok := w.limiter.Next(now, w.queue, w.runningList())
+		if !ok {
+			return
+		}
+		if j, known := w.jobs[it.ID]; known {
+			w.start(now, j, it)
+		}
+	}
+}
+
+func (w *Worker) runningList() []queue.Running {
+	list := make([]queue.Running, 0, len(w.running))
+	for _, j := range w.running {
+		r := *j.running
+		if !j.preemptible() {
+			r.Preemptions = queue.MaxPreemptions
+		}
+		list = append(list, r)
+	}
+	return list
+}
+
+// preemptible reports whether another run could continue the attempt.
+func (j *job) preemptible() bool {
+	return j.req.GetIdempotent() && j.req.GetChat() != nil && !j.pinned.Load()
+}
+
+func (w *Worker) start(now time.Time, j *job, it queue.Item) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	if !j.attempt.Start(func() { cancel(errRenounced) }) {
+		cancel(errRenounced)
+		delete(w.jobs, it.ID)
+		return
+	}
+	j.item = it
+	j.cancel = cancel
+	j.running = &queue.Running{Item: it, Started: now}
+	w.running[it.ID] = j
+	w.limiter.Started(now, j.req)
+	w.opts.Observer.Waited(j.req, now.Sub(it.Arrived))
+	started := &rpc.Started{WaitedMs: uint32(now.Sub(it.Arrived).Milliseconds())}
+	w.append(j, &rpc.Frame{Kind: &rpc.Frame_Started{Started: started}})
+	w.runs.Go(func() { w.run(ctx, j) })
+}
+
+// run passes one attempt to the endpoint and handles its end.
+func (w *Worker) run(ctx context.Context, j *job) {
+	ctx, cancel := context.WithDeadline(ctx, j.until)
+	defer cancel()
+	err := w.pass(ctx, j)
+	cause := context.Cause(ctx)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	delete(w.running, j.item.ID)
+	used := now.Sub(j.running.Started)
+	w.queue.Done(j.item, used)
+	w.limiter.Ended(now, j.req, used, err)
+	if err != nil && errors.Is(cause, errPreempted) {
+		w.requeue(now, j, used)
+	} else {
+		w.finish(now, j, withCause(err, cause))
+	}
+	w.startReady(now)
+}
+
+// withCause names why the worker itself stopped a run.
+func withCause(err *resultcode.Error, cause error) *resultcode.Error {
+	if err == nil || cause == nil || errors.Is(cause, context.DeadlineExceeded) {
+		return err
+	}
+	return resultcode.Wrap(resultcode.AttemptRenounced, cause, "the run was stopped").WithExecution(err.Verdict())
+}
+
+// pass runs the request, through the guard if it must not run twice.
+func (w *Worker) pass(ctx context.Context, j *job) *resultcode.Error {
+	req := j.continued()
+	emit := func(f *rpc.Frame) error { return w.emit(ctx, j, f) }
+	if req.GetIdempotent() {
+		return w.opts.Backend.Run(ctx, req, emit)
+	}
+	if w.opts.Guard == nil {
+		return resultcode.New(resultcode.StoreUnavailable, "this agent has no record of what ran")
+	}
+	return w.opts.Guard.Run(ctx, req, emit, w.opts.Backend.Run)
+}
+
+// continued returns the request with what a preempted run has emitted.
+func (j *job) continued() *rpc.RunRequest {
+	chat := j.req.GetChat()
+	if chat == nil || j.progress.next == chat.GetFirstIndex() {
+		return j.req
+	}
+	return &rpc.RunRequest{
+		Attempt:       j.req.GetAttempt(),
+		RequestId:     j.req.GetRequestId(),
+		ClientAccount: j.req.GetClientAccount(),
+		Tier:          j.req.GetTier(),
+		Idempotent:    j.req.GetIdempotent(),
+		BodyDigest:    j.req.GetBodyDigest(),
+		Work: &rpc.RunRequest_Chat{Chat: &rpc.ChatWork{
+			Model:      chat.GetModel(),
+			Body:       chat.GetBody(),
+			FirstIndex: j.progress.next,
+			TextSoFar:  string(j.progress.text),
+		}},
+	}
+}
+
+// emit passes a frame to the attempt's reader and learns from its time.
+func (w *Worker) emit(ctx context.Context, j *job, f *rpc.Frame) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	now := time.Now()
+	switch k := f.GetKind().(type) {
+	case *rpc.Frame_Chunk:
+		w.observeChunk(now, j, k.Chunk)
+	case *rpc.Frame_Head:
+		w.observeFirst(now, j)
+	case *rpc.Frame_Done:
+		k.Done.Load = w.Load(now)
+	}
+	f.CatalogVersion = w.opts.Catalog.Version()
+	return j.attempt.Append(ctx, f)
+}
+
+func (w *Worker) observeFirst(now time.Time, j *job) {
+	if j.progress.first {
+		return
+	}
+	j.progress.first = true
+	d := now.Sub(j.running.Started)
+	w.limiter.FirstToken(now, j.req, d)
+	w.opts.Observer.FirstToken(j.req, d)
+}
+
+func (w *Worker) observeChunk(now time.Time, j *job, c *rpc.Chunk) {
+	p := &j.progress
+	if j.req.GetChat() != nil {
+		p.next = c.GetIndex() + 1
+		p.text = append(p.text, c.GetText()...)
+	}
+	if c.GetOpaque() {
+		j.pinned.Store(true)
+	}
+	if p.first && !p.last.IsZero() {
+		w.limiter.Token(now, now.Sub(p.last))
+	}
+	w.observeFirst(now, j)
+	p.last = now
+}
+
+// requeue puts a preempted attempt back to wait with its place by age.
+func (w *Worker) requeue(now time.Time, j *job, used time.Duration) {
+	it := j.item
+	it.Used += used
+	it.Preemptions++
+	it.WaitUntil = j.until
+	j.running = nil
+	j.cancel = nil
+	j.progress.last = time.Time{}
+	j.progress.first = false
+	j.attempt.Requeue()
+	w.opts.Observer.Preempted(it.Tier)
+	displaced, err := w.queue.Push(now, it)
+	if err != nil {
+		w.finish(now, j, resultcode.As(err).WithExecution(resultcode.Unknown))
+		return
+	}
+	w.refuseDisplaced(now, displaced)
+}
+
+// Serve looks at expiry, orphans and preemption until ctx ends.
+func (w *Worker) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			w.tick(time.Now())
+		}
+	}
+}
+
+func (w *Worker) tick(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, it := range w.queue.Expire(now) {
+		w.refuseWaiting(now, it, resultcode.New(resultcode.DeadlineInQueue, "waited %s", now.Sub(it.Arrived).Round(time.Millisecond)))
+	}
+	w.cancelOrphans(now)
+	w.startReady(now)
+	w.preempt(now)
+}
+
+func (w *Worker) preempt(now time.Time) {
+	if w.queue.Len() == 0 {
+		return
+	}
+	id, ok := w.limiter.Preempt(now, w.queue, w.runningList())
+	if !ok {
+		return
+	}
+	j := w.running[id]
+	if j == nil || j.cancel == nil {
+		return
+	}
+	j.running.Cancelling = true
+	j.cancel(errPreempted)
+}
+
+// cancelOrphans gives up idempotent attempts whose router is gone.
+func (w *Worker) cancelOrphans(now time.Time) {
+	for _, j := range w.jobs {
+		since, unread := j.attempt.UnreadSince()
+		if !unread || now.Sub(since) < OrphanTimeout || !j.req.GetIdempotent() {
+			continue
+		}
+		if j.cancel != nil {
+			j.cancel(errOrphaned)
+			continue
+		}
+		if _, waiting := w.queue.Remove(j.item.ID); waiting {
+			w.finish(now, j, resultcode.New(resultcode.AttemptRenounced, "no router reads the attempt"))
+		}
+	}
+}
--- /dev/null
+++ b/agent/worker/worker.go
@@ -0,0 +1,325 @@
+// Package worker takes attempts from the queue to the endpoint. It applies the
+// decisions of packages queue, concurrency and claim: which attempt starts, which
+// is displaced or preempted, and whether a non-idempotent request may run.
+package worker
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/agent/endpoint"
+	"github.com/pistachiowind/pistachiowind/agent/execution"
+	"github.com/pistachiowind/pistachiowind/agent/queue"
+	"github.com/pistachiowind/pistachiowind/catalog"
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+const (
+	// OrphanTimeout is how long an idempotent attempt runs on without a router
+	// that reads it.
+	OrphanTimeout = 10 * time.Second
+
+	// tickInterval is how often expiry, orphans and preemption are looked at.
+	tickInterval = 20 * time.Millisecond
+)
+
+// Guard keeps a non-idempotent request from running twice.
+type Guard interface {
+	// Run calls run if the request may run now, and otherwise emits the stored
+	// answer or returns the refusal.
+	Run(ctx context.Context, req *rpc.RunRequest, emit endpoint.Emit, run endpoint.RunFunc) *resultcode.Error
+}
+
+// CatalogState is the part of the catalog that the worker needs.
+type CatalogState interface {
+	Version() uint64
+	Seen(version uint64, peer string)
+}
+
+// Observer is told what happens to attempts, for metrics.
+type Observer interface {
+	Ended(req *rpc.RunRequest, result *resultcode.Error)
+	Waited(req *rpc.RunRequest, wait time.Duration)
+	FirstToken(req *rpc.RunRequest, d time.Duration)
+	Displaced(tier int)
+	Preempted(tier int)
+}
+
+// Options configure a Worker. Backend, Catalog and Observer are required; Guard
+// is required where non-idempotent requests arrive.
+type Options struct {
+	Backend   endpoint.Backend
+	Guard     Guard
+	Catalog   CatalogState
+	Observer  Observer
+	Queue     queue.Options
+	Limiter   Limiter
+	Execution execution.Options
+}
+
+// job is one attempt on its way through the agent.
+type job struct {
+	item    queue.Item
+	req     *rpc.RunRequest
+	attempt *execution.Attempt
+	// until is when the whole answer must exist.
+	until time.Time
+	// progress is what the attempt has emitted so far.
+	progress progress
+	running  *queue.Running
+	cancel   context.CancelCauseFunc
+	// pinned is set when the answer holds more than text, so that another run
+	// could not continue it. Such an attempt is not preempted.
+	pinned atomic.Bool
+}
+
+// Worker runs the attempts of one agent incarnation. It is safe for concurrent
+// use. Serve must run while it is in use.
+type Worker struct {
+	opts  Options
+	table *execution.Table
+
+	mu      sync.Mutex
+	queue   *queue.Queue
+	limiter Limiter
+	jobs    map[string]*job
+	running map[string]*job
+	state   rpc.AgentState
+	// idle is closed when the last open attempt has ended while draining.
+	idle chan struct{}
+	runs sync.WaitGroup
+}
+
+// New returns a Worker in state starting; see SetState.
+func New(opts Options) *Worker {
+	return &Worker{
+		opts:    opts,
+		table:   execution.NewTable(opts.Execution),
+		queue:   queue.New(opts.Queue),
+		limiter: opts.Limiter,
+		jobs:    make(map[string]*job),
+		running: make(map[string]*job),
+		state:   rpc.AgentState_AGENT_STATE_STARTING,
+	}
+}
+
+// Submit accepts an attempt into the queue or refuses it. The refusal of an
+// attempt that was not accepted before proves that it will not run here.
+func (w *Worker) Submit(now time.Time, req *rpc.RunRequest) (*execution.Attempt, *resultcode.Error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.refusal(now, req); err != nil {
+		return nil, err
+	}
+	id := execution.ID{Router: req.GetAttempt().GetRouter(), Ticket: req.GetAttempt().GetTicket()}
+	attempt, err := w.table.Accept(now, id)
+	if err != nil {
+		return nil, err
+	}
+	j := newJob(now, req, attempt)
+	displaced, pushErr := w.queue.Push(now, j.item)
+	if pushErr != nil {
+		w.table.Renounce(now, id)
+		return nil, resultcode.As(pushErr)
+	}
+	w.jobs[j.item.ID] = j
+	w.append(j, &rpc.Frame{Kind: &rpc.Frame_Accepted{Accepted: &rpc.Accepted{Load: w.load(now)}}})
+	w.refuseDisplaced(now, displaced)
+	w.startReady(now)
+	return attempt, nil
+}
+
+func (w *Worker) refusal(now time.Time, req *rpc.RunRequest) *resultcode.Error {
+	switch w.state {
+	case rpc.AgentState_AGENT_STATE_SERVING:
+	case rpc.AgentState_AGENT_STATE_LEAVING:
+		return resultcode.New(resultcode.Leaving, "this agent is leaving")
+	default:
+		return resultcode.New(resultcode.EndpointDown, "the endpoint is not up").WithRetryAfter(time.Second)
+	}
+	if req.GetTier() >= catalog.TierCount {
+		return resultcode.New(resultcode.MalformedBody, "tier %d does not exist", req.GetTier())
+	}
+	return w.limiter.Admit(now, req, w.queue)
+}
+
+func newJob(now time.Time, req *rpc.RunRequest, attempt *execution.Attempt) *job {
+	wait := time.Duration(req.GetWaitLimitMs()) * time.Millisecond
+	whole := time.Duration(req.GetTimeLeftMs()) * time.Millisecond
+	return &job{
+		req:      req,
+		attempt:  attempt,
+		until:    now.Add(whole),
+		progress: progress{next: req.GetChat().GetFirstIndex(), text: []byte(req.GetChat().GetTextSoFar())},
+		item: queue.Item{
+			ID:        itemID(attempt.ID()),
+			Tier:      int(req.GetTier()),
+			Class:     req.GetClass(),
+			Account:   req.GetClientAccount(),
+			Weight:    int(req.GetWeight()),
+			Arrived:   now,
+			WaitUntil: now.Add(min(wait, whole)),
+		},
+	}
+}
+
+func itemID(id execution.ID) string {
+	return id.Router + "/" + strconv.FormatUint(id.Ticket, 10)
+}
+
+func (w *Worker) append(j *job, f *rpc.Frame) {
+	f.CatalogVersion = w.opts.Catalog.Version()
+	j.attempt.AppendControl(f)
+}
+
+func (w *Worker) refuseDisplaced(now time.Time, items []queue.Item) {
+	for _, it := range items {
+		w.opts.Observer.Displaced(it.Tier)
+		w.refuseWaiting(now, it, resultcode.New(resultcode.Displaced, "a more urgent request took the place"))
+	}
+}
+
+// refuseWaiting ends an attempt that the queue has given up.
+func (w *Worker) refuseWaiting(now time.Time, it queue.Item, err *resultcode.Error) {
+	j, ok := w.jobs[it.ID]
+	if !ok {
+		return
+	}
+	if it.Preemptions > 0 {
+		err = err.WithExecution(resultcode.Unknown)
+	}
+	if err.RetryAfter == 0 {
+		err = err.WithRetryAfter(max(w.queue.ExpectedDelay(now, it.Tier), time.Second))
+	}
+	w.finish(now, j, err)
+}
+
+// finish ends an attempt: with its refusal when err is set.
+func (w *Worker) finish(now time.Time, j *job, err *resultcode.Error) {
+	delete(w.jobs, j.item.ID)
+	if err != nil {
+		j.attempt.Resolve(err.Verdict())
+		w.append(j, w.refusedFrame(now, err))
+	} else {
+		j.attempt.Resolve(resultcode.Ran)
+	}
+	w.table.End(now, j.attempt)
+	w.opts.Observer.Ended(j.req, err)
+	if len(w.jobs) == 0 && w.idle != nil {
+		close(w.idle)
+		w.idle = nil
+	}
+}
+
+func (w *Worker) refusedFrame(now time.Time, err *resultcode.Error) *rpc.Frame {
+	return &rpc.Frame{Kind: &rpc.Frame_Refused{Refused: &rpc.Refused{
+		Code:         uint32(err.Code),
+		Message:      err.Error(),
+		Execution:    rpc.ExecutionOf(err.Verdict()),
+		RetryAfterMs: uint32(err.RetryAfter.Milliseconds()),
+		Load:         w.load(now),
+	}}}
+}
+
+// Find returns an attempt that was accepted before.
+func (w *Worker) Find(id execution.ID) (*execution.Attempt, bool) {
+	return w.table.Get(id)
+}
+
+// Renounce gives an attempt up. One that has not started will never run. A
+// started idempotent one is cancelled at the endpoint; a non-idempotent one runs
+// to its end, so that its outcome gets recorded.
+func (w *Worker) Renounce(now time.Time, id execution.ID) resultcode.Execution {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	verdict, _ := w.table.Renounce(now, id)
+	j, ok := w.jobs[itemID(id)]
+	if !ok {
+		return verdict
+	}
+	if _, waiting := w.queue.Remove(j.item.ID); waiting {
+		w.finish(now, j, resultcode.New(resultcode.AttemptRenounced, "the router gave the attempt up").WithExecution(verdict))
+		return verdict
+	}
+	if j.req.GetIdempotent() && j.cancel != nil {
+		j.cancel(errRenounced)
+	}
+	return verdict
+}
+
+// CatalogVersion returns the version in force.
+func (w *Worker) CatalogVersion() uint64 { return w.opts.Catalog.Version() }
+
+// SawCatalogVersion notes a version that a router has.
+func (w *Worker) SawCatalogVersion(version uint64, router string) {
+	w.opts.Catalog.Seen(version, router)
+}
+
+// Load returns the current load.
+func (w *Worker) Load(now time.Time) *rpc.Load {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.load(now)
+}
+
+func (w *Worker) load(now time.Time) *rpc.Load {
+	load := &rpc.Load{
+		State:   w.state,
+		Queued:  uint32(w.queue.Len()),
+		Running: uint32(len(w.running)),
+	}
+	w.limiter.Describe(now, load)
+	for tier := range catalog.TierCount {
+		load.TierDelayMs = append(load.TierDelayMs, w.tierDelay(now, tier))
+	}
+	load.QueueDelayMs = load.TierDelayMs[catalog.TierCount-1]
+	return load
+}
+
+func (w *Worker) tierDelay(now time.Time, tier int) uint32 {
+	if w.queue.Len() == 0 && len(w.running) < w.limiter.Limit(now) {
+		return 0
+	}
+	return uint32(w.queue.ExpectedDelay(now, tier).Milliseconds())
+}
+
+// SetState changes what the agent accepts.
+func (w *Worker) SetState(s rpc.AgentState) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.state != rpc.AgentState_AGENT_STATE_LEAVING {
+		w.state = s
+	}
+}
+
+// State returns the current state.
+func (w *Worker) State() rpc.AgentState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.state
+}
+
+// Drain refuses new attempts and waits until the open ones have ended or ctx
+// ends. It returns how many are still open.
+func (w *Worker) Drain(ctx context.Context) int {
+	w.mu.Lock()
+	w.state = rpc.AgentState_AGENT_STATE_LEAVING
+	if len(w.jobs) == 0 {
+		w.mu.Unlock()
+		return 0
+	}
+	idle := make(chan struct{})
+	w.idle = idle
+	w.mu.Unlock()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.jobs)
+}
--- a/router/dispatch/client.go
+++ b/router/dispatch/client.go
@@ -75,15 +75,16 @@
 
 const (
 	// endNotOpened: no connection was made, so nothing was sent.
-	endNotOpened streamEnd = iota
+	endNotOpened streamEnd = iota + 1
 	// endBroken: the connection failed after the message may have been sent.
 	endBroken
 	// endSilent: no frame arrived within SilenceTimeout.
 	endSilent
 )
 
-// frameOrEnd is one event of a stream. After an end no further event follows.
-type frameOrEnd struct {
+// streamEvent is one frame of a stream or its end. After an end no further
+// event of the stream follows.
+type streamEvent struct {
 	stream *stream
 	frame  *rpc.Frame
 	end    streamEnd
@@ -92,23 +93,24 @@
 
 // stream is one connection on which an attempt's frames arrive.
 type stream struct {
-	events chan frameOrEnd
-	cancel context.CancelFunc
+	ticket uint64
+	// attached marks an Attach stream.
+	attached bool
+	events   chan<- streamEvent
+	cancel   context.CancelFunc
 }
 
 // close stops the stream. The attempt at the agent goes on.
 func (s *stream) close() { s.cancel() }
 
-// open posts the message to an agent and reads frames in the background until
+// open posts the message to an agent and delivers frames in the background until
 // the stream ends or is closed.
-func (c *Client) open(ctx context.Context, address, path string, m proto.Message) *stream {
-	ctx, cancel := context.WithCancel(ctx)
-	s := &stream{events: make(chan frameOrEnd, frameBacklog), cancel: cancel}
+func (c *Client) open(ctx context.Context, s *stream, address, path string, m proto.Message) {
+	ctx, s.cancel = context.WithCancel(ctx)
 	go func() {
-		defer cancel()
+		defer s.cancel()
 		s.read(ctx, c, c.URL(address)+path, m)
 	}()
-	return s
 }
 
 func (s *stream) read(ctx context.Context, c *Client, url string, m proto.Message) {
@@ -122,9 +124,9 @@
 	defer watch.Stop()
 	err := c.exchange(readCtx, url, m, &connected, func(f *rpc.Frame) bool {
 		watch.Reset(SilenceTimeout)
-		return s.deliver(ctx, frameOrEnd{stream: s, frame: f})
+		return s.deliver(ctx, streamEvent{frame: f})
 	})
-	end := frameOrEnd{stream: s, end: endBroken, err: err}
+	end := streamEvent{end: endBroken, err: err}
 	if silent.Load() {
 		end.end = endSilent
 	}
@@ -134,7 +136,8 @@
 	s.deliver(ctx, end)
 }
 
-func (s *stream) deliver(ctx context.Context, e frameOrEnd) bool {
+func (s *stream) deliver(ctx context.Context, e streamEvent) bool {
+	e.stream = s
 	select {
 	case s.events <- e:
 		return true
--- /dev/null
+++ b/router/dispatch/dispatch.go
@@ -0,0 +1,358 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/router/recovery"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+const (
+	eventBacklog = 32
+
+	// prefixBytes is the part of the prompt whose digest selects an endpoint
+	// with a warm prefix cache.
+	prefixBytes = 512
+
+	// catalogWait bounds the wait for a catalog version that an agent has.
+	catalogWait = 2 * time.Second
+
+	// cancelTimeout bounds the message that frees the slot of a given-up attempt.
+	cancelTimeout = 2 * time.Second
+
+	// reselectPause spaces attempts while no endpoint is available.
+	reselectPause = 50 * time.Millisecond
+)
+
+// Options configure a Dispatcher. All fields are required.
+type Options struct {
+	// Router is this router's incarnation.
+	Router  string
+	Client  *Client
+	Fleet   Fleet
+	Budget  Budget
+	Catalog Catalog
+	// MaxAttempts bounds the attempts of one request; zero means 4.
+	MaxAttempts int
+}
+
+const defaultMaxAttempts = 4
+
+// Dispatcher runs requests. It is safe for concurrent use.
+type Dispatcher struct {
+	opts    Options
+	tickets atomic.Uint64
+}
+
+// New returns a Dispatcher.
+func New(opts Options) *Dispatcher {
+	if opts.MaxAttempts == 0 {
+		opts.MaxAttempts = defaultMaxAttempts
+	}
+	return &Dispatcher{opts: opts}
+}
+
+// call is one attempt as the router follows it.
+type call struct {
+	ticket uint64
+	target Target
+	stream *stream
+	head   *rpc.ResponseHead
+	// startedAt is when the attempt left the agent's queue.
+	startedAt time.Time
+	lastToken time.Time
+	first     bool
+	ended     bool
+	tokens    int
+}
+
+// flight is one request on its way.
+type flight struct {
+	*Dispatcher
+	ctx     context.Context
+	req     *Request
+	sink    Sink
+	machine *recovery.Machine
+	events  chan streamEvent
+	answers chan recovery.Event
+	calls   map[uint64]*call
+	tried   []string
+	// text is what the caller has, for continuing a stream elsewhere.
+	text []byte
+	// finished is set when a chunk with a finish reason was forwarded.
+	finished bool
+	headSent bool
+	// winner is the attempt that delivered the whole answer, usage its end.
+	winner   *call
+	usage    *rpc.Done
+	deadline time.Time
+	// awaitVersion is the catalog version that an agent asked for.
+	awaitVersion uint64
+}
+
+// Dispatch runs the request and writes its answer to the sink. A nil result
+// means that the whole answer was written. The result's execution verdict is
+// backed by evidence as package recovery requires it.
+func (d *Dispatcher) Dispatch(ctx context.Context, req *Request, sink Sink) *resultcode.Error {
+	deadline, _ := ctx.Deadline()
+	streams, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	f := &flight{
+		Dispatcher: d,
+		ctx:        streams,
+		req:        req,
+		sink:       sink,
+		events:     make(chan streamEvent, eventBacklog),
+		answers:    make(chan recovery.Event, eventBacklog),
+		calls:      make(map[uint64]*call),
+		deadline:   deadline,
+		machine: recovery.New(recovery.Options{
+			Idempotent:  req.Profile.Idempotent,
+			HasKey:      req.IdempotencyKey != "",
+			Text:        req.Chat != nil,
+			Buffered:    sink.Buffered(),
+			MaxAttempts: d.opts.MaxAttempts,
+			Deadline:    deadline,
+		}),
+	}
+	defer f.close()
+	return f.run(ctx)
+}
+
+// run handles events until the machine gives the final answer.
+func (f *flight) run(caller context.Context) *resultcode.Error {
+	action := f.send(caller, recovery.Action{Kind: recovery.Send})
+	for {
+		done, err := f.carryOut(caller, action)
+		if done {
+			return err
+		}
+		select {
+		case e := <-f.events:
+			action = f.handle(e)
+		case e := <-f.answers:
+			action = f.next(e)
+		case <-caller.Done():
+			action = f.next(callerEnd(caller))
+		}
+	}
+}
+
+func callerEnd(ctx context.Context) recovery.Event {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return recovery.Event{Kind: recovery.DeadlinePassed}
+	}
+	return recovery.Event{Kind: recovery.CallerCancelled}
+}
+
+func (f *flight) next(e recovery.Event) recovery.Action {
+	return f.machine.Next(time.Now(), e)
+}
+
+// carryOut does what the machine decided. It reports whether the request has
+// ended, and how.
+func (f *flight) carryOut(caller context.Context, a recovery.Action) (bool, *resultcode.Error) {
+	for {
+		for _, ticket := range a.Renounce {
+			f.renounce(ticket)
+		}
+		switch a.Kind {
+		case recovery.Send:
+			a = f.send(caller, a)
+			continue
+		case recovery.Attach:
+			f.attach(a)
+		case recovery.Finish:
+			return true, f.finish()
+		case recovery.Fail:
+			return true, a.Error
+		}
+		return false, nil
+	}
+}
+
+// send starts an attempt at a selected endpoint and returns what follows.
+func (f *flight) send(caller context.Context, a recovery.Action) recovery.Action {
+	if a.Restart {
+		f.restart()
+	}
+	if refused, action := f.mayNotSend(caller); refused {
+		return action
+	}
+	target, err := f.opts.Fleet.Select(time.Now(), f.query())
+	if err != nil {
+		return f.next(recovery.Event{Kind: recovery.NoEndpoint, Error: err})
+	}
+	c := &call{ticket: f.tickets.Add(1), target: target}
+	if action := f.next(recovery.Event{Kind: recovery.AttemptSent, Attempt: c.ticket}); action.Kind == recovery.Drop {
+		f.opts.Fleet.Closed(time.Now(), target)
+		return recovery.Action{}
+	}
+	f.calls[c.ticket] = c
+	f.req.Trace.Attempts++
+	f.req.Trace.Endpoint = target.Endpoint
+	if !a.KeepEndpoint {
+		f.tried = append(f.tried, target.Endpoint)
+	}
+	c.stream = &stream{ticket: c.ticket, events: f.events}
+	f.opts.Client.open(f.ctx, c.stream, target.Address, rpc.RunPath, f.message(c, a.From))
+	return recovery.Action{}
+}
+
+// mayNotSend applies the retry budget and waits for a newer catalog.
+func (f *flight) mayNotSend(caller context.Context) (bool, recovery.Action) {
+	account := f.req.Account.Name
+	if len(f.calls) == 0 {
+		f.opts.Budget.First(time.Now(), account)
+		return false, recovery.Action{}
+	}
+	if !f.opts.Budget.Retry(time.Now(), account) {
+		return true, f.next(recovery.Event{Kind: recovery.BudgetRefused})
+	}
+	f.refreshCatalog(caller)
+	return false, recovery.Action{}
+}
+
+// refreshCatalog resolves the request again by the catalog version that an agent
+// has in force.
+func (f *flight) refreshCatalog(caller context.Context) {
+	if f.awaitVersion <= f.req.CatalogVersion {
+		return
+	}
+	ctx, cancel := context.WithTimeout(caller, catalogWait)
+	defer cancel()
+	if f.opts.Catalog.Await(ctx, f.awaitVersion) != nil {
+		return
+	}
+	index := f.opts.Catalog.Current()
+	f.req.CatalogVersion = index.Version()
+	if p, ok := index.Profile(f.req.Profile.Name); ok && p.Idempotent == f.req.Profile.Idempotent {
+		f.req.Profile = p
+	}
+}
+
+func (f *flight) query() Query {
+	q := Query{
+		Tier:          f.req.Profile.Tier,
+		Excluded:      f.tried,
+		NonIdempotent: !f.req.Profile.Idempotent,
+	}
+	if f.req.Chat != nil {
+		q.Model = f.req.Chat.GetModel()
+		q.Prefix = prefixDigest(f.req.Chat.GetBody())
+		return q
+	}
+	q.Service = f.req.Service.GetService()
+	return q
+}
+
+func prefixDigest(body []byte) uint64 {
+	return xxhash.Sum64(body[:min(len(body), prefixBytes)])
+}
+
+// message builds the Run message of an attempt.
+func (f *flight) message(c *call, from uint32) *rpc.RunRequest {
+	now := time.Now()
+	p := f.req.Profile
+	left := max(f.deadline.Sub(now), 0)
+	m := &rpc.RunRequest{
+		Attempt:        &rpc.AttemptID{Router: f.opts.Router, Ticket: c.ticket},
+		Agent:          c.target.Incarnation,
+		CatalogVersion: f.req.CatalogVersion,
+		RequestId:      f.req.ID,
+		ClientAccount:  f.req.Account.Name,
+		Profile:        p.Name,
+		Class:          p.ClassName(),
+		Tier:           uint32(p.Tier),
+		Weight:         uint32(f.req.Account.Share()),
+		TimeLeftMs:     uint32(left.Milliseconds()),
+		WaitLimitMs:    uint32(f.waitLeft(now).Milliseconds()),
+		Idempotent:     p.Idempotent,
+		IdempotencyKey: f.req.IdempotencyKey,
+		BodyDigest:     f.req.BodyDigest,
+	}
+	if f.req.Service != nil {
+		m.Work = &rpc.RunRequest_Service{Service: f.req.Service}
+		return m
+	}
+	m.Work = &rpc.RunRequest_Chat{Chat: &rpc.ChatWork{
+		Model:      f.req.Chat.GetModel(),
+		Body:       f.req.Chat.GetBody(),
+		FirstIndex: from,
+		TextSoFar:  string(f.text),
+	}}
+	return m
+}
+
+// waitLeft is how long the next attempt may wait. A stream that has begun to
+// reach the caller may wait until the deadline, because refusing it would waste
+// what was generated.
+func (f *flight) waitLeft(now time.Time) time.Duration {
+	if len(f.text) > 0 {
+		return max(f.deadline.Sub(now), 0)
+	}
+	return max(f.req.Received.Add(f.req.Profile.MaxWait()).Sub(now), 0)
+}
+
+// attach continues reading an attempt's stream on a new connection.
+func (f *flight) attach(a recovery.Action) {
+	c := f.calls[a.Attempt]
+	c.stream.close()
+	c.stream = &stream{ticket: c.ticket, events: f.events, attached: true}
+	f.opts.Client.open(f.ctx, c.stream, c.target.Address, rpc.AttachPath, &rpc.AttachRequest{
+		Attempt:   &rpc.AttemptID{Router: f.opts.Router, Ticket: c.ticket},
+		Agent:     c.target.Incarnation,
+		FromIndex: a.From,
+	})
+}
+
+// renounce asks the agent to give an attempt up and reports its answer.
+func (f *flight) renounce(ticket uint64) {
+	c := f.calls[ticket]
+	answers := f.answers
+	go func() {
+		e := f.askRenounce(context.WithoutCancel(f.ctx), c)
+		select {
+		case answers <- e:
+		default:
+		}
+	}()
+}
+
+func (f *flight) askRenounce(ctx context.Context, c *call) recovery.Event {
+	ctx, cancel := context.WithTimeout(ctx, recovery.RenounceTimeout)
+	defer cancel()
+	agent := rpc.NewAgentProtobufClient(f.opts.Client.URL(c.target.Address), f.opts.Client.HTTPClient())
+	resp, err := agent.Renounce(ctx, &rpc.RenounceRequest{
+		Attempt: &rpc.AttemptID{Router: f.opts.Router, Ticket: c.ticket},
+		Agent:   c.target.Incarnation,
+	})
+	if err != nil {
+		return recovery.Event{Kind: recovery.RenounceFailed, Attempt: c.ticket}
+	}
+	return recovery.Event{
+		Kind:            recovery.RenounceAnswered,
+		Attempt:         c.ticket,
+		SameIncarnation: resp.GetAgent() == c.target.Incarnation,
+		Execution:       resp.GetExecution().Verdict(),
+	}
+}
+
+// close frees what the request still holds: streams, and slots at endpoints of
+// attempts that have not ended.
+func (f *flight) close() {
+	now := time.Now()
+	for _, c := range f.calls {
+		c.stream.close()
+		f.opts.Fleet.Closed(now, c.target)
+		if !c.ended {
+			go f.askRenounce(context.WithoutCancel(f.ctx), c)
+		}
+	}
+}
--- a/router/ingress/events.go
+++ b/router/ingress/events.go
@@ -103,3 +103,9 @@
 	_ = s.send()
 	return nil
 }
+
+// Buffered is false: each chunk is passed on at once.
+func (s *eventSink) Buffered() bool { return false }
+
+// Restart does nothing: what was passed on cannot be taken back.
+func (s *eventSink) Restart() {}
--- a/router/ingress/service.go
+++ b/router/ingress/service.go
@@ -145,3 +145,9 @@
 	}
 	panic(http.ErrAbortHandler)
 }
+
+// Buffered is false: each chunk is passed on at once.
+func (s *serviceSink) Buffered() bool { return false }
+
+// Restart does nothing: what was passed on cannot be taken back.
+func (s *serviceSink) Restart() {}
--- a/router/ingress/whole.go
+++ b/router/ingress/whole.go
@@ -171,3 +171,11 @@
 	}
 	return list
 }
+
+// Buffered is true: the caller receives nothing before the answer is whole.
+func (s *wholeSink) Buffered() bool { return true }
+
+// Restart discards what has been collected.
+func (s *wholeSink) Restart() {
+	*s = wholeSink{req: s.req, model: s.model, role: "assistant"}
+}
