--- /dev/null
+++ b/catalog/store_test.go
@@ -0,0 +1,265 @@
+package catalog
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/resultcode"
+)
+
+// fakeTable is a table in memory. A put fault is returned for the next put of a
+// row; with ErrOutcomeUnknown the put takes effect.
+type fakeTable struct {
+	rows   map[string]platform.Row
+	serial int
+	fault  map[string]error
+	before func(key string)
+}
+
+func newFakeTable() *fakeTable {
+	return &fakeTable{rows: map[string]platform.Row{}, fault: map[string]error{}}
+}
+
+func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+	row, ok := f.rows[key]
+	if !ok {
+		return row, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (f *fakeTable) Put(_ context.Context, key string, value []byte, expected platform.Revision) (platform.Row, error) {
+	if hook := f.before; hook != nil {
+		f.before = nil
+		hook(key)
+	}
+	fault := f.fault[key]
+	delete(f.fault, key)
+	if fault != nil && !errors.Is(fault, platform.ErrOutcomeUnknown) {
+		return platform.Row{}, fault
+	}
+	if f.rows[key].Revision != expected {
+		return platform.Row{}, platform.ErrConflict
+	}
+	f.serial++
+	f.rows[key] = platform.Row{Key: key, Value: value, Revision: platform.Revision(fmt.Sprint(f.serial))}
+	return f.rows[key], fault
+}
+
+func (f *fakeTable) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, string, error) {
+	var rows []platform.Row
+	for key, row := range f.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	if len(rows) <= limit {
+		return rows, "", nil
+	}
+	return rows[:limit], rows[limit-1].Key, nil
+}
+
+func (f *fakeTable) DeleteBatch(_ context.Context, rows []platform.Row) error {
+	for _, row := range rows {
+		delete(f.rows, row.Key)
+	}
+	return nil
+}
+
+var (
+	ctx   = context.Background()
+	start = time.Unix(1_800_000_000, 0)
+)
+
+func storeWithCatalog(t *testing.T) (*Store, *fakeTable) {
+	t.Helper()
+	table := newFakeTable()
+	s := NewStore(table)
+	if _, err := s.Put(ctx, start, Change{ID: "first", By: "op", Catalog: sample()}); err != nil {
+		t.Fatal(err)
+	}
+	return s, table
+}
+
+func tierChange(id string, base uint64, tier int) Change {
+	p := sample().Profiles[0]
+	p.Tier = tier
+	return Change{ID: id, By: "op-" + id, Base: base, Profile: &p}
+}
+
+// Guards against a lost update: of two operators with the same base, the second
+// one must get the field-by-field difference of its profile.
+func TestSecondOperatorGetsTheDifference(t *testing.T) {
+	s, _ := storeWithCatalog(t)
+	if _, err := s.Put(ctx, start, tierChange("x", 1, 1)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := s.Put(ctx, start, tierChange("y", 1, 2))
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) || resultcode.As(err).Code != resultcode.VersionConflict {
+		t.Fatalf("%v, want a conflict", err)
+	}
+	want := Difference{Field: "profiles[urgent].tier", From: "1", To: "2"}
+	if conflict.Current != 2 || conflict.By != "op-x" || !slices.Equal(conflict.Differences, []Difference{want}) {
+		t.Fatalf("conflict %+v", conflict)
+	}
+}
+
+// Guards against the same race inside the write: the other operator's change is
+// accepted between this operator's read and write.
+func TestOperatorsInterleave(t *testing.T) {
+	s, table := storeWithCatalog(t)
+	table.before = func(string) {
+		if _, err := s.Put(ctx, start, tierChange("x", 1, 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var conflict *ConflictError
+	if _, err := s.Put(ctx, start, tierChange("y", 1, 2)); !errors.As(err, &conflict) {
+		t.Fatalf("%v, want a conflict", err)
+	}
+	version, c, err := s.Load(ctx, 0)
+	if err != nil || version != 2 || c.Profiles[0].Tier != 1 {
+		t.Fatalf("version %d %+v %v", version, c, err)
+	}
+}
+
+// Guards against a change that is applied twice because the answer of its first
+// put was lost, also when other changes were accepted since and when the
+// repeated put names a newer base.
+func TestRepeatedPutIsRecognised(t *testing.T) {
+	s, table := storeWithCatalog(t)
+	table.fault[currentKey] = platform.ErrOutcomeUnknown
+	if c, err := s.Put(ctx, start, tierChange("x", 1, 1)); err != nil || c.Version != 2 {
+		t.Fatalf("lost answer: %+v %v", c, err)
+	}
+	if _, err := s.Put(ctx, start, tierChange("y", 2, 2)); err != nil {
+		t.Fatal(err)
+	}
+	for _, base := range []uint64{1, 2, 3} {
+		c, err := s.Put(ctx, start.Add(time.Hour), tierChange("x", base, 1))
+		if err != nil || c.Version != 2 || c.Profiles[0].Tier != 1 {
+			t.Fatalf("base %d: %+v %v, want version 2", base, c, err)
+		}
+	}
+	if version, c, err := s.Load(ctx, 0); err != nil || version != 3 || c.Profiles[0].Tier != 2 {
+		t.Fatalf("version %d %+v %v, want 3 with tier 2", version, c, err)
+	}
+}
+
+// Guards against history that misses a change in force or lists one that never
+// came into force, after a crash at any of the three writes.
+func TestHistoryAfterCrash(t *testing.T) {
+	rowKeys := []string{versionKey(bodyPrefix, 2, "x"), versionKey(historyPrefix, 2, "x"), currentKey}
+	for _, key := range rowKeys {
+		s, table := storeWithCatalog(t)
+		table.fault[key] = platform.ErrUnavailable
+		table.before = func(string) {}
+		if _, err := s.put(ctx, start, tierChange("x", 1, 1)); err == nil {
+			t.Fatalf("put succeeded without row %s", key)
+		}
+		if _, err := s.Put(ctx, start, tierChange("y", 1, 2)); err != nil {
+			t.Fatal(err)
+		}
+		entries, err := s.History(ctx, 10)
+		if err != nil || len(entries) != 2 || entries[0].ChangeID != "y" || entries[1].ChangeID != "first" {
+			t.Fatalf("history %+v %v", entries, err)
+		}
+		want := Difference{Field: "profiles[urgent].tier", From: "0", To: "2"}
+		if e := entries[0]; e.By != "op-y" || !e.At.Equal(start) || !slices.Equal(e.What, []Difference{want}) {
+			t.Fatalf("entry %+v", e)
+		}
+	}
+}
+
+// Guards against history and documents that grow without bound, and against
+// pruning that removes what is still needed.
+func TestPruningKeepsTheBounds(t *testing.T) {
+	s, table := storeWithCatalog(t)
+	const changes, filled = HistoryVersions + 40, HistoryVersions - 10
+	fillHistory(t, table, filled)
+	for v := uint64(filled); v < changes; v++ {
+		if _, err := s.Put(ctx, start, tierChange(fmt.Sprint("c", v+1), v, int(v%3))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	entries, err := s.History(ctx, 2*HistoryVersions)
+	if err != nil || len(entries) != HistoryVersions || entries[0].Version != changes {
+		t.Fatalf("%d entries, %v", len(entries), err)
+	}
+	if want := 1 + HistoryVersions + keptBodies; len(table.rows) != want {
+		t.Fatalf("%d rows, want %d", len(table.rows), want)
+	}
+	if version, c, err := s.Load(ctx, 1); err != nil || version != changes || c == nil {
+		t.Fatalf("load: %d %v", version, err)
+	}
+}
+
+// fillHistory brings a table with version 1 to a later version.
+func fillHistory(t *testing.T, table *fakeTable, last uint64) {
+	t.Helper()
+	parent := "first"
+	var value []byte
+	for v := uint64(2); v <= last; v++ {
+		id := fmt.Sprint("c", v)
+		var err error
+		if value, err = json.Marshal(Entry{Version: v, ChangeID: id, Parent: parent}); err != nil {
+			t.Fatal(err)
+		}
+		table.rows[versionKey(historyPrefix, v, id)] = platform.Row{Key: versionKey(historyPrefix, v, id), Value: value, Revision: "f"}
+		parent = id
+	}
+	c := sample()
+	c.Version, c.ChangeID = last, parent
+	body, err := Encode(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table.rows[versionKey(bodyPrefix, last, parent)] = platform.Row{Key: versionKey(bodyPrefix, last, parent), Value: body, Revision: "f"}
+	table.rows[currentKey] = platform.Row{Key: currentKey, Value: value, Revision: "f"}
+}
+
+// Guards against a put reported as without effect while it may be in force.
+func TestPutReportsUnknownOutcome(t *testing.T) {
+	s, table := storeWithCatalog(t)
+	broken := &unreadableAfterPut{fakeTable: table}
+	_, err := NewStore(broken).Put(ctx, start, tierChange("x", 1, 1))
+	e := resultcode.As(err)
+	if e.Code != resultcode.WriteOutcomeUnknown || e.Verdict() != resultcode.Unknown {
+		t.Fatalf("%v, want an unknown outcome", err)
+	}
+	if c, err := s.Put(ctx, start, tierChange("x", 1, 1)); err != nil || c.Version != 2 {
+		t.Fatalf("repeated put: %+v %v", c, err)
+	}
+}
+
+// unreadableAfterPut loses the answer of the write of catalog/current and fails
+// all calls after it.
+type unreadableAfterPut struct {
+	*fakeTable
+	down bool
+}
+
+func (u *unreadableAfterPut) Get(ctx context.Context, key string) (platform.Row, error) {
+	if u.down {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	return u.fakeTable.Get(ctx, key)
+}
+
+func (u *unreadableAfterPut) Put(ctx context.Context, key string, v []byte, r platform.Revision) (platform.Row, error) {
+	row, err := u.fakeTable.Put(ctx, key, v, r)
+	if key == currentKey {
+		u.down = true
+		err = platform.ErrOutcomeUnknown
+	}
+	return row, err
+}
