--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,215 @@
+// Package agent is the process beside one endpoint. It is the only way to the
+// endpoint and the authority on what is queued, running and done there. New
+// builds the parts; Serve runs them under one supervisor:
+//
+//	agent
+//	├── peers server (intake)
+//	├── admin server
+//	├── worker (queue, concurrency, execution, claim)
+//	├── endpoint monitor
+//	├── claim saver
+//	└── catalog distributor
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/pistachiowind/pistachiowind/agent/endpoint"
+	"github.com/pistachiowind/pistachiowind/agent/execution"
+	"github.com/pistachiowind/pistachiowind/agent/intake"
+	"github.com/pistachiowind/pistachiowind/agent/queue"
+	"github.com/pistachiowind/pistachiowind/agent/worker"
+	"github.com/pistachiowind/pistachiowind/catalog"
+	"github.com/pistachiowind/pistachiowind/httpserver"
+	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/rpc"
+	"github.com/pistachiowind/pistachiowind/telemetry"
+)
+
+const (
+	// DefaultDrainTimeout bounds the drain of an agent.
+	DefaultDrainTimeout = 5 * time.Minute
+
+	supervisorTimeout = 5 * time.Second
+)
+
+// Options configure an Agent. Name, PeersAddress, AdminAddress, EndpointURL,
+// Table and Log are required.
+type Options struct {
+	Name             string
+	Region           string
+	AvailabilityZone string
+	PeersAddress     string
+	AdminAddress     string
+
+	// EndpointURL is the base URL of the endpoint.
+	EndpointURL string
+	// Service is the plain service's name; empty means a model engine.
+	Service string
+	// Models replaces the engine's own list when it is not empty.
+	Models []string
+
+	Table   *platform.Table
+	Objects *platform.Objects
+
+	Queue       queue.Options
+	Concurrency Concurrency
+	Execution   execution.Options
+
+	// PeerTLS configures mutual TLS between processes; nil means none.
+	PeerTLS *tls.Config
+	// PeerTransport reaches other processes.
+	PeerTransport *http.Transport
+
+	// DrainTimeout bounds the wait for open attempts; zero means DefaultDrainTimeout.
+	DrainTimeout time.Duration
+	Log          zerolog.Logger
+	Version      string
+}
+
+// Concurrency bounds the learned concurrency limit. Zero values take the
+// defaults of package concurrency.
+type Concurrency struct {
+	Initial, Min, Max int
+}
+
+// Agent is one agent process.
+type Agent struct {
+	opts        Options
+	incarnation string
+	worker      *worker.Worker
+	monitor     *monitor
+	catalog     *catalogView
+	peers       *httpserver.Server
+	admin       *httpserver.Server
+	states      *telemetry.StateLog
+	supervisor  *suture.Supervisor
+}
+
+// New builds an agent and opens its listeners.
+func New(opts Options) (*Agent, error) {
+	if opts.DrainTimeout == 0 {
+		opts.DrainTimeout = DefaultDrainTimeout
+	}
+	a := &Agent{
+		opts:        opts,
+		incarnation: opts.Name + "-" + uuid.NewString(),
+		states:      telemetry.NewStateLog(opts.Log),
+	}
+	provider, err := telemetry.New(a.telemetryOptions())
+	if err != nil {
+		return nil, fmt.Errorf("start telemetry: %w", err)
+	}
+	instruments, err := telemetry.NewAgent(provider)
+	if err != nil {
+		return nil, fmt.Errorf("start telemetry: %w", err)
+	}
+	a.catalog = newCatalogView(opts, a.incarnation)
+	backend := a.backend()
+	if err := a.build(backend, instruments); err != nil {
+		return nil, err
+	}
+	if err := a.listen(provider); err != nil {
+		return nil, err
+	}
+	a.supervise()
+	return a, nil
+}
+
+func (a *Agent) telemetryOptions() telemetry.Options {
+	return telemetry.Options{
+		Role:             "agent",
+		Name:             a.opts.Name,
+		Region:           a.opts.Region,
+		AvailabilityZone: a.opts.AvailabilityZone,
+		Version:          a.opts.Version,
+	}
+}
+
+func (a *Agent) backend() endpoint.Backend {
+	if a.opts.Service != "" {
+		return endpoint.NewService(a.opts.EndpointURL)
+	}
+	return endpoint.NewEngine(a.opts.EndpointURL)
+}
+
+// Incarnation identifies this start of the agent.
+func (a *Agent) Incarnation() string { return a.incarnation }
+
+// PeersAddress is the address for routers.
+func (a *Agent) PeersAddress() string { return a.peers.Address() }
+
+// AdminAddress is the address for operators.
+func (a *Agent) AdminAddress() string { return a.admin.Address() }
+
+// CatalogVersion is the catalog version in force.
+func (a *Agent) CatalogVersion() uint64 { return a.catalog.Version() }
+
+// State is what the agent tells routers about itself.
+func (a *Agent) State() rpc.AgentState { return a.worker.State() }
+
+// Load is the agent's current load.
+func (a *Agent) Load() *rpc.Load { return a.worker.Load(time.Now()) }
+
+// Serve runs the agent until ctx ends, drains it, and stops. The second context
+// forces the end of the drain.
+func (a *Agent) Serve(ctx, force context.Context) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ended := a.supervisor.ServeBackground(running)
+	a.states.Report(telemetry.StateChange{Subject: "agent", State: "started"})
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	a.drain(force)
+	stop()
+	<-ended
+	a.states.Report(telemetry.StateChange{Subject: "agent", State: "stopped"})
+	return nil
+}
+
+func (a *Agent) drain(force context.Context) {
+	a.states.Report(telemetry.StateChange{Subject: "agent", State: "draining"})
+	bound, cancel := context.WithTimeout(force, a.opts.DrainTimeout)
+	defer cancel()
+	if open := a.worker.Drain(bound); open > 0 {
+		a.states.Report(telemetry.StateChange{
+			Subject: "agent", State: "forced to stop", Warn: true,
+			Cause: fmt.Sprintf("%d attempts were still open", open),
+		})
+	}
+}
+
+func (a *Agent) supervise() {
+	a.supervisor = suture.New("agent "+a.opts.Name, suture.Spec{
+		EventHook: func(e suture.Event) { a.opts.Log.Warn().Str("event", e.String()).Msg("supervised service ended") },
+		Timeout:   supervisorTimeout,
+	})
+	a.supervisor.Add(a.worker)
+	a.supervisor.Add(a.monitor)
+	a.supervisor.Add(a.catalog.distributor)
+	a.supervisor.Add(a.peers)
+	a.supervisor.Add(a.admin)
+}
+
+func (a *Agent) identity() intake.Identity {
+	return intake.Identity{
+		Incarnation:      a.incarnation,
+		Service:          a.opts.Service,
+		AvailabilityZone: a.opts.AvailabilityZone,
+		Region:           a.opts.Region,
+	}
+}
+
+// newStore returns the catalog in the table service.
+func newStore(t *platform.Table) *catalog.Store { return catalog.NewStore(t) }
--- a/agent/intake/intake.go
+++ b/agent/intake/intake.go
@@ -42,6 +42,8 @@
 	Load(now time.Time) *rpc.Load
 	// CatalogVersion returns the version in force.
 	CatalogVersion() uint64
+	// SawRouter notes the address of a router that is in contact.
+	SawRouter(address string)
 	// SawCatalogVersion notes a version that a router has.
 	SawCatalogVersion(version uint64, router string)
 }
@@ -89,12 +91,13 @@
 	if req.GetAttempt().GetRouter() == "" || req.GetWork() == nil {
 		return resultcode.New(resultcode.MalformedBody, "the run message lacks its attempt or work")
 	}
+	s.worker.SawRouter(req.GetRouterAddress())
 	own := s.worker.CatalogVersion()
 	if req.GetCatalogVersion() < own {
 		return resultcode.New(resultcode.StaleCatalog, "the router has version %d, in force is %d", req.GetCatalogVersion(), own)
 	}
 	if req.GetCatalogVersion() > own {
-		s.worker.SawCatalogVersion(req.GetCatalogVersion(), req.GetAttempt().GetRouter())
+		s.worker.SawCatalogVersion(req.GetCatalogVersion(), req.GetRouterAddress())
 	}
 	return nil
 }
--- a/agent/intake/unary.go
+++ b/agent/intake/unary.go
@@ -45,8 +45,9 @@
 
 // Probe reports load and state.
 func (u *Unary) Probe(_ context.Context, req *rpc.ProbeRequest) (*rpc.ProbeResponse, error) {
+	u.Worker.SawRouter(req.GetRouterAddress())
 	if req.GetCatalogVersion() > u.Worker.CatalogVersion() {
-		u.Worker.SawCatalogVersion(req.GetCatalogVersion(), "")
+		u.Worker.SawCatalogVersion(req.GetCatalogVersion(), req.GetRouterAddress())
 	}
 	return &rpc.ProbeResponse{
 		Agent:            u.Identity.Incarnation,
--- a/agent/worker/worker.go
+++ b/agent/worker/worker.go
@@ -38,6 +38,7 @@
 type CatalogState interface {
 	Version() uint64
 	Seen(version uint64, peer string)
+	SeenPeer(address string)
 }
 
 // Observer is told what happens to attempts, for metrics.
@@ -254,6 +255,11 @@
 // CatalogVersion returns the version in force.
 func (w *Worker) CatalogVersion() uint64 { return w.opts.Catalog.Version() }
 
+// SawRouter notes the address of a router that is in contact.
+func (w *Worker) SawRouter(address string) {
+	w.opts.Catalog.SeenPeer(address)
+}
+
 // SawCatalogVersion notes a version that a router has.
 func (w *Worker) SawCatalogVersion(version uint64, router string) {
 	w.opts.Catalog.Seen(version, router)
--- /dev/null
+++ b/httpserver/httpserver.go
@@ -0,0 +1,89 @@
+// Package httpserver runs an HTTP server as a supervised service on a listener
+// that was opened before, so that a wrong address is an error at start.
+package httpserver
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 90 * time.Second
+	maxHeaderBytes = 64 << 10
+
+	// userTimeout bounds how long sent data may stay unacknowledged.
+	userTimeout = 5 * time.Second
+
+	// closeTimeout bounds the end of connections after the drain.
+	closeTimeout = 2 * time.Second
+)
+
+// Server is an HTTP server on an open listener.
+type Server struct {
+	name     string
+	listener net.Listener
+	http     *http.Server
+}
+
+// Listen opens the address. A nil tlsConfig means plain HTTP.
+func Listen(name, address string, handler http.Handler, tlsConfig *tls.Config) (*Server, error) {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return rpc.SetUserTimeout(c, userTimeout)
+	}}
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for %s on %s: %w", name, address, err)
+	}
+	if tlsConfig != nil {
+		listener = tls.NewListener(listener, tlsConfig)
+	}
+	return &Server{name: name, listener: listener, http: &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}}, nil
+}
+
+// Address returns the listening address with the port that the kernel chose.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// String names the service in the supervisor's reports.
+func (s *Server) String() string { return "http server " + s.name }
+
+// Serve accepts connections until ctx ends. It then closes the listener, lets
+// idle connections end and closes the others after a short time; the owner
+// drains its requests before it ends ctx.
+func (s *Server) Serve(ctx context.Context) error {
+	failed := make(chan error, 1)
+	go func() { failed <- s.http.Serve(s.listener) }()
+	select {
+	case err := <-failed:
+		if errors.Is(err, http.ErrServerClosed) {
+			return suture.ErrDoNotRestart
+		}
+		// The listener is closed by now, so a restart could not serve.
+		return fmt.Errorf("%w: %w", suture.ErrTerminateSupervisorTree, err)
+	case <-ctx.Done():
+	}
+	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+	defer cancel()
+	if s.http.Shutdown(closing) != nil {
+		_ = s.http.Close()
+	}
+	return ctx.Err()
+}
+
+// Close closes the listener of a server that never served.
+func (s *Server) Close() error { return s.listener.Close() }
