--- /dev/null
+++ b/agent/claim/ledger_test.go
@@ -0,0 +1,291 @@
+package claim
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+// fakeStore is a table, an object store and the way to the agents of a test.
+type fakeStore struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	objects map[string][]byte
+	serial  int
+	down    bool
+	// lose makes the next put take effect and loses its answer.
+	lose   bool
+	agents map[string]*Ledger
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{rows: map[string]platform.Row{}, objects: map[string][]byte{}, agents: map[string]*Ledger{}}
+}
+
+func (f *fakeStore) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakeStore) Get(_ context.Context, key string) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	row, ok := f.rows[key]
+	switch {
+	case f.down:
+		return row, platform.ErrUnavailable
+	case !ok:
+		return row, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (f *fakeStore) Put(_ context.Context, key string, value []byte, expected platform.Revision) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	if f.rows[key].Revision != expected {
+		return platform.Row{}, platform.ErrConflict
+	}
+	f.serial++
+	f.rows[key] = platform.Row{Key: key, Value: value, Revision: platform.Revision(fmt.Sprint(f.serial))}
+	if f.lose {
+		f.lose = false
+		return platform.Row{}, platform.ErrOutcomeUnknown
+	}
+	return f.rows[key], nil
+}
+
+func (f *fakeStore) List(_ context.Context, prefix, _ string, _ int) ([]platform.Row, string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var rows []platform.Row
+	for key, row := range f.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	return rows, "", nil
+}
+
+func (f *fakeStore) DeleteBatch(_ context.Context, rows []platform.Row) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, row := range rows {
+		if f.rows[row.Key].Revision != row.Revision {
+			return platform.ErrConflict
+		}
+	}
+	for _, row := range rows {
+		delete(f.rows, row.Key)
+	}
+	return nil
+}
+
+type fakeObjects struct{ *fakeStore }
+
+func (f fakeObjects) Get(_ context.Context, key string) ([]byte, platform.Revision, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if body, ok := f.objects[key]; ok {
+		return body, "1", nil
+	}
+	return nil, "", platform.ErrNotFound
+}
+
+func (f fakeObjects) Put(_ context.Context, key string, value []byte) (platform.Revision, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.objects[key] = value
+	return "1", nil
+}
+
+func (f fakeObjects) Delete(_ context.Context, key string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.objects, key)
+	return nil
+}
+
+func (f *fakeStore) ClaimStatus(ctx context.Context, address, agent, nonce string) (Status, *Outcome, error) {
+	f.mu.Lock()
+	l := f.agents[address]
+	f.mu.Unlock()
+	if l == nil {
+		return StatusUnknown, nil, errors.New("no agent at the address")
+	}
+	resp, err := l.ClaimStatus(ctx, &rpc.ClaimStatusRequest{Agent: agent, Nonce: nonce})
+	if err != nil {
+		return StatusUnknown, nil, err
+	}
+	return ParseStatus(resp)
+}
+
+// agent starts a ledger at the address, replacing the one before.
+func (f *fakeStore) agent(t *testing.T, address, incarnation string) *Ledger {
+	l := New(Options{Table: f, Objects: fakeObjects{f}, Owners: f, Agent: incarnation, Address: address})
+	f.set(func() { f.agents[address] = l })
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- l.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return l
+}
+
+func claimOnce(t *testing.T, l *Ledger, nonce string) Decision {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	return l.Claim(ctx, testKey, []byte("d"), nonce)
+}
+
+func expect(t *testing.T, d Decision, want string) {
+	t.Helper()
+	if got := describeDecision(d); got != want {
+		t.Fatalf("got %q, want %q", got, want)
+	}
+}
+
+// Guards against an answer that is lost or changed between the run and a later
+// call with the same key, for bodies in the row and in the object store, and
+// against rows and objects that outlive their retention.
+func TestAnswerIsReplayedAndDeleted(t *testing.T) {
+	for _, size := range []int{10, InlineBytes + 1} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFakeStore()
+			a, b := f.agent(t, "1", "a1"), f.agent(t, "2", "b1")
+			expect(t, claimOnce(t, a, "n1"), "run")
+			answer := Outcome{
+				Execution: resultcode.Ran, Status: 201, Body: bytes.Repeat([]byte("x"), size),
+				Headers: []Header{{"Set-Cookie", "1"}, {"Set-Cookie", "2"}},
+			}
+			a.Finish("n1", answer)
+			d := claimOnce(t, b, "n2")
+			expect(t, d, "replay 201")
+			if !bytes.Equal(d.Outcome.Body, answer.Body) || !slices.Equal(d.Outcome.Headers, answer.Headers) {
+				t.Fatal("replayed answer differs")
+			}
+			if err := a.Flush(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			f.agent(t, "1", "a2")
+			d = claimOnce(t, b, "n3")
+			expect(t, d, "replay 201")
+			if !bytes.Equal(d.Outcome.Body, answer.Body) || !slices.Equal(d.Outcome.Headers, answer.Headers) {
+				t.Fatal("answer replayed from the row differs")
+			}
+			time.Sleep(Retention + 2*batchDelay)
+			f.set(func() {
+				if len(f.rows)+len(f.objects) != 0 {
+					t.Fatalf("%d rows and %d objects left", len(f.rows), len(f.objects))
+				}
+			})
+		})
+	}
+}
+
+// Guards against a key that stays blocked after an attempt that certainly did
+// not run: one that met a store outage, and one that the endpoint refused.
+func TestNeverRunIsTakenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeStore()
+		a, b := f.agent(t, "1", "a1"), f.agent(t, "2", "b1")
+		f.set(func() { f.lose = true })
+		// The create takes effect, its answer is lost, and the read fails.
+		a.o.Table = &downAfterPut{fakeStore: f}
+		expect(t, claimOnce(t, a, "n1"), "not_run store_unavailable")
+		f.set(func() { f.down = false })
+		expect(t, claimOnce(t, b, "n2"), "run")
+		b.Finish("n2", Outcome{Execution: resultcode.NotRun})
+		if err := b.Flush(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		expect(t, claimOnce(t, b, "n3"), "run")
+		expect(t, claimOnce(t, b, "n3"), "unknown duplicate_attempt")
+	})
+}
+
+type downAfterPut struct{ *fakeStore }
+
+func (d *downAfterPut) Put(ctx context.Context, key string, v []byte, r platform.Revision) (platform.Row, error) {
+	row, err := d.fakeStore.Put(ctx, key, v, r)
+	d.set(func() { d.down = true })
+	return row, err
+}
+
+// Guards against an outcome that is lost when the store is down after the run or
+// when the answer of its write is lost, and against a run repeated meanwhile.
+func TestOutcomeIsSavedAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeStore()
+		a, b := f.agent(t, "1", "a1"), f.agent(t, "2", "b1")
+		expect(t, claimOnce(t, a, "n1"), "run")
+		f.set(func() { f.down = true })
+		a.Finish("n1", Outcome{Execution: resultcode.Ran, Status: 200})
+		time.Sleep(time.Hour)
+		if a.Unsaved() != 1 {
+			t.Fatalf("%d unsaved", a.Unsaved())
+		}
+		expect(t, claimOnce(t, b, "n2"), "not_run store_unavailable")
+		f.set(func() { f.down, f.lose = false, true })
+		time.Sleep(2 * maxSaveDelay)
+		if a.Unsaved() != 0 || a.Lost() != 0 {
+			t.Fatalf("%d unsaved, %d lost", a.Unsaved(), a.Lost())
+		}
+		expect(t, claimOnce(t, b, "n3"), "replay 200")
+	})
+}
+
+// Guards against a second run after the owner restarted in the middle of the
+// first one, and after the owner's address has gone silent.
+func TestOwnerLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeStore()
+		a, b := f.agent(t, "1", "a1"), f.agent(t, "2", "b1")
+		expect(t, claimOnce(t, a, "n1"), "run")
+		expect(t, claimOnce(t, b, "n2"), "unknown key_in_progress")
+		f.set(func() { delete(f.agents, "1") })
+		expect(t, claimOnce(t, b, "n3"), "unknown outcome_unknown")
+		f.agent(t, "1", "a2")
+		expect(t, claimOnce(t, b, "n4"), "unknown outcome_unknown")
+	})
+}
+
+// Guards against rows of ended processes that stay in the table.
+func TestSweepFindsRowsOfEndedProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeStore()
+		r := Record{Key: testKey, Nonce: "old", State: RecordStarted, ClaimedAt: time.Now()}
+		f.rows[r.RowKey()] = row(t, r)
+		f.agent(t, "1", "a1")
+		time.Sleep(sweepAge - time.Minute)
+		f.set(func() {
+			if len(f.rows) != 1 {
+				t.Fatal("deleted before the retention")
+			}
+		})
+		time.Sleep(2*SweepInterval + 2*batchDelay)
+		f.set(func() {
+			if len(f.rows) != 0 {
+				t.Fatal("row not deleted")
+			}
+		})
+	})
+}
