Add service-level burn report with merge across routers

Cause: operators need attainment, error budget, refusals and where the time went, over all routers, without an idle figure for one that cannot be read.

Routers that cannot be read are listed as missing.

The plots were looked at as rendered images; the page was not looked at in a browser, since none is installed.

--- /dev/null
+++ b/burn/plot.go
@@ -0,0 +1,185 @@
+package burn
+
+import (
+	"bytes"
+	"fmt"
+	"image/color"
+	"math"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+const (
+	// The plots are as wide as a phone, so that their text stays readable there.
+	plotWidth  = 340 * vg.Length(0.75)
+	plotHeight = 220 * vg.Length(0.75)
+	// maxPlotted bounds the classes in a plot; the most urgent are shown.
+	maxPlotted = 6
+)
+
+var objectiveColour = color.Gray{Y: 0x60}
+
+// attainmentPlot shows attainment by class over 6 h. Steps without a request
+// that counts are gaps, not zero.
+func (r *Report) attainmentPlot() ([]byte, error) {
+	p := plot.New()
+	p.Title.Text = "Attainment in %"
+	p.X.Label.Text = "hours ago"
+	p.Y.Min, p.Y.Max = 0, 100
+	for i, c := range r.Series[:min(len(r.Series), maxPlotted)] {
+		if err := addAttainment(p, i, c, r.StepSeconds); err != nil {
+			return nil, err
+		}
+	}
+	objective := plotter.NewFunction(func(float64) float64 { return 100 * r.Objective })
+	objective.Color = objectiveColour
+	objective.Dashes = plotutil.Dashes(1)
+	p.Add(objective)
+	p.Legend.Add("objective", objective)
+	p.Legend.Left = true
+	p.Legend.YOffs = vg.Points(4)
+	p.X.Min, p.X.Max = -6, 0
+	p.X.Tick.Marker = plot.ConstantTicks(hourTicks())
+	// Room above 100 keeps a line at full attainment off the frame.
+	p.Y.Min, p.Y.Max = 0, 105
+	return svg(p)
+}
+
+func hourTicks() []plot.Tick {
+	var ticks []plot.Tick
+	for h := range 7 {
+		ticks = append(ticks, plot.Tick{Value: -float64(h), Label: fmt.Sprint(h)})
+	}
+	return ticks
+}
+
+func addAttainment(p *plot.Plot, i int, c ClassSeries, stepSeconds int64) error {
+	segments := segments(c, stepSeconds)
+	for n, points := range segments {
+		line, dots, err := plotter.NewLinePoints(points)
+		if err != nil {
+			return fmt.Errorf("plot class %s: %w", c.Class, err)
+		}
+		line.Color = plotutil.Color(i)
+		line.Width = vg.Points(1.5)
+		dots.Color = plotutil.Color(i)
+		dots.Shape = plotutil.Shape(i)
+		dots.Radius = vg.Points(1.5)
+		p.Add(line, dots)
+		if n == 0 {
+			p.Legend.Add(c.Class, line, dots)
+		}
+	}
+	return nil
+}
+
+// segments returns the runs of steps with requests that count.
+func segments(c ClassSeries, stepSeconds int64) []plotter.XYs {
+	var out []plotter.XYs
+	var run plotter.XYs
+	for age := range c.Met {
+		counted := c.Met[age] + c.Missed[age]
+		if counted == 0 {
+			if run != nil {
+				out = append(out, run)
+			}
+			run = nil
+			continue
+		}
+		ago := time.Duration(int64(age)*stepSeconds) * time.Second
+		run = append(run, plotter.XY{X: -ago.Hours(), Y: 100 * float64(c.Met[age]) / float64(counted)})
+	}
+	if run != nil {
+		out = append(out, run)
+	}
+	return out
+}
+
+// phase is one part of the time of a request.
+type phase struct {
+	name string
+	of   func(Line) Percentiles
+}
+
+var phases = []phase{
+	{"queue", func(l Line) Percentiles { return l.Queue }},
+	{"first token", func(l Line) Percentiles { return l.FirstToken }},
+	{"between tokens", func(l Line) Percentiles { return l.InterToken }},
+	{"whole", func(l Line) Percentiles { return l.Whole }},
+}
+
+// phasePlot shows the p95 of each phase by class. The axis is the decimal
+// logarithm, because tokens take milliseconds and whole responses minutes;
+// times below 1 ms are drawn as 1 ms.
+func (s *Section) phasePlot() ([]byte, error) {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("p95 by phase in ms, last %s", period(s.Seconds))
+	lines := s.Classes[:min(len(s.Classes), maxPlotted)]
+	highest := 1.0
+	for i, ph := range phases {
+		values := make(plotter.Values, len(lines))
+		for j, l := range lines {
+			values[j] = math.Log10(math.Max(ph.of(l).P95, 1))
+			highest = math.Max(highest, values[j])
+		}
+		bars, err := plotter.NewBarChart(values, barWidth)
+		if err != nil {
+			return nil, fmt.Errorf("plot phases: %w", err)
+		}
+		bars.Color = plotutil.Color(i)
+		bars.LineStyle.Width = 0
+		bars.Offset = barWidth * vg.Length(float64(i)-float64(len(phases)-1)/2)
+		p.Add(bars)
+		p.Legend.Add(ph.name, bars)
+	}
+	var names []string
+	for _, l := range lines {
+		names = append(names, l.Class)
+	}
+	p.NominalX(names...)
+	p.Legend.Top = true
+	p.Y.Tick.Marker = plot.ConstantTicks(decadeTicks())
+	// Room above the bars for the legend.
+	p.Y.Min, p.Y.Max = 0, highest*legendRoom
+	p.X.Min, p.X.Max = -0.5, float64(len(lines))-0.5
+	return svg(p)
+}
+
+const (
+	barWidth = vg.Length(6)
+	// maxDecade is above the longest duration of a Histogram, 3.6 million ms.
+	maxDecade = 7
+	// legendRoom is the height of the plot relative to the highest bar; the
+	// legend with one line per phase takes about two fifths of it.
+	legendRoom = 1.75
+)
+
+func decadeTicks() []plot.Tick {
+	var ticks []plot.Tick
+	for d := range maxDecade {
+		ticks = append(ticks, plot.Tick{Value: float64(d), Label: fmt.Sprintf("%.0f", math.Pow10(d))})
+	}
+	return ticks
+}
+
+// svg renders p without the XML header, for use inside HTML.
+func svg(p *plot.Plot) ([]byte, error) {
+	c := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(c))
+	var out bytes.Buffer
+	if _, err := c.WriteTo(&out); err != nil {
+		return nil, fmt.Errorf("render plot: %w", err)
+	}
+	text := out.Bytes()
+	start := bytes.Index(text, []byte("<svg"))
+	if start < 0 {
+		return nil, fmt.Errorf("render plot: no svg element")
+	}
+	return text[start:], nil
+}
--- /dev/null
+++ b/burn/report.go
@@ -0,0 +1,248 @@
+package burn
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/catalog"
+)
+
+// Objective is the share of requests that must meet their target.
+const Objective = 0.95
+
+// worstEndpoints bounds the endpoints that a report lists per window.
+const worstEndpoints = 10
+
+// Source is a router that was asked for its snapshot.
+type Source struct {
+	Router string
+	// Snapshot is nil when the router could not be read.
+	Snapshot *Snapshot
+	// Err says why; it is used only without a snapshot.
+	Err error
+}
+
+// Missing is a router whose requests are not in the report.
+type Missing struct {
+	Router string `json:"router"`
+	Reason string `json:"reason"`
+}
+
+// Report is the merged view over all routers that could be read.
+type Report struct {
+	MadeAt    time.Time `json:"made_at"`
+	Objective float64   `json:"objective"`
+	// Routers lists the routers in the report.
+	Routers []Included `json:"routers"`
+	Missing []Missing  `json:"missing"`
+	Windows []Section  `json:"windows"`
+	// StepSeconds is the length of one step of Series.
+	StepSeconds int64         `json:"step_seconds"`
+	Series      []ClassSeries `json:"series"`
+}
+
+// Included is a router in the report.
+type Included struct {
+	Router string `json:"router"`
+	// CoveredSeconds is the time since the router started, at most 6 h. Its
+	// requests before that are lost.
+	CoveredSeconds int64 `json:"covered_seconds"`
+}
+
+// Section is the report of one window.
+type Section struct {
+	Seconds   int64           `json:"seconds"`
+	Classes   []Line          `json:"classes"`
+	Profiles  []Line          `json:"profiles"`
+	Endpoints []WorstEndpoint `json:"worst_endpoints"`
+}
+
+// Line is the report of one class or profile in one window. Pointers are nil
+// when no request counts, which is not the same as zero.
+type Line struct {
+	Profile string `json:"profile,omitempty"`
+	Class   string `json:"class"`
+	Tier    int    `json:"tier"`
+	// Target is absent for classes, whose profiles may differ.
+	Target catalog.Target `json:"target,omitzero"`
+	Counts
+	// Attainment is the share of requests that met their target.
+	Attainment *float64 `json:"attainment"`
+	// BudgetLeft is the share of the window's error budget that is left;
+	// negative when overspent.
+	BudgetLeft *float64 `json:"budget_left"`
+	// BurnRate is the spending of the budget relative to the sustainable rate.
+	BurnRate   *float64    `json:"burn_rate"`
+	Failures   []CodeName  `json:"failures"`
+	Queue      Percentiles `json:"queue"`
+	FirstToken Percentiles `json:"first_token"`
+	InterToken Percentiles `json:"inter_token"`
+	Whole      Percentiles `json:"whole"`
+}
+
+// CodeName is the number of requests that ended with a result code.
+type CodeName struct {
+	CodeCount
+	Name string `json:"name"`
+}
+
+// Percentiles of a phase in milliseconds. Count 0 means no data.
+type Percentiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+}
+
+// WorstEndpoint is an endpoint with misses or failures.
+type WorstEndpoint struct {
+	EndpointCounts
+	// BadShare is the share of requests that missed their target or failed.
+	BadShare float64 `json:"bad_share"`
+}
+
+// NewReport merges the sources. A source without a usable snapshot is listed
+// as missing and contributes nothing.
+func NewReport(now time.Time, sources []Source) *Report {
+	r := &Report{
+		MadeAt:      now.UTC().Truncate(time.Millisecond),
+		Objective:   Objective,
+		Routers:     []Included{},
+		Missing:     []Missing{},
+		StepSeconds: int64(Step / time.Second),
+	}
+	sums := make([]*group, len(Windows))
+	for i := range sums {
+		sums[i] = newGroup()
+	}
+	var series seriesSet
+	for _, s := range sources {
+		if err := usable(s); err != nil {
+			r.Missing = append(r.Missing, Missing{s.Router, err.Error()})
+			continue
+		}
+		r.Routers = append(r.Routers, Included{s.Router, s.Snapshot.CoveredSeconds})
+		for i := range sums {
+			sums[i].mergeWindow(&s.Snapshot.Windows[i])
+		}
+		series.merge(s.Snapshot.Series)
+	}
+	r.Series = series.sorted()
+	for i, w := range Windows {
+		r.Windows = append(r.Windows, section(w, sums[i]))
+	}
+	slices.SortFunc(r.Routers, func(a, b Included) int { return cmp.Compare(a.Router, b.Router) })
+	slices.SortFunc(r.Missing, func(a, b Missing) int { return cmp.Compare(a.Router, b.Router) })
+	return r
+}
+
+func usable(s Source) error {
+	if s.Snapshot == nil {
+		if s.Err == nil {
+			return errors.New("no snapshot")
+		}
+		return s.Err
+	}
+	if s.Snapshot.Format != SnapshotFormat {
+		return fmt.Errorf("snapshot format %d, this version reads %d", s.Snapshot.Format, SnapshotFormat)
+	}
+	if s.Snapshot.StepSeconds != int64(Step/time.Second) || len(s.Snapshot.Windows) != len(Windows) {
+		return errors.New("snapshot with other steps or windows")
+	}
+	for i, w := range Windows {
+		if s.Snapshot.Windows[i].Seconds != int64(w/time.Second) {
+			return errors.New("snapshot with other windows")
+		}
+	}
+	return nil
+}
+
+func (g *group) mergeWindow(w *Window) {
+	for i := range w.Rows {
+		g.row(w.Rows[i].Profile, w.Rows[i].Class).merge(&w.Rows[i])
+	}
+	for i := range w.Endpoints {
+		g.endpoint(w.Endpoints[i].Name).merge(&w.Endpoints[i])
+	}
+}
+
+func section(length time.Duration, g *group) Section {
+	s := Section{
+		Seconds:   int64(length / time.Second),
+		Classes:   []Line{},
+		Profiles:  []Line{},
+		Endpoints: worst(g),
+	}
+	classes := newGroup()
+	for _, row := range g.sortedRows() {
+		s.Profiles = append(s.Profiles, line(&row))
+		classes.row("", row.Class).merge(&row)
+	}
+	for _, row := range classes.sortedRows() {
+		row.Target = catalog.Target{}
+		s.Classes = append(s.Classes, line(&row))
+	}
+	return s
+}
+
+func line(r *Row) Line {
+	l := Line{
+		Profile:    r.Profile,
+		Class:      r.Class,
+		Tier:       r.Tier,
+		Target:     r.Target,
+		Counts:     r.Counts,
+		Failures:   []CodeName{},
+		Queue:      percentiles(&r.Queue),
+		FirstToken: percentiles(&r.FirstToken),
+		InterToken: percentiles(&r.InterToken),
+		Whole:      percentiles(&r.Whole),
+	}
+	for _, c := range r.Codes {
+		l.Failures = append(l.Failures, CodeName{c, c.Code.String()})
+	}
+	counted := r.Met + r.Missed
+	if counted == 0 {
+		return l
+	}
+	attainment := float64(r.Met) / float64(counted)
+	rate := float64(r.Missed) / float64(counted) / (1 - Objective)
+	left := 1 - rate
+	l.Attainment = &attainment
+	l.BurnRate = &rate
+	l.BudgetLeft = &left
+	return l
+}
+
+func percentiles(h *Histogram) Percentiles {
+	return Percentiles{
+		Count: h.Count(),
+		P50:   milliseconds(h.Percentile(50)),
+		P95:   milliseconds(h.Percentile(95)),
+		P99:   milliseconds(h.Percentile(99)),
+	}
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
+
+// worst returns the endpoints with misses or failures, highest share first.
+func worst(g *group) []WorstEndpoint {
+	out := []WorstEndpoint{}
+	for _, e := range g.sortedEndpoints() {
+		// A failed request with a target is also a missed one.
+		bad := max(e.Missed, e.Failed)
+		if bad == 0 {
+			continue
+		}
+		out = append(out, WorstEndpoint{e, float64(bad) / float64(e.Requests)})
+	}
+	slices.SortStableFunc(out, func(a, b WorstEndpoint) int {
+		return cmp.Or(cmp.Compare(b.BadShare, a.BadShare), cmp.Compare(b.Requests, a.Requests))
+	})
+	return out[:min(len(out), worstEndpoints)]
+}
--- /dev/null
+++ b/burn/table.go
@@ -0,0 +1,76 @@
+package burn
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+)
+
+// maxPartial bounds the routers listed as recently started.
+const maxPartial = 5
+
+// WriteTable writes the report as text for a terminal.
+func (r *Report) WriteTable(w io.Writer) error {
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "Service levels at %s, objective %.0f%%\n", r.MadeAt.Format(time.RFC3339), 100*r.Objective)
+	r.writeRouters(&out)
+	for i := range r.Windows {
+		r.Windows[i].write(&out)
+	}
+	_, err := w.Write(out.Bytes())
+	return err
+}
+
+func (r *Report) writeRouters(out *bytes.Buffer) {
+	fmt.Fprintf(out, "Routers: %d read, %d missing\n", len(r.Routers), len(r.Missing))
+	for _, m := range r.Missing {
+		fmt.Fprintf(out, "  missing: %s: %s\n", m.Router, m.Reason)
+	}
+	partial := r.partial()
+	for _, p := range partial[:min(len(partial), maxPartial)] {
+		fmt.Fprintf(out, "  started recently: %s covers the last %s only\n", p.Router, period(p.CoveredSeconds))
+	}
+	if n := len(partial) - maxPartial; n > 0 {
+		fmt.Fprintf(out, "  started recently: %d more\n", n)
+	}
+}
+
+func (s *Section) write(out *bytes.Buffer) {
+	fmt.Fprintf(out, "\nLast %s\n", period(s.Seconds))
+	if len(s.Profiles) == 0 {
+		fmt.Fprintln(out, "  no requests")
+		return
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "  CLASS\tPROFILE\tTIER\tREQUESTS\tATTAINMENT\tBUDGET LEFT\tBURN RATE\tRAN\tNOT RUN\tUNKNOWN")
+	for _, l := range s.Classes {
+		l.writeLevels(table, "(all)")
+	}
+	for _, l := range s.Profiles {
+		l.writeLevels(table, l.Profile)
+	}
+	// A flush ends the columns, so that the next table has its own widths.
+	table.Flush()
+	fmt.Fprintln(table, "  CLASS\tPROFILE\tQUEUE p50/p95/p99\tFIRST TOKEN\tBETWEEN TOKENS\tWHOLE")
+	for _, l := range s.Profiles {
+		fmt.Fprintf(table, "  %s\t%s\t%s\t%s\t%s\t%s\n", l.Class, l.Profile,
+			l.Queue.triple(), l.FirstToken.triple(), l.InterToken.triple(), l.Whole.triple())
+	}
+	table.Flush()
+	for _, l := range s.Profiles {
+		for _, f := range l.Failures {
+			fmt.Fprintf(out, "  failures of %s: %d x %d %s\n", l.Profile, f.Count, f.Code, f.Name)
+		}
+	}
+	for _, e := range s.Endpoints {
+		fmt.Fprintf(out, "  endpoint %s: %.1f%% bad; %d requests, %d missed, %d failed\n",
+			e.Name, 100*e.BadShare, e.Requests, e.Missed, e.Failed)
+	}
+}
+
+func (l *Line) writeLevels(w io.Writer, profile string) {
+	fmt.Fprintf(w, "  %s\t%s\t%d\t%d\t%s\t%s\t%s\t%d\t%d\t%d\n", l.Class, profile, l.Tier, l.Requests,
+		percent(l.Attainment), percent(l.BudgetLeft), rate(l.BurnRate), l.Ran, l.NotRun, l.Unknown)
+}
