--- /dev/null
+++ b/admin/propagation.go
@@ -0,0 +1,48 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/pistachiowind/pistachiowind/resultcode"
+)
+
+// PropagationSource asks every known process for the catalog version in force
+// there.
+type PropagationSource interface {
+	Propagation(ctx context.Context, version uint64) Propagation
+}
+
+// Propagation is the answer of GET /v1/propagation.
+type Propagation struct {
+	Version uint64 `json:"version"`
+	// InForce is the number of processes with this version or a higher one.
+	InForce int `json:"in_force"`
+	// Lagging names the processes with a lower version and those that did not
+	// answer.
+	Lagging []Laggard `json:"lagging"`
+}
+
+// Laggard is a process in which a version is not known to be in force.
+type Laggard struct {
+	Name string `json:"name"`
+	// Version in force there; zero when the process did not answer.
+	Version uint64 `json:"version"`
+}
+
+func (s *Server) propagation(c echo.Context) error {
+	version, err := strconv.ParseUint(c.QueryParam("version"), 10, 64)
+	if err != nil {
+		return resultcode.New(resultcode.MalformedBody, "query version is %q; allowed: a catalog version", c.QueryParam("version"))
+	}
+	return c.JSON(http.StatusOK, s.options.Propagation.Propagation(c.Request().Context(), version))
+}
+
+// Propagation asks the router in how many processes a version is in force.
+func (c *Client) Propagation(ctx context.Context, version uint64) (Propagation, error) {
+	path := "/v1/propagation?version=" + strconv.FormatUint(version, 10)
+	return call[Propagation](ctx, c, http.MethodGet, path, nil, maxAnswerBytes)
+}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -16,21 +16,24 @@
 	"crypto/tls"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/pistachiowind/pistachiowind/admin"
+	"github.com/pistachiowind/pistachiowind/agent/claim"
 	"github.com/pistachiowind/pistachiowind/agent/endpoint"
 	"github.com/pistachiowind/pistachiowind/agent/execution"
 	"github.com/pistachiowind/pistachiowind/agent/intake"
 	"github.com/pistachiowind/pistachiowind/agent/queue"
 	"github.com/pistachiowind/pistachiowind/agent/worker"
-	"github.com/pistachiowind/pistachiowind/catalog"
 	"github.com/pistachiowind/pistachiowind/httpserver"
 	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/rpc"
+	"github.com/pistachiowind/pistachiowind/settings"
 	"github.com/pistachiowind/pistachiowind/telemetry"
 )
 
@@ -71,6 +74,7 @@
 
 	// DrainTimeout bounds the wait for open attempts; zero means DefaultDrainTimeout.
 	DrainTimeout time.Duration
+	Operators    []settings.Operator
 	Log          zerolog.Logger
 	Version      string
 }
@@ -87,11 +91,14 @@
 	incarnation string
 	worker      *worker.Worker
 	monitor     *monitor
+	ledger      *claim.Ledger
 	catalog     *catalogView
 	peers       *httpserver.Server
 	admin       *httpserver.Server
 	states      *telemetry.StateLog
 	supervisor  *suture.Supervisor
+	drainAsked  *admin.DrainOnce
+	draining    atomic.Bool
 }
 
 // New builds an agent and opens its listeners.
@@ -104,6 +111,9 @@
 		incarnation: opts.Name + "-" + uuid.NewString(),
 		states:      telemetry.NewStateLog(opts.Log),
 	}
+	a.drainAsked = admin.NewDrainOnce(func(operator string) {
+		a.states.Report(telemetry.StateChange{Subject: "drain", State: "asked for", Cause: "operator " + operator})
+	})
 	provider, err := telemetry.New(a.telemetryOptions())
 	if err != nil {
 		return nil, fmt.Errorf("start telemetry: %w", err)
@@ -113,11 +123,13 @@
 		return nil, fmt.Errorf("start telemetry: %w", err)
 	}
 	a.catalog = newCatalogView(opts, a.incarnation)
-	backend := a.backend()
-	if err := a.build(backend, instruments); err != nil {
+	peers, operators := http.NewServeMux(), http.NewServeMux()
+	if err := a.listen(peers, operators); err != nil {
 		return nil, err
 	}
-	if err := a.listen(provider); err != nil {
+	a.build(instruments)
+	a.registerPeers(peers)
+	if err := a.registerAdmin(operators, provider.Handler()); err != nil {
 		return nil, err
 	}
 	a.supervise()
@@ -170,6 +182,7 @@
 	case err := <-ended:
 		return err
 	case <-ctx.Done():
+	case <-a.drainAsked.Asked():
 	}
 	a.drain(force)
 	stop()
@@ -179,6 +192,7 @@
 }
 
 func (a *Agent) drain(force context.Context) {
+	a.draining.Store(true)
 	a.states.Report(telemetry.StateChange{Subject: "agent", State: "draining"})
 	bound, cancel := context.WithTimeout(force, a.opts.DrainTimeout)
 	defer cancel()
@@ -188,6 +202,9 @@
 			Cause: fmt.Sprintf("%d attempts were still open", open),
 		})
 	}
+	if err := a.ledger.Flush(bound); err != nil {
+		a.states.Report(telemetry.StateChange{Subject: "claims", State: "not saved", Warn: true, Cause: err.Error()})
+	}
 }
 
 func (a *Agent) supervise() {
@@ -197,6 +214,7 @@
 	})
 	a.supervisor.Add(a.worker)
 	a.supervisor.Add(a.monitor)
+	a.supervisor.Add(a.ledger)
 	a.supervisor.Add(a.catalog.distributor)
 	a.supervisor.Add(a.peers)
 	a.supervisor.Add(a.admin)
@@ -210,6 +228,3 @@
 		Region:           a.opts.Region,
 	}
 }
-
-// newStore returns the catalog in the table service.
-func newStore(t *platform.Table) *catalog.Store { return catalog.NewStore(t) }
--- a/agent/build.go
+++ b/agent/build.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/agent/endpoint"
 	"github.com/pistachiowind/pistachiowind/agent/intake"
 	"github.com/pistachiowind/pistachiowind/agent/worker"
 	"github.com/pistachiowind/pistachiowind/httpserver"
@@ -13,11 +12,14 @@
 	"github.com/pistachiowind/pistachiowind/telemetry"
 )
 
-// build wires the worker and the monitor.
-func (a *Agent) build(backend endpoint.Backend, metrics *telemetry.Agent) error {
+// build wires the worker, its record and the monitor. The listeners are open, so
+// the addresses are known.
+func (a *Agent) build(metrics *telemetry.Agent) {
+	backend := a.backend()
+	a.ledger = newLedger(a.opts, a.incarnation, a.peers.Address())
 	a.worker = worker.New(worker.Options{
 		Backend:   backend,
-		Guard:     a.guard(),
+		Guard:     &worker.LedgerGuard{Ledger: a.ledger},
 		Catalog:   a.catalog,
 		Observer:  &attemptMetrics{metrics: metrics},
 		Queue:     a.opts.Queue,
@@ -32,38 +34,33 @@
 		crashes: metrics.EndpointCrashes,
 		fixed:   a.opts.Models,
 	}
-	return nil
 }
 
 // listen opens the listeners for routers and operators.
-func (a *Agent) listen(provider *telemetry.Provider) error {
-	peers, err := httpserver.Listen("peers", a.opts.PeersAddress, a.peersHandler(), a.opts.PeerTLS)
+func (a *Agent) listen(peers, operators http.Handler) error {
+	var err error
+	a.peers, err = httpserver.Listen("peers", a.opts.PeersAddress, peers, a.opts.PeerTLS)
 	if err != nil {
 		return err
 	}
-	a.peers = peers
-	admin, err := httpserver.Listen("admin", a.opts.AdminAddress, a.adminHandler(provider), nil)
+	a.admin, err = httpserver.Listen("admin", a.opts.AdminAddress, operators, nil)
 	if err != nil {
-		_ = peers.Close()
-		return err
+		_ = a.peers.Close()
 	}
-	a.admin = admin
-	return nil
+	return err
 }
 
-func (a *Agent) peersHandler() http.Handler {
-	mux := http.NewServeMux()
+func (a *Agent) registerPeers(mux *http.ServeMux) {
 	intake.NewStreams(a.incarnation, a.worker).Register(mux)
 	unary := rpc.NewAgentServer(&intake.Unary{
 		Identity: a.identity(),
 		Worker:   a.worker,
-		Claims:   a.claims(),
+		Claims:   a.ledger,
 		Orders:   a.orders(),
 		Catalog:  a.catalog,
 		Models:   a.monitor.Models,
 	})
 	mux.Handle(unary.PathPrefix(), unary)
-	return mux
 }
 
 // attemptMetrics counts what happens to attempts.
--- a/agent/catalogview.go
+++ b/agent/catalogview.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -31,8 +30,8 @@
 		routers: expirable.NewLRU[string, struct{}](maxKnownRouters, nil, routerMemory),
 	}
 	v.distributor = catalog.NewDistributor(catalog.DistributorOptions{
-		Store:    newStore(opts.Table),
-		Peers:    &routerFetcher{client: &http.Client{Transport: opts.PeerTransport}, scheme: scheme(opts)},
+		Store:    catalog.NewStore(opts.Table),
+		Peers:    catalog.NewRouterClient(peerURL(opts), &http.Client{Transport: opts.PeerTransport}),
 		Holder:   v.holder,
 		PeerList: v.routers.Keys,
 		Seed:     xxhash.Sum64String(incarnation),
@@ -40,11 +39,13 @@
 	return v
 }
 
-func scheme(opts Options) string {
+// peerURL returns the function that makes a base URL of a peer address.
+func peerURL(opts Options) func(string) string {
+	prefix := "http://"
 	if opts.PeerTLS != nil {
-		return "https"
+		prefix = "https://"
 	}
-	return "http"
+	return func(address string) string { return prefix + address }
 }
 
 // Version returns the catalog version in force.
@@ -60,39 +61,7 @@
 	}
 }
 
-// Snapshot returns the catalog as a message, without its body when the asking
-// process has the same version or a newer one.
+// Snapshot returns the catalog as a message for a process that has a version.
 func (v *catalogView) Snapshot(have uint64) *rpc.CatalogSnapshot {
-	return Snapshot(v.holder, have)
-}
-
-// Snapshot encodes the catalog in force at a holder.
-func Snapshot(holder *catalog.Holder, have uint64) *rpc.CatalogSnapshot {
-	current := holder.Current()
-	snapshot := &rpc.CatalogSnapshot{Version: current.Version()}
-	if current.Version() <= have {
-		return snapshot
-	}
-	body, err := catalog.Encode(current.Catalog())
-	if err != nil {
-		return &rpc.CatalogSnapshot{}
-	}
-	snapshot.Body = body
-	return snapshot
-}
-
-// routerFetcher asks routers for their catalog.
-type routerFetcher struct {
-	client *http.Client
-	scheme string
-}
-
-// FetchCatalog implements catalog.PeerFetcher.
-func (f *routerFetcher) FetchCatalog(ctx context.Context, peer string, have uint64) (uint64, []byte, error) {
-	router := rpc.NewRouterProtobufClient(f.scheme+"://"+peer, f.client)
-	snapshot, err := router.FetchCatalog(ctx, &rpc.FetchCatalogRequest{HaveVersion: have})
-	if err != nil {
-		return 0, nil, err
-	}
-	return snapshot.GetVersion(), snapshot.GetBody(), nil
+	return catalog.Snapshot(v.holder, have)
 }
--- a/agent/claim/record.go
+++ b/agent/claim/record.go
@@ -94,6 +94,9 @@
 	Status    int                  `json:"status,omitempty"`
 	Headers   []Header             `json:"headers,omitempty"`
 	Body      []byte               `json:"body,omitempty"`
+	// Omitted states that the answer was too large to keep: the request ran, and
+	// its answer cannot be replayed.
+	Omitted bool `json:"omitted,omitempty"`
 	// Object is the key of the body in the object store; empty if it is inline.
 	Object string `json:"object,omitempty"`
 }
--- a/agent/intake/unary.go
+++ b/agent/intake/unary.go
@@ -20,7 +20,7 @@
 
 // Claims answers what this incarnation knows about a claim.
 type Claims interface {
-	Status(nonce string) (rpc.ClaimState, []byte)
+	ClaimStatus(ctx context.Context, req *rpc.ClaimStatusRequest) (*rpc.ClaimStatusResponse, error)
 }
 
 // Orders passes fenced orders on.
@@ -75,12 +75,8 @@
 }
 
 // ClaimStatus reports what this incarnation knows about a claim that it wrote.
-func (u *Unary) ClaimStatus(_ context.Context, req *rpc.ClaimStatusRequest) (*rpc.ClaimStatusResponse, error) {
-	if req.GetAgent() != u.Identity.Incarnation {
-		return &rpc.ClaimStatusResponse{State: rpc.ClaimState_CLAIM_STATE_UNKNOWN}, nil
-	}
-	state, outcome := u.Claims.Status(req.GetNonce())
-	return &rpc.ClaimStatusResponse{State: state, Outcome: outcome}, nil
+func (u *Unary) ClaimStatus(ctx context.Context, req *rpc.ClaimStatusRequest) (*rpc.ClaimStatusResponse, error) {
+	return u.Claims.ClaimStatus(ctx, req)
 }
 
 // FetchCatalog returns the catalog in force at this process.
--- /dev/null
+++ b/agent/operate.go
@@ -0,0 +1,91 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/pistachiowind/pistachiowind/admin"
+	"github.com/pistachiowind/pistachiowind/agent/intake"
+	"github.com/pistachiowind/pistachiowind/agent/worker"
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/rpc"
+	"github.com/pistachiowind/pistachiowind/settings"
+)
+
+// defaultSlots is the concurrency limit without a learned one.
+const defaultSlots = 64
+
+func (a *Agent) limiter() worker.Limiter {
+	slots := a.opts.Concurrency.Max
+	if slots == 0 {
+		slots = defaultSlots
+	}
+	return worker.FixedLimiter{Slots: slots}
+}
+
+// refusedOrders answers orders until the gate is in place.
+type refusedOrders struct{}
+
+// Execute refuses.
+func (refusedOrders) Execute(context.Context, *rpc.OrderRequest) *rpc.OrderResponse {
+	return &rpc.OrderResponse{Code: uint32(resultcode.FencingNumberNotSet), Message: "this agent takes no orders"}
+}
+
+func (a *Agent) orders() intake.Orders { return refusedOrders{} }
+
+// Status implements admin.StatusSource.
+func (a *Agent) Status() admin.Status {
+	return admin.Status{
+		Role:             settings.RoleAgent,
+		Name:             a.opts.Name,
+		Region:           a.opts.Region,
+		AvailabilityZone: a.opts.AvailabilityZone,
+		Version:          a.opts.Version,
+		Incarnation:      a.incarnation,
+		CatalogVersion:   a.catalog.Version(),
+		State:            a.adminState(),
+	}
+}
+
+func (a *Agent) adminState() admin.State {
+	if a.draining.Load() {
+		return admin.StateDraining
+	}
+	if a.Ready() == nil {
+		return admin.StateServing
+	}
+	return admin.StateStarting
+}
+
+var (
+	errDraining     = errors.New("the agent is draining")
+	errEndpointDown = errors.New("the endpoint does not answer")
+)
+
+// Ready returns nil when the agent accepts work, and otherwise why not.
+func (a *Agent) Ready() error {
+	if a.draining.Load() {
+		return errDraining
+	}
+	if a.worker.State() != rpc.AgentState_AGENT_STATE_SERVING {
+		return errEndpointDown
+	}
+	return nil
+}
+
+// registerAdmin adds the operators' API to its listener.
+func (a *Agent) registerAdmin(mux *http.ServeMux, metrics http.Handler) error {
+	server, err := admin.New(admin.Options{
+		Status:    a,
+		Catalog:   a.catalog.holder,
+		Drain:     a.drainAsked,
+		Metrics:   metrics,
+		Operators: a.opts.Operators,
+	})
+	if err != nil {
+		return err
+	}
+	mux.Handle("/", server.Handler())
+	return nil
+}
--- a/agent/worker/run.go
+++ b/agent/worker/run.go
@@ -151,7 +151,25 @@
 		k.Done.Load = w.Load(now)
 	}
 	f.CatalogVersion = w.opts.Catalog.Version()
-	return j.attempt.Append(ctx, f)
+	if j.req.GetIdempotent() {
+		return j.attempt.Append(ctx, f)
+	}
+	return w.emitRecorded(ctx, j, f)
+}
+
+// emitRecorded passes on a frame of a request whose answer is recorded. When no
+// router makes room for it in time, the run goes on without a reader, because
+// stopping it would leave its outcome unknown.
+func (w *Worker) emitRecorded(ctx context.Context, j *job, f *rpc.Frame) error {
+	if j.unread {
+		return nil
+	}
+	bound, cancel := context.WithTimeout(ctx, OrphanTimeout)
+	defer cancel()
+	if j.attempt.Append(bound, f) != nil {
+		j.unread = true
+	}
+	return ctx.Err()
 }
 
 func (w *Worker) observeFirst(now time.Time, j *job) {
--- a/agent/worker/worker.go
+++ b/agent/worker/worker.go
@@ -76,6 +76,8 @@
 	// pinned is set when the answer holds more than text, so that another run
 	// could not continue it. Such an attempt is not preempted.
 	pinned atomic.Bool
+	// unread is set when frames were given up because no router reads them.
+	unread bool
 }
 
 // Worker runs the attempts of one agent incarnation. It is safe for concurrent
--- /dev/null
+++ b/cmd/pistachiowind/operator.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/pistachiowind/pistachiowind/admin"
+)
+
+// operatorFlags are the flags of commands that call admin APIs.
+type operatorFlags struct {
+	urls []string
+	key  string
+}
+
+func addOperatorFlags(cmd *kingpin.CmdClause) *operatorFlags {
+	f := &operatorFlags{}
+	cmd.Flag("admin", "Admin URL of a router, such as http://10.0.0.7:8082; repeat it for several routers.").
+		Envar("PISTACHIOWIND_ADMIN").Required().StringsVar(&f.urls)
+	cmd.Flag("key", "The operator's key.").Envar("PISTACHIOWIND_OPERATOR_KEY").Required().StringVar(&f.key)
+	return f
+}
+
+// client returns a client of the first router.
+func (f *operatorFlags) client() (*admin.Client, error) {
+	return admin.NewClient(admin.ClientOptions{URL: f.urls[0], Key: f.key})
+}
+
+// all returns the options of clients of every router.
+func (f *operatorFlags) all() []admin.ClientOptions {
+	list := make([]admin.ClientOptions, 0, len(f.urls))
+	for _, url := range f.urls {
+		list = append(list, admin.ClientOptions{URL: url, Key: f.key})
+	}
+	return list
+}
--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -33,11 +33,13 @@
 // Options configure a Dispatcher. All fields are required.
 type Options struct {
 	// Router is this router's incarnation.
-	Router  string
-	Client  *Client
-	Fleet   Fleet
-	Budget  Budget
-	Catalog Catalog
+	Router string
+	// RouterAddress is where agents fetch the catalog from this router.
+	RouterAddress string
+	Client        *Client
+	Fleet         Fleet
+	Budget        Budget
+	Catalog       Catalog
 	// MaxAttempts bounds the attempts of one request; zero means 4.
 	MaxAttempts int
 }
@@ -276,6 +278,7 @@
 		Idempotent:     p.Idempotent,
 		IdempotencyKey: f.req.IdempotencyKey,
 		BodyDigest:     f.req.BodyDigest,
+		RouterAddress:  f.opts.RouterAddress,
 	}
 	if f.req.Service != nil {
 		m.Work = &rpc.RunRequest_Service{Service: f.req.Service}
--- a/router/dispatch/frames.go
+++ b/router/dispatch/frames.go
@@ -75,6 +75,7 @@
 func (f *flight) started(now time.Time, c *call, s *rpc.Started) recovery.Action {
 	if c.startedAt.IsZero() {
 		c.startedAt = now
+		f.req.Trace.Started = true
 		f.req.Trace.Queued += time.Duration(s.GetWaitedMs()) * time.Millisecond
 	}
 	return f.next(recovery.Event{Kind: recovery.Started, Attempt: c.ticket})
@@ -123,13 +124,8 @@
 	t := &f.req.Trace
 	if t.FirstToken.IsZero() {
 		t.FirstToken = now
-	} else {
-		gap := now.Sub(t.LastToken)
-		t.MaxGap = max(t.MaxGap, gap)
-		target := time.Duration(f.req.Profile.Target.InterTokenMS) * time.Millisecond
-		if target > 0 && gap > target {
-			t.SlowGaps++
-		}
+	} else if t.Gaps != nil {
+		t.Gaps.Add(now.Sub(t.LastToken))
 	}
 	t.LastToken = now
 	t.Tokens++
--- a/router/ingress/ingress.go
+++ b/router/ingress/ingress.go
@@ -58,8 +58,9 @@
 	Models() []string
 }
 
-// Observer is told how each request ended.
+// Observer is told of each request that is dispatched and how it ended.
 type Observer interface {
+	Begun(req *dispatch.Request)
 	Ended(req *dispatch.Request, result *resultcode.Error)
 	Refused(result *resultcode.Error)
 }
@@ -199,6 +200,7 @@
 	req := in.Request
 	ctx, cancel := context.WithTimeout(c.Request().Context(), req.Profile.MaxRun())
 	defer cancel()
+	s.opts.Observer.Begun(req)
 	err := s.opts.Dispatcher.Dispatch(ctx, req, sink)
 	s.opts.Observer.Ended(req, err)
 	return err
--- /dev/null
+++ b/router/observe.go
@@ -0,0 +1,94 @@
+package router
+
+import (
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/burn"
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/router/dispatch"
+	"github.com/pistachiowind/pistachiowind/telemetry"
+)
+
+// requestObserver records requests in the metrics and the burn report. It
+// implements ingress.Observer.
+type requestObserver struct {
+	metrics  *telemetry.Router
+	recorder *burn.Recorder
+}
+
+// Begun prepares the collection of the times between tokens.
+func (o *requestObserver) Begun(req *dispatch.Request) {
+	target := time.Duration(req.Profile.Target.InterTokenMS) * time.Millisecond
+	req.Trace.Gaps = burn.NewTokens(target)
+}
+
+// Ended records a request that was dispatched.
+func (o *requestObserver) Ended(req *dispatch.Request, result *resultcode.Error) {
+	sample := newSample(time.Now(), req, result)
+	o.recorder.Record(time.Now(), sample)
+	o.count(req, sample)
+}
+
+func newSample(now time.Time, req *dispatch.Request, result *resultcode.Error) burn.Sample {
+	t := &req.Trace
+	s := burn.Sample{
+		Profile:   req.Profile.Name,
+		Class:     req.Profile.ClassName(),
+		Tier:      req.Profile.Tier,
+		Target:    req.Profile.Target,
+		Execution: resultcode.Ran,
+		Started:   t.Started,
+		Queue:     t.Queued,
+		Whole:     now.Sub(req.Received),
+		Endpoint:  t.Endpoint,
+	}
+	if gaps, ok := t.Gaps.(*burn.Tokens); ok {
+		s.Tokens = gaps
+	}
+	if !t.FirstToken.IsZero() {
+		s.FirstToken = t.FirstToken.Sub(req.Received)
+	}
+	if result != nil {
+		s.Code = result.Code
+		s.Execution = result.Verdict()
+	}
+	return s
+}
+
+func (o *requestObserver) count(req *dispatch.Request, s burn.Sample) {
+	class := telemetry.ClassLabels{Class: s.Class}
+	account := telemetry.AccountLabels{Account: req.Account.Name}
+	m := o.metrics
+	m.Requests.Add(1, telemetry.RequestLabels{Class: s.Class, Tier: s.Tier, Code: s.Code, Execution: s.Execution})
+	m.AccountRequests.Add(1, account)
+	if s.Code/1000 == 2 {
+		m.AccountRefused.Add(1, account)
+	}
+	m.Whole.Record(s.Whole, class)
+	if s.Started {
+		m.Queue.Record(s.Queue, class)
+	}
+	if s.FirstToken > 0 {
+		m.FirstToken.Record(s.FirstToken, class)
+	}
+	m.Tokens.Add(int64(req.Trace.Tokens), class)
+	if req.Trace.WastedTokens > 0 {
+		m.WastedTokens.Add(int64(req.Trace.WastedTokens), telemetry.ReasonLabels{Reason: "abandoned"})
+	}
+	if met, counts := s.TargetMet(); counts {
+		o.countTarget(met, class)
+	}
+}
+
+func (o *requestObserver) countTarget(met bool, class telemetry.ClassLabels) {
+	if met {
+		o.metrics.TargetMet.Add(1, class)
+		return
+	}
+	o.metrics.TargetMissed.Add(1, class)
+}
+
+// Refused counts a request that was refused before its profile was known.
+func (o *requestObserver) Refused(result *resultcode.Error) {
+	o.metrics.Requests.Add(1, telemetry.RequestLabels{Code: result.Code, Execution: result.Verdict()})
+}
--- /dev/null
+++ b/router/propagation.go
@@ -0,0 +1,90 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/pistachiowind/pistachiowind/admin"
+	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+const (
+	// maxPropagationCalls bounds the processes that are asked at the same time.
+	maxPropagationCalls = 64
+
+	propagationTimeout = time.Second
+)
+
+// Propagation asks every process on the VM list, or every known agent without
+// a list, for the catalog version in force there. It implements
+// admin.PropagationSource.
+func (r *Router) Propagation(ctx context.Context, version uint64) admin.Propagation {
+	result := admin.Propagation{Version: version, Lagging: []admin.Laggard{}}
+	var mu sync.Mutex
+	var all errgroup.Group
+	all.SetLimit(maxPropagationCalls)
+	for _, vm := range r.processes(ctx) {
+		all.Go(func() error {
+			inForce := r.versionAt(ctx, vm)
+			mu.Lock()
+			defer mu.Unlock()
+			if inForce >= version {
+				result.InForce++
+				return nil
+			}
+			result.Lagging = append(result.Lagging, admin.Laggard{Name: vm.Name, Version: inForce})
+			return nil
+		})
+	}
+	_ = all.Wait()
+	return result
+}
+
+// processes lists whom to ask. A VM that the platform reports as leaving is not
+// waited for.
+func (r *Router) processes(ctx context.Context) []platform.VM {
+	if r.opts.VMs != nil {
+		if list, err := r.opts.VMs.List(ctx); err == nil {
+			return live(list)
+		}
+	}
+	var list []platform.VM
+	for _, address := range r.fleet.Addresses() {
+		list = append(list, platform.VM{Name: address, Role: platform.RoleAgent, Address: address})
+	}
+	return append(list, platform.VM{Name: r.opts.Name, Role: platform.RoleRouter, Address: r.peers.Address()})
+}
+
+func live(list []platform.VM) []platform.VM {
+	var out []platform.VM
+	for _, vm := range list {
+		if vm.State == platform.VMLive {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// versionAt asks one process for its version; zero means no answer.
+func (r *Router) versionAt(ctx context.Context, vm platform.VM) uint64 {
+	ctx, cancel := context.WithTimeout(ctx, propagationTimeout)
+	defer cancel()
+	// No process has a version above this one, so no document is sent.
+	req := &rpc.FetchCatalogRequest{HaveVersion: ^uint64(0)}
+	url := r.client.URL(vm.Address)
+	var snapshot *rpc.CatalogSnapshot
+	var err error
+	if vm.Role == platform.RoleAgent {
+		snapshot, err = rpc.NewAgentProtobufClient(url, r.client.HTTPClient()).FetchCatalog(ctx, req)
+	} else {
+		snapshot, err = rpc.NewRouterProtobufClient(url, r.client.HTTPClient()).FetchCatalog(ctx, req)
+	}
+	if err != nil {
+		return 0
+	}
+	return snapshot.GetVersion()
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,294 @@
+// Package router is the process on the entry VMs. It authenticates callers,
+// selects endpoints, follows each request to its end and answers. New builds the
+// parts; Serve runs them under one supervisor:
+//
+//	router
+//	├── callers server (ingress, dispatch, recovery, budget)
+//	├── peers server
+//	├── admin server
+//	├── fleet (membership, health, selection)
+//	└── catalog distributor
+package router
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/pistachiowind/pistachiowind/admin"
+	"github.com/pistachiowind/pistachiowind/burn"
+	"github.com/pistachiowind/pistachiowind/catalog"
+	"github.com/pistachiowind/pistachiowind/httpserver"
+	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/router/dispatch"
+	"github.com/pistachiowind/pistachiowind/router/fleet"
+	"github.com/pistachiowind/pistachiowind/router/ingress"
+	"github.com/pistachiowind/pistachiowind/rpc"
+	"github.com/pistachiowind/pistachiowind/settings"
+	"github.com/pistachiowind/pistachiowind/telemetry"
+)
+
+const (
+	// DefaultDrainTimeout bounds the drain of a router.
+	DefaultDrainTimeout = 5 * time.Minute
+
+	// DefaultReadyGrace is how long a draining router still accepts requests
+	// while the balancer learns that it is not ready.
+	DefaultReadyGrace = 2 * time.Second
+
+	supervisorTimeout = 5 * time.Second
+)
+
+// Options configure a Router. Name, the addresses, Table and Log are required,
+// and one of VMs and Agents.
+type Options struct {
+	Name             string
+	Region           string
+	AvailabilityZone string
+	CallersAddress   string
+	PeersAddress     string
+	AdminAddress     string
+
+	Table *platform.Table
+	VMs   *platform.VMList
+	// Agents are fixed peer addresses, used besides the VM list.
+	Agents []string
+
+	MaxOpen      int
+	MaxBodyBytes int64
+	BodyTimeout  time.Duration
+	// DrainTimeout bounds the wait for open requests; zero means DefaultDrainTimeout.
+	DrainTimeout time.Duration
+	// ReadyGrace zero means DefaultReadyGrace; below zero means none.
+	ReadyGrace time.Duration
+
+	// PeerTLS configures mutual TLS between processes; nil means none.
+	PeerTLS *tls.Config
+	// PeerTransport reaches agents; nil means dispatch.NewTransport.
+	PeerTransport *http.Transport
+
+	Operators []settings.Operator
+	Log       zerolog.Logger
+	Version   string
+}
+
+// Router is one router process.
+type Router struct {
+	opts        Options
+	incarnation string
+	client      *dispatch.Client
+	fleet       *fleet.Fleet
+	catalog     *catalogView
+	store       *catalog.Store
+	ingress     *ingress.Server
+	recorder    *burn.Recorder
+	metrics     *telemetry.Router
+	callers     *httpserver.Server
+	peers       *httpserver.Server
+	admin       *httpserver.Server
+	states      *telemetry.StateLog
+	supervisor  *suture.Supervisor
+	draining    atomic.Bool
+	drainAsked  *admin.DrainOnce
+}
+
+// New builds a router and opens its listeners.
+func New(opts Options) (*Router, error) {
+	if opts.DrainTimeout == 0 {
+		opts.DrainTimeout = DefaultDrainTimeout
+	}
+	if opts.ReadyGrace == 0 {
+		opts.ReadyGrace = DefaultReadyGrace
+	}
+	if opts.PeerTransport == nil {
+		opts.PeerTransport = dispatch.NewTransport()
+	}
+	r := &Router{
+		opts:        opts,
+		incarnation: opts.Name + "-" + uuid.NewString(),
+		states:      telemetry.NewStateLog(opts.Log),
+	}
+	r.drainAsked = admin.NewDrainOnce(func(operator string) {
+		r.states.Report(telemetry.StateChange{Subject: "drain", State: "asked for", Cause: "operator " + operator})
+	})
+	provider, err := r.startTelemetry()
+	if err != nil {
+		return nil, err
+	}
+	callers, peers, operators := http.NewServeMux(), http.NewServeMux(), http.NewServeMux()
+	if err := r.listen(callers, peers, operators); err != nil {
+		return nil, err
+	}
+	r.build()
+	callers.Handle("/", r.ingress.Handler())
+	r.registerPeers(peers)
+	if err := r.registerAdmin(operators, provider.Handler()); err != nil {
+		return nil, err
+	}
+	r.supervise()
+	return r, nil
+}
+
+func (r *Router) startTelemetry() (*telemetry.Provider, error) {
+	provider, err := telemetry.New(telemetry.Options{
+		Role:             "router",
+		Name:             r.opts.Name,
+		Region:           r.opts.Region,
+		AvailabilityZone: r.opts.AvailabilityZone,
+		Version:          r.opts.Version,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("start telemetry: %w", err)
+	}
+	r.metrics, err = telemetry.NewRouter(provider)
+	if err != nil {
+		return nil, fmt.Errorf("start telemetry: %w", err)
+	}
+	return provider, nil
+}
+
+func (r *Router) listen(callers, peers, operators http.Handler) error {
+	var err error
+	r.callers, err = httpserver.Listen("callers", r.opts.CallersAddress, callers, nil)
+	if err != nil {
+		return err
+	}
+	r.peers, err = httpserver.Listen("peers", r.opts.PeersAddress, peers, r.opts.PeerTLS)
+	if err != nil {
+		_ = r.callers.Close()
+		return err
+	}
+	r.admin, err = httpserver.Listen("admin", r.opts.AdminAddress, operators, nil)
+	if err != nil {
+		_ = r.callers.Close()
+		_ = r.peers.Close()
+	}
+	return err
+}
+
+func (r *Router) build() {
+	seed := xxhash.Sum64String(r.incarnation)
+	r.client = dispatch.NewClient(r.opts.PeerTransport)
+	r.recorder = burn.NewRecorder(r.opts.Name, time.Now())
+	r.store = catalog.NewStore(r.opts.Table)
+	r.catalog = newCatalogView(r.store, r.client, seed)
+	r.fleet = fleet.New(fleet.Options{
+		Region:           r.opts.Region,
+		AvailabilityZone: r.opts.AvailabilityZone,
+		VMs:              r.opts.VMs,
+		Agents:           r.opts.Agents,
+		Client:           r.client,
+		RouterAddress:    r.peers.Address(),
+		Catalog:          r.catalog,
+		Seed:             seed,
+	})
+	r.catalog.start(r.fleet.Addresses)
+	dispatcher := dispatch.New(dispatch.Options{
+		Router:        r.incarnation,
+		RouterAddress: r.peers.Address(),
+		Client:        r.client,
+		Fleet:         r.fleet,
+		Budget:        r.newBudget(),
+		Catalog:       r.catalog,
+	})
+	r.ingress = ingress.New(ingress.Options{
+		Dispatcher:   dispatcher,
+		Catalog:      r.catalog,
+		Models:       r.fleet,
+		Observer:     &requestObserver{metrics: r.metrics, recorder: r.recorder},
+		MaxBodyBytes: r.opts.MaxBodyBytes,
+		BodyTimeout:  r.opts.BodyTimeout,
+		MaxOpen:      r.opts.MaxOpen,
+	})
+}
+
+func (r *Router) registerPeers(mux *http.ServeMux) {
+	unary := rpc.NewRouterServer(r.catalog)
+	mux.Handle(unary.PathPrefix(), unary)
+}
+
+func (r *Router) supervise() {
+	r.supervisor = suture.New("router "+r.opts.Name, suture.Spec{
+		EventHook: func(e suture.Event) { r.opts.Log.Warn().Str("event", e.String()).Msg("supervised service ended") },
+		Timeout:   supervisorTimeout,
+	})
+	r.supervisor.Add(r.fleet)
+	r.supervisor.Add(r.catalog.distributor)
+	r.supervisor.Add(r.callers)
+	r.supervisor.Add(r.peers)
+	r.supervisor.Add(r.admin)
+}
+
+// Incarnation identifies this start of the router.
+func (r *Router) Incarnation() string { return r.incarnation }
+
+// CallersAddress is the address for callers.
+func (r *Router) CallersAddress() string { return r.callers.Address() }
+
+// PeersAddress is the address for other processes of the system.
+func (r *Router) PeersAddress() string { return r.peers.Address() }
+
+// AdminAddress is the address for operators.
+func (r *Router) AdminAddress() string { return r.admin.Address() }
+
+// CatalogVersion is the catalog version in force.
+func (r *Router) CatalogVersion() uint64 { return r.catalog.Version() }
+
+// Recorder holds what the burn report shows of this router.
+func (r *Router) Recorder() *burn.Recorder { return r.recorder }
+
+// Serve runs the router until ctx ends or a drain is asked for, drains it, and
+// stops. The second context forces the end of the drain.
+func (r *Router) Serve(ctx, force context.Context) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ended := r.supervisor.ServeBackground(running)
+	r.states.Report(telemetry.StateChange{Subject: "router", State: "started"})
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	case <-r.drainAsked.Asked():
+	}
+	r.drain(force)
+	stop()
+	<-ended
+	r.states.Report(telemetry.StateChange{Subject: "router", State: "stopped"})
+	return nil
+}
+
+// drain stops being ready, still accepts requests until the balancer has noticed,
+// then refuses new ones and waits for the open ones.
+func (r *Router) drain(force context.Context) {
+	r.draining.Store(true)
+	r.states.Report(telemetry.StateChange{Subject: "router", State: "draining"})
+	pause(force, r.opts.ReadyGrace)
+	bound, cancel := context.WithTimeout(force, r.opts.DrainTimeout)
+	defer cancel()
+	if open := r.ingress.Drain(bound); open > 0 {
+		r.states.Report(telemetry.StateChange{
+			Subject: "router", State: "forced to stop", Warn: true,
+			Cause: fmt.Sprintf("%d requests were still open", open),
+		})
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
