Add the lease with fencing numbers and the gate for orders

Cause: one process at a time may issue orders, holders may be paused, and not every endpoint checks who sends an order. Change: a lease state machine over one row, with validity counted from before a renewal is sent and takeover after the row is unchanged for TTL plus margin; a loop that drives it; a gate that refuses orders below the highest number seen and before the lease row is read, executes one order at a time and answers repetitions by order id.

--- /dev/null
+++ b/agent/gate/gate_test.go
@@ -0,0 +1,100 @@
+package gate
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/pistachiowind/pistachiowind/lease"
+	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+type fakeEndpoint struct {
+	number   uint64
+	readErr  error
+	fail     error
+	executed []string
+	during   func()
+}
+
+func (f *fakeEndpoint) Get(context.Context, string) (platform.Row, error) {
+	value, err := json.Marshal(lease.Record{Format: 1, Holder: "h", Number: f.number})
+	if err != nil {
+		return platform.Row{}, err
+	}
+	return platform.Row{Value: value}, f.readErr
+}
+
+func (f *fakeEndpoint) Execute(_ context.Context, o *rpc.OrderRequest) error {
+	f.executed = append(f.executed, fmt.Sprint(o.GetOrderId(), "/", o.GetFencingNumber()))
+	if f.during != nil {
+		f.during()
+	}
+	return f.fail
+}
+
+func order(id string, number uint64, role string) *rpc.OrderRequest {
+	return &rpc.OrderRequest{
+		Lease: "placement", FencingNumber: number, OrderId: id,
+		Order: &rpc.OrderRequest_ChangeRole{ChangeRole: &rpc.ChangeRole{Role: role}},
+	}
+}
+
+func send(t *testing.T, k *Keeper, o *rpc.OrderRequest, want resultcode.Code) {
+	t.Helper()
+	resp, err := k.Order(t.Context(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.GetCode() != uint32(want) || resp.GetDone() != (want == 0) {
+		t.Fatalf("order %s: %v, want code %d", o.GetOrderId(), resp, want)
+	}
+}
+
+// Guards against orders of a former lease holder, orders executed twice, and
+// orders admitted before the agent knows the fencing number.
+func TestKeeper(t *testing.T) {
+	f := &fakeEndpoint{number: 5, readErr: platform.ErrUnavailable}
+	k := NewKeeper(Options{Table: f, Executor: f, Lease: "placement"})
+	send(t, k, order("a", 5, "x"), resultcode.FencingNumberNotSet)
+	f.readErr = nil
+	send(t, k, order("a", 4, "x"), resultcode.FencingNumberOld)
+	send(t, k, order("a", 5, "x"), 0)
+	send(t, k, order("a", 5, "x"), 0)
+	send(t, k, order("a", 6, "x"), 0)
+	send(t, k, order("b", 5, "x"), resultcode.FencingNumberOld)
+	send(t, k, order("a", 6, "y"), resultcode.IdempotencyKeyReused)
+	f.during = func() {
+		f.during = nil
+		send(t, k, order("d", 7, "x"), resultcode.KeyInProgress)
+	}
+	send(t, k, order("c", 6, "x"), 0)
+	f.fail = errors.New("endpoint broke")
+	send(t, k, order("e", 7, "x"), resultcode.EndpointFailed)
+	send(t, k, order("e", 7, "x"), resultcode.EndpointFailed)
+	foreign := order("f", 9, "x")
+	foreign.Lease = "other"
+	send(t, k, foreign, resultcode.LeaseNotHeld)
+	if got := fmt.Sprint(f.executed); got != "[a/5 c/6 e/7]" {
+		t.Fatalf("executed %s", got)
+	}
+}
+
+// Guards against a memory of orders that grows without bound.
+func TestEndedOrdersAreBounded(t *testing.T) {
+	g := New()
+	g.LeaseRead(0)
+	for i := range MaxEnded + 10 {
+		if v, _ := g.Begin(Order{ID: fmt.Sprint(i), Number: 1}); v != Execute {
+			t.Fatalf("order %d: verdict %d", i, v)
+		}
+		g.End(Result{})
+	}
+	if g.ended.Len() != MaxEnded {
+		t.Fatalf("%d orders remembered", g.ended.Len())
+	}
+}
--- /dev/null
+++ b/agent/gate/keeper.go
@@ -0,0 +1,143 @@
+package gate
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pistachiowind/pistachiowind/lease"
+	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+// Table is what a Keeper needs of the table service; platform.Table is one.
+type Table interface {
+	Get(ctx context.Context, key string) (platform.Row, error)
+}
+
+// Executor passes an admitted order on to the endpoint.
+type Executor interface {
+	Execute(ctx context.Context, o *rpc.OrderRequest) error
+}
+
+// Options configures a Keeper. Table, Executor and Lease are required.
+type Options struct {
+	Table    Table
+	Executor Executor
+	// Lease is the name of the lease whose holder may send orders.
+	Lease string
+	// Timeout bounds the execution of one order; zero means 10 min, the time to
+	// load a large model.
+	Timeout time.Duration
+}
+
+const defaultTimeout = 10 * time.Minute
+
+// Keeper serves orders through a Gate. It is safe for concurrent use.
+type Keeper struct {
+	o Options
+
+	mu   sync.Mutex
+	gate *Gate
+}
+
+// NewKeeper returns a Keeper. The lease row is read with the first order.
+func NewKeeper(o Options) *Keeper {
+	if o.Timeout == 0 {
+		o.Timeout = defaultTimeout
+	}
+	return &Keeper{o: o, gate: New()}
+}
+
+// Order executes an order once and answers repetitions with its first result.
+// The execution goes on when ctx ends, since the endpoint may have begun.
+func (k *Keeper) Order(ctx context.Context, r *rpc.OrderRequest) (*rpc.OrderResponse, error) {
+	if r.GetLease() != k.o.Lease || r.GetOrderId() == "" {
+		return k.response(resultcode.New(resultcode.LeaseNotHeld, "order names lease %q and id %q", r.GetLease(), r.GetOrderId())), nil
+	}
+	digest, err := orderDigest(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := k.readLease(ctx); err != nil {
+		return k.response(err), nil
+	}
+	k.mu.Lock()
+	verdict, result := k.gate.Begin(Order{ID: r.GetOrderId(), Number: r.GetFencingNumber(), Digest: digest})
+	k.mu.Unlock()
+	if verdict != Execute {
+		return k.response(result.Err), nil
+	}
+	result.Err = k.execute(context.WithoutCancel(ctx), r)
+	k.mu.Lock()
+	k.gate.End(result)
+	k.mu.Unlock()
+	return k.response(result.Err), nil
+}
+
+func (k *Keeper) execute(ctx context.Context, r *rpc.OrderRequest) *resultcode.Error {
+	ctx, cancel := context.WithTimeout(ctx, k.o.Timeout)
+	defer cancel()
+	err := k.o.Executor.Execute(ctx, r)
+	if err == nil {
+		return nil
+	}
+	var coded *resultcode.Error
+	if errors.As(err, &coded) {
+		return coded
+	}
+	return resultcode.Wrap(resultcode.EndpointFailed, err, "order %s failed", r.GetOrderId()).WithExecution(resultcode.Unknown)
+}
+
+// readLease reads the lease row once. Until that succeeds the highest fencing
+// number is not known, and orders are refused.
+func (k *Keeper) readLease(ctx context.Context) *resultcode.Error {
+	k.mu.Lock()
+	ready := k.gate.Ready()
+	k.mu.Unlock()
+	if ready {
+		return nil
+	}
+	var record lease.Record
+	row, err := k.o.Table.Get(ctx, lease.RowKey(k.o.Lease))
+	if err == nil {
+		record, err = lease.Decode(row.Value)
+	}
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return resultcode.Wrap(resultcode.FencingNumberNotSet, err, "the lease row is not readable")
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.gate.LeaseRead(record.Number)
+	return nil
+}
+
+func (k *Keeper) response(e *resultcode.Error) *rpc.OrderResponse {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	resp := &rpc.OrderResponse{Done: e == nil, HighestFencingNumber: k.gate.Highest()}
+	if e != nil {
+		resp.Code = uint32(e.Code)
+		resp.Message = e.Error()
+	}
+	return resp
+}
+
+// orderDigest covers the content of an order, not its sender: a new holder may
+// repeat an order under its own number.
+func orderDigest(r *rpc.OrderRequest) ([]byte, error) {
+	c := proto.CloneOf(r)
+	c.FencingNumber = 0
+	body, err := proto.MarshalOptions{Deterministic: true}.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("encode order: %w", err)
+	}
+	sum := sha256.Sum256(body)
+	return sum[:], nil
+}
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,192 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/platform"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+type fakeTable struct {
+	mu     sync.Mutex
+	row    *platform.Row
+	serial int
+	fault  error
+}
+
+func (f *fakeTable) set(fault error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fault = fault
+}
+
+func (f *fakeTable) Get(context.Context, string) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fault != nil {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	if f.row == nil {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return *f.row, nil
+}
+
+// Put takes effect before a fault of unknown outcome.
+func (f *fakeTable) Put(_ context.Context, key string, value []byte, expected platform.Revision) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fault != nil && f.fault != platform.ErrOutcomeUnknown {
+		return platform.Row{}, f.fault
+	}
+	if f.row == nil && expected != "" || f.row != nil && f.row.Revision != expected {
+		return platform.Row{}, platform.ErrConflict
+	}
+	f.serial++
+	f.row = &platform.Row{Key: key, Value: value, Revision: platform.Revision(fmt.Sprint(f.serial))}
+	return *f.row, f.fault
+}
+
+// drive makes all calls that are due.
+func drive(l *Lease, f *fakeTable, now time.Time) {
+	for range 10 {
+		a, ok := l.Next(now)
+		if !ok {
+			return
+		}
+		var row platform.Row
+		var err error
+		if a.Write {
+			row, err = f.Put(context.Background(), "lease/x", a.Value, a.Expected)
+		} else {
+			row, err = f.Get(context.Background(), "lease/x")
+		}
+		l.Result(now, a, row, err)
+	}
+}
+
+func checkHeld(t *testing.T, l *Lease, now time.Time, want uint64) {
+	t.Helper()
+	if got, _ := l.Held(now); got != want {
+		t.Fatalf("at %v: held number %d, want %d", now.Sub(start), got, want)
+	}
+}
+
+// Guards against two holders at a time when one is paused, and against a
+// fencing number that does not rise with the holder.
+func TestTakeoverAfterPause(t *testing.T) {
+	f := &fakeTable{}
+	a, b := New("a"), New("b")
+	drive(a, f, start)
+	checkHeld(t, a, start, 1)
+	for s := range 60 {
+		now := start.Add(time.Duration(s) * time.Second)
+		if s < 20 {
+			drive(a, f, now)
+		}
+		drive(b, f, now)
+		_, heldA := a.Held(now)
+		_, heldB := b.Held(now)
+		if heldA && heldB {
+			t.Fatalf("two holders after %d s", s)
+		}
+	}
+	now := start.Add(time.Minute)
+	checkHeld(t, b, now, 2)
+	drive(a, f, now)
+	checkHeld(t, a, now, 0)
+	b.Leave(now)
+	drive(b, f, now)
+	checkHeld(t, b, now, 0)
+	drive(a, f, now.Add(ObserveInterval))
+	checkHeld(t, a, now.Add(ObserveInterval), 3)
+}
+
+// Guards against a lease counted from the receipt of an answer: it must end TTL
+// after the renewal was sent, however late the answer is.
+func TestValidityCountsFromSending(t *testing.T) {
+	l := New("a")
+	a, _ := l.Next(start)
+	l.Result(start, a, platform.Row{}, platform.ErrNotFound)
+	a, _ = l.Next(start)
+	late := start.Add(TTL)
+	l.Result(late, a, platform.Row{Revision: "1"}, nil)
+	checkHeld(t, l, late, 0)
+	checkHeld(t, l, late.Add(-1), 1)
+}
+
+// Guards against a lost answer that costs the lease or that makes a late,
+// unseen write valid for longer than its own time.
+func TestLostAnswerOfRenewal(t *testing.T) {
+	f := &fakeTable{}
+	l := New("a")
+	drive(l, f, start)
+	now := start.Add(RenewInterval)
+	f.set(platform.ErrOutcomeUnknown)
+	drive(l, f, now)
+	f.set(nil)
+	drive(l, f, now.Add(time.Second))
+	checkHeld(t, l, now.Add(TTL-1), 1)
+	checkHeld(t, l, now.Add(TTL), 0)
+
+	// The process finds its own row with a write that it does not know.
+	value, err := json.Marshal(Record{Format: format, Holder: "a", Number: 1, Renewal: 9})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.row = &platform.Row{Value: value, Revision: "late"}
+	now = now.Add(time.Hour)
+	a, _ := l.Next(now)
+	l.Result(now, a, platform.Row{}, platform.ErrConflict)
+	a, _ = l.Next(now)
+	l.Result(now, a, *f.row, nil)
+	checkHeld(t, l, now, 0)
+	drive(l, f, now)
+	checkHeld(t, l, now, 1)
+}
+
+// Guards against a loop that lets its lease lapse, acts on it during an outage,
+// or keeps others waiting after it has left.
+func TestCompetitor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &fakeTable{}
+		c := NewCompetitor(Options{Table: f, Name: "x", Self: "a"})
+		done := make(chan error)
+		go func() { done <- c.Serve(ctx) }()
+		for range 100 {
+			time.Sleep(time.Second)
+			if n, ok := c.Held(); !ok || n != 1 {
+				t.Fatal("lease lapsed")
+			}
+		}
+		f.set(platform.ErrUnavailable)
+		time.Sleep(TTL)
+		if _, ok := c.Held(); ok {
+			t.Fatal("held after its time")
+		}
+		f.set(nil)
+		time.Sleep(2 * time.Second)
+		if n, ok := c.Held(); !ok || n != 1 {
+			t.Fatal("not renewed after the outage")
+		}
+		c.Leave()
+		time.Sleep(2 * time.Second)
+		row, err := f.Get(ctx, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r, err := Decode(row.Value); err != nil || r.Holder != "" {
+			t.Fatalf("row %+v %v after leaving", r, err)
+		}
+		cancel()
+		<-done
+	})
+}
