Add load generator and in-memory network with faults

Cause: the caller API needs load that does not wait for answers and a check that every answer is whole and correct; silent connections have to be produced on command. Change: loadgen sends a seeded mix of classes in open loop, compares each answer with standin.ExpectedAnswer and reports outcomes and latencies by class. standin gains an in-memory listener for virtual time and a listener that silences or refuses connections.

--- /dev/null
+++ b/loadgen/loadgen.go
@@ -0,0 +1,280 @@
+// Package loadgen generates open-loop load over the caller API and verifies
+// every answer. Requests are sent when the seeded schedule says, however slow
+// the answers are, and latencies count from the scheduled time. Traffic goes
+// only to loopback addresses and is bounded in count and time.
+package loadgen
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pistachiowind/pistachiowind/catalog"
+)
+
+const (
+	// Defaults and bounds of Options.
+	DefaultMaxRequests = 100_000
+	DefaultMaxOpen     = 4096
+	DefaultTimeout     = 2 * time.Minute
+	MaxDuration        = time.Hour
+
+	defaultPath         = "/v1/chat/completions"
+	idleConnsPerAddress = 1024
+)
+
+// Options configure one run.
+type Options struct {
+	// Addresses are base URLs of routers, such as http://127.0.0.1:8080. Each
+	// request goes to one of them at random. Hosts must be loopback addresses.
+	Addresses []string
+	// Client sends the requests; nil means a client without a proxy. Its
+	// redirects and cookies should be off.
+	Client *http.Client
+	// Seed fixes the schedule, the bodies, the keys and the addresses.
+	Seed uint64
+	// Duration is how long requests are sent, at most MaxDuration. Required.
+	Duration time.Duration
+	// MaxRequests ends the run earlier; zero means DefaultMaxRequests.
+	MaxRequests int
+	// MaxOpen bounds requests in progress. An arrival above it is counted as not
+	// sent. Zero means DefaultMaxOpen.
+	MaxOpen int
+	// Timeout bounds one request; zero means DefaultTimeout.
+	Timeout time.Duration
+	// Classes is the mix. Required.
+	Classes []Class
+	// OnResult is called after each request, one call at a time; it may be nil.
+	OnResult func(Result)
+}
+
+// Class is one kind of request in the mix.
+type Class struct {
+	// Name is unique in the mix.
+	Name string
+	// Profile is sent in X-Pistachiowind-Profile; empty sends no header.
+	Profile string
+	// Keys are API keys. Each request uses one at random by weight.
+	Keys []Key
+	Rate Rate
+	// Method and Path default to POST and /v1/chat/completions.
+	Method, Path string
+	// Streamed is passed to Body and states that the answer must be a stream.
+	Streamed bool
+	// IdempotencyKey sends a unique Idempotency-Key with each request.
+	IdempotencyKey bool
+	// Body generates a request body. Required.
+	Body func(r *rand.Rand, streamed bool) []byte
+	// Verify checks the body of an answer with status 2xx. When it is nil, chat
+	// completions are compared with standin.ExpectedAnswer, and the answers of
+	// other paths are not checked.
+	Verify func(sent Sent, answer []byte) error
+	// Target is what an attained request meets. Zero fields are not checked.
+	Target catalog.Target
+}
+
+// Key is an API key with its share of the requests.
+type Key struct {
+	Value string
+	// Weight is relative to the other keys; zero means 1.
+	Weight int
+}
+
+// Sent is a request that was sent.
+type Sent struct {
+	Class          string
+	IdempotencyKey string
+	APIKey         string
+	Body           []byte
+}
+
+func (o *Options) setDefaults() error {
+	if o.Duration <= 0 || o.Duration > MaxDuration {
+		return fmt.Errorf("loadgen: duration %v is not within 0 and %v", o.Duration, MaxDuration)
+	}
+	if len(o.Addresses) == 0 || len(o.Classes) == 0 {
+		return errors.New("loadgen: no address or no class")
+	}
+	for _, address := range o.Addresses {
+		if err := checkLoopback(address); err != nil {
+			return err
+		}
+	}
+	names := make(map[string]bool)
+	for i, c := range o.Classes {
+		if c.Body == nil || c.Name == "" || names[c.Name] {
+			return fmt.Errorf("loadgen: class %d has no body or no unique name", i)
+		}
+		names[c.Name] = true
+		if err := c.Rate.validate(); err != nil {
+			return fmt.Errorf("loadgen: class %s: %w", c.Name, err)
+		}
+	}
+	if o.MaxRequests <= 0 {
+		o.MaxRequests = DefaultMaxRequests
+	}
+	if o.MaxOpen <= 0 {
+		o.MaxOpen = DefaultMaxOpen
+	}
+	if o.Timeout <= 0 {
+		o.Timeout = DefaultTimeout
+	}
+	return nil
+}
+
+// checkLoopback keeps a load test on this machine.
+func checkLoopback(address string) error {
+	u, err := url.Parse(address)
+	if err != nil {
+		return fmt.Errorf("loadgen: address: %w", err)
+	}
+	ip := net.ParseIP(u.Hostname())
+	if ip == nil || !ip.IsLoopback() {
+		return fmt.Errorf("loadgen: %s is not a loopback address", address)
+	}
+	return nil
+}
+
+// newClient follows no redirects, so that each answer is the router's own.
+func newClient() *http.Client {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: idleConnsPerAddress,
+		DisableCompression:  true,
+	}
+	return &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// run is the state of one Run.
+type run struct {
+	opts   Options
+	client *http.Client
+	began  time.Time
+	// open has one element for each request in progress.
+	open chan struct{}
+	wait sync.WaitGroup
+
+	mu     sync.Mutex
+	report *Report
+}
+
+// Run sends the load and returns when every request has ended. When ctx ends,
+// nothing more is sent, requests in progress are cancelled and counted as
+// incomplete, and the report so far is returned without an error.
+func Run(ctx context.Context, opts Options) (*Report, error) {
+	if err := opts.setDefaults(); err != nil {
+		return nil, err
+	}
+	r := &run{
+		opts:   opts,
+		client: opts.Client,
+		open:   make(chan struct{}, opts.MaxOpen),
+		report: newReport(opts.Classes),
+		began:  time.Now(),
+	}
+	if r.client == nil {
+		r.client = newClient()
+		defer r.client.CloseIdleConnections()
+	}
+	r.sendAll(ctx)
+	r.wait.Wait()
+	r.report.Elapsed = time.Since(r.began)
+	return r.report, nil
+}
+
+// source generates the requests of one class.
+type source struct {
+	class    *Class
+	index    int
+	rand     *rand.Rand
+	arrivals *arrivals
+	next     time.Duration
+	count    int
+}
+
+func (r *run) sources() []*source {
+	list := make([]*source, len(r.opts.Classes))
+	for i := range r.opts.Classes {
+		class := &r.opts.Classes[i]
+		rnd := rand.New(rand.NewPCG(r.opts.Seed, xxhash.Sum64String(class.Name)))
+		s := &source{class: class, index: i, rand: rnd}
+		s.arrivals = newArrivals(class.Rate, rand.New(rand.NewPCG(rnd.Uint64(), 1)))
+		s.next = s.arrivals.next(r.opts.Duration)
+		list[i] = s
+	}
+	return list
+}
+
+// sendAll starts the requests of all classes in order of their time.
+func (r *run) sendAll(ctx context.Context) {
+	sources := r.sources()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for range r.opts.MaxRequests {
+		s := earliest(sources)
+		if s.next >= r.opts.Duration {
+			return
+		}
+		timer.Reset(time.Until(r.began.Add(s.next)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		r.start(ctx, s)
+		s.next = s.arrivals.next(r.opts.Duration)
+	}
+}
+
+func earliest(sources []*source) *source {
+	first := sources[0]
+	for _, s := range sources[1:] {
+		if s.next < first.next {
+			first = s
+		}
+	}
+	return first
+}
+
+// start sends one request in a goroutine of its own.
+func (r *run) start(ctx context.Context, s *source) {
+	q := s.request(&r.opts)
+	q.scheduled = r.began.Add(s.next)
+	select {
+	case r.open <- struct{}{}:
+	default:
+		r.notSent(s.index)
+		return
+	}
+	r.wait.Go(func() {
+		defer func() { <-r.open }()
+		ctx, cancel := context.WithTimeout(ctx, r.opts.Timeout)
+		defer cancel()
+		r.record(s.index, q.do(ctx, r.client))
+	})
+}
+
+func (r *run) notSent(class int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Classes[class].NotSent++
+}
+
+func (r *run) record(class int, result Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Classes[class].add(result)
+	if r.opts.OnResult != nil {
+		r.opts.OnResult(result)
+	}
+}
--- a/standin/answer.go
+++ b/standin/answer.go
@@ -89,6 +89,16 @@
 	return b.String(), nil
 }
 
+// EngineRequestFor returns what an engine schedules for a chat request body,
+// for driving an EngineModel without the protocol. The ID is zero.
+func EngineRequestFor(body []byte) (EngineRequest, error) {
+	p, err := newPlan(body)
+	if err != nil {
+		return EngineRequest{}, err
+	}
+	return p.engineRequest(), nil
+}
+
 // newPlan decodes a request body. The token limit counts generated tokens, as
 // in the published protocol: a continued request must carry what is left of it.
 func newPlan(body []byte) (*plan, error) {
--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -7,8 +7,9 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptest"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -16,43 +17,6 @@
 	"time"
 )
 
-// pipeListener accepts in-memory connections, so that servers and clients run
-// in virtual time.
-type pipeListener struct {
-	conns chan net.Conn
-	done  chan struct{}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error   { close(l.done); return nil }
-func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
-
-// dial serves h in memory and returns a client for it. It must be called in a
-// synctest bubble.
-func dial(t *testing.T, h http.Handler) *http.Client {
-	l := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
-	server := &http.Server{Handler: h}
-	go func() { _ = server.Serve(l) }()
-	transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
-		client, server := net.Pipe()
-		l.conns <- server
-		return client, nil
-	}}
-	t.Cleanup(func() {
-		transport.CloseIdleConnections()
-		_ = server.Close()
-	})
-	return &http.Client{Transport: transport}
-}
-
 // send makes a call and returns the status and body. An error means that the
 // connection broke.
 func send(c *http.Client, method, path, body string, headers ...string) (int, string, error) {
@@ -293,6 +257,29 @@
 	}
 }
 
+// BenchmarkEngineStream measures the protocol's cost per token with 64 streams
+// over loopback connections and steps far shorter than the defaults.
+func BenchmarkEngineStream(b *testing.B) {
+	e := NewEngine(EngineOptions{Model: EngineModelOptions{StepBase: time.Microsecond, StepPerSequence: 1}})
+	server := httptest.NewServer(e)
+	defer server.Close()
+	defer e.Close()
+	b.SetParallelism(64 / runtime.GOMAXPROCS(0))
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			body := `{"model":"chat","messages":[{"role":"user"}],"max_tokens":1000,"ignore_eos":true,"stream":true}`
+			resp, err := http.Post(server.URL+"/v1/chat/completions", "application/json", strings.NewReader(body))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+	})
+	b.ReportMetric(float64(e.Stats().Tokens)/b.Elapsed().Seconds(), "tokens/s")
+}
+
 // Guards against an engine that answers a damaged or misplaced continuation as
 // if it were whole: any cut of the answer must continue to the same text.
 func FuzzExpectedAnswer(f *testing.F) {
--- a/standin/table.go
+++ b/standin/table.go
@@ -207,18 +207,6 @@
 	return time.Now().Add(-milliseconds(t.faults.ReadLagMS))
 }
 
-type listPage struct {
-	Rows []listRow `json:"rows"`
-	// Next is the value of "after" for the next page, empty on the last one.
-	Next string `json:"next"`
-}
-
-type listRow struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value"`
-	Revision string `json:"revision"`
-}
-
 func (t *Table) serveList(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	prefix, after := query.Get("prefix"), query.Get("after")
@@ -238,20 +226,6 @@
 	writeJSON(w, http.StatusOK, t.page(prefix, after, limit))
 }
 
-func (t *Table) page(prefix, after string, limit int) listPage {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	found, more := t.rows.list(prefix, after, limit, t.readTime())
-	page := listPage{Rows: []listRow{}}
-	for _, row := range found {
-		page.Rows = append(page.Rows, listRow{Key: row.key, Value: row.value, Revision: row.revision()})
-	}
-	if more {
-		page.Next = found[len(found)-1].key
-	}
-	return page
-}
-
 func (t *Table) servePut(w http.ResponseWriter, r *http.Request) {
 	key := r.PathValue("key")
 	t.count(key, 0, 1)
--- a/standin/tablerows.go
+++ b/standin/tablerows.go
@@ -142,3 +142,29 @@
 	}
 	return found, false
 }
+
+type listPage struct {
+	Rows []listRow `json:"rows"`
+	// Next is the value of "after" for the next page, empty on the last one.
+	Next string `json:"next"`
+}
+
+type listRow struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision string `json:"revision"`
+}
+
+func (t *Table) page(prefix, after string, limit int) listPage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	found, more := t.rows.list(prefix, after, limit, t.readTime())
+	page := listPage{Rows: []listRow{}}
+	for _, row := range found {
+		page.Rows = append(page.Rows, listRow{Key: row.key, Value: row.value, Revision: row.revision()})
+	}
+	if more {
+		page.Next = found[len(found)-1].key
+	}
+	return page
+}
