Accept every catalog service name in agent settings

Cause: endpoint.service allowed lower-case names only, so an agent of a service such as Ledger_1, which the catalog accepts, could not be set up.

Change: the field has the catalog's pattern and length; the message of a failed check gives the number of faults in parentheses.

--- a/settings/load.go
+++ b/settings/load.go
@@ -103,7 +103,7 @@
 // random order.
 func invalid(f Faults) error {
 	slices.SortStableFunc(f, func(a, b Fault) int { return strings.Compare(a.Field, b.Field) })
-	return resultcode.Wrap(resultcode.InvalidSettings, f, "%d faults in the settings", len(f))
+	return resultcode.Wrap(resultcode.InvalidSettings, f, "the settings have faults (%d)", len(f))
 }
 
 // decode checks data against the role's schema and the relations in check,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -120,7 +120,7 @@
 type Endpoint struct {
 	Kind                     string   `json:"kind" jsonschema:"enum=engine,enum=service" jsonschema_description:"Model engine with an OpenAI-compatible API, or plain HTTP service."`
 	URL                      string   `json:"url" jsonschema:"format=http-url" jsonschema_description:"Base URL of the endpoint."`
-	Service                  string   `json:"service,omitempty" jsonschema:"maxLength=63,pattern=^[a-z0-9][a-z0-9-]*$" jsonschema_description:"Name of the service in the catalog. Required for kind service, not allowed for kind engine."`
+	Service                  string   `json:"service,omitempty" jsonschema:"maxLength=64,pattern=^[A-Za-z0-9][A-Za-z0-9._-]*$" jsonschema_description:"Name of the service in the catalog. Required for kind service, not allowed for kind engine."`
 	Models                   []string `json:"models,omitempty" jsonschema:"maxItems=64,uniqueItems=true,minLength=1,maxLength=128" jsonschema_description:"Models that the engine serves, as name or name:version. Required for kind engine, not allowed for kind service."`
 	RefusesOldFencingNumbers bool     `json:"refuses_old_fencing_numbers,omitempty" jsonschema:"default=false" jsonschema_description:"True when the endpoint itself refuses orders with an old fencing number."`
 }
