--- a/loadgen/request.go
+++ b/loadgen/request.go
@@ -33,7 +33,7 @@
 const (
 	// Whole is a complete and correct answer.
 	Whole Outcome = "whole"
-	// Refused is a status of 400 or above.
+	// Refused is a status of 300 or above.
 	Refused Outcome = "refused"
 	// Incomplete is a broken connection, a timeout, a stream that ended with an
 	// error event or without [DONE], or no answer at all.
@@ -150,7 +150,7 @@
 	}
 	defer response.Body.Close()
 	result.Status = response.StatusCode
-	if response.StatusCode >= http.StatusBadRequest {
+	if response.StatusCode >= http.StatusMultipleChoices {
 		return q.readRefusal(result, response)
 	}
 	if q.class.Streamed {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -105,7 +105,10 @@
 	Crashes int `json:"crashes"`
 }
 
-// Engine is a stand-in model engine with the OpenAI-compatible protocol.
+// Engine is a stand-in model engine. It serves POST /v1/chat/completions,
+// GET /v1/models, /health, /load, /cache/events, /orders and /stats, and the
+// orders POST /v1/load_lora_adapter, /v1/unload_lora_adapter, /models/load,
+// /models/unload and /role.
 type Engine struct {
 	opts EngineOptions
 	mux  *http.ServeMux
@@ -365,6 +368,9 @@
 	}
 	now := time.Now()
 	e.advance(now)
+	if e.faults.Down != "" {
+		return nil, errEngineDown
+	}
 	e.nextID++
 	r.ID = e.nextID
 	if err := e.model.Add(now, r); err != nil {
--- a/standin/enginechat.go
+++ b/standin/enginechat.go
@@ -107,7 +107,10 @@
 		a.stream = &stream{done: true, changed: make(chan struct{}, 1)}
 	}
 	if err != nil {
-		writeError(w, http.StatusServiceUnavailable, err.Error())
+		// The engine may have crashed while the body was read.
+		if !e.serveDown(w) {
+			writeError(w, http.StatusServiceUnavailable, err.Error())
+		}
 		return
 	}
 	a.id = "chatcmpl-" + strconv.FormatUint(a.stream.id, 10)
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -27,7 +27,10 @@
 	maxBodyBytes = 8 << 20
 )
 
-var errClosed = errors.New("standin: closed")
+var (
+	errClosed     = errors.New("standin: closed")
+	errEngineDown = errors.New("standin: engine is down")
+)
 
 var errFaultRange = errors.New("standin: a fault's number is negative or its time above a day")
 
--- a/standin/table.go
+++ b/standin/table.go
@@ -68,7 +68,9 @@
 	Writes int `json:"writes"`
 }
 
-// Table is a stand-in of the transactional table service.
+// Table is a stand-in of the transactional table service. It serves
+// GET and PUT /rows/{key...}, GET /rows, POST /rows:delete and GET /counts. A
+// revision is an ETag in quotes; revisions rise over the whole table.
 type Table struct {
 	mux  *http.ServeMux
 	done chan struct{}
