--- a/admin/admin.go
+++ b/admin/admin.go
@@ -77,6 +77,8 @@
 	Store   CatalogStore
 	Burn    BurnSource
 	Drain   Drainer
+	// Propagation answers where a catalog version is in force.
+	Propagation PropagationSource
 	// Metrics serves GET /metrics; nil means no such route.
 	Metrics http.Handler
 	// Operators may use the API; without any it refuses all keys.
--- a/admin/server.go
+++ b/admin/server.go
@@ -76,6 +76,9 @@
 		g.GET("/v1/burn", s.burnSnapshot, middleware.Gzip())
 		g.GET("/burn", s.burnPage, middleware.Gzip())
 	}
+	if s.options.Propagation != nil {
+		g.GET("/v1/propagation", s.propagation)
+	}
 	if s.options.Drain != nil {
 		g.POST("/v1/drain", s.drain)
 	}
--- a/agent/endpoint/engine.go
+++ b/agent/endpoint/engine.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
@@ -106,9 +107,24 @@
 	if err := continueFrom(fields, chat.GetTextSoFar()); err != nil {
 		return nil, err
 	}
+	reduceLimits(fields, int(chat.GetFirstIndex()))
 	return json.Marshal(fields)
 }
 
+// limitFields bound newly generated tokens, so a continued request has only
+// what is left of them. Engines send one chunk a token.
+var limitFields = []string{"max_tokens", "max_completion_tokens", "min_tokens"}
+
+func reduceLimits(fields map[string]json.RawMessage, generated int) {
+	for _, name := range limitFields {
+		var limit int
+		if json.Unmarshal(fields[name], &limit) != nil || limit == 0 {
+			continue
+		}
+		fields[name] = json.RawMessage(strconv.Itoa(max(limit-generated, 1)))
+	}
+}
+
 // continueFrom appends the text that the caller already has as an assistant
 // message, which the engine continues instead of starting a new one.
 func continueFrom(fields map[string]json.RawMessage, text string) error {
--- a/agent/intake/intake.go
+++ b/agent/intake/intake.go
@@ -170,6 +170,11 @@
 	if err := rpc.NewReader(r.Body).Read(m); err != nil {
 		return err
 	}
+	// The server notices that a client is gone only after the body has been read
+	// to its end.
+	if _, err := io.CopyN(io.Discard, r.Body, 1); !errors.Is(err, io.EOF) {
+		return errors.New("the body continues after the message")
+	}
 	return rc.SetReadDeadline(time.Time{})
 }
 
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,195 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/catalog"
+	"github.com/pistachiowind/pistachiowind/loadgen"
+	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/standin"
+)
+
+const (
+	loadDuration  = 10 * time.Second
+	slowAfter     = 3 * time.Second
+	slowFor       = 4 * time.Second
+	slowFactor    = 5
+	changeAfter   = 5 * time.Second
+	progressEvery = time.Second
+	seed          = 1
+
+	// MaxPropagation is the limit for a change to be in force everywhere.
+	MaxPropagation = 11 * time.Second
+)
+
+// ErrPromiseBroken means that the run broke a promise; the report says which.
+var ErrPromiseBroken = errors.New("a promise was broken")
+
+// Run starts a site, sends the load and returns the report. Progress lines go
+// to progress, log lines to log.
+func Run(ctx context.Context, progress, log io.Writer) (*Report, error) {
+	site, err := Start(ctx, log)
+	if err != nil {
+		return nil, err
+	}
+	defer site.Close()
+	fmt.Fprintf(progress, "site ready: %d routers, %d agents\n", len(site.Routers), len(site.Agents))
+	return site.Exercise(ctx, progress)
+}
+
+// Exercise sends the load against a running site with one slow engine and one
+// profile change, and checks the promises.
+func (s *Site) Exercise(ctx context.Context, progress io.Writer) (*Report, error) {
+	began := time.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	change := make(chan propagation, 1)
+	go func() { change <- s.changeProfile(ctx, progress) }()
+	go s.slowOneEngine(ctx, progress)
+	go reportProgress(ctx, progress, began)
+	charges := &chargeLog{}
+	load, err := loadgen.Run(ctx, loadgen.Options{
+		Addresses: s.URLs(),
+		Seed:      seed,
+		Duration:  loadDuration,
+		Classes:   Classes(),
+		OnResult:  charges.add,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return s.report(load, <-change, charges), nil
+}
+
+// Classes is the demo's mix of requests.
+func Classes() []loadgen.Class {
+	insurance := []loadgen.Key{{Value: InsuranceKey}}
+	market := []loadgen.Key{{Value: MarketKey}}
+	profiles := Catalog().Profiles
+	prompts := loadgen.ChatShape{SystemPrompts: 4, SystemTokens: 200, PromptTokens: loadgen.Range{Min: 10, Max: 100}}
+	short, medium, long := prompts, prompts, prompts
+	short.MaxTokens = loadgen.Range{Min: 20, Max: 60}
+	medium.MaxTokens = loadgen.Range{Min: 20, Max: 100}
+	long.MaxTokens = loadgen.Range{Min: 300, Max: 900}
+	return []loadgen.Class{
+		{Name: ProfileUrgent, Profile: ProfileUrgent, Keys: insurance, Rate: loadgen.Rate{PerSecond: 15}, Streamed: true, Body: short.Body, Target: profiles[0].Target},
+		{Name: ProfileChat, Profile: ProfileChat, Keys: market, Rate: chatRate(), Streamed: true, Body: medium.Body, Target: profiles[1].Target},
+		{Name: ProfileHistory, Profile: ProfileHistory, Keys: market, Rate: loadgen.Rate{PerSecond: 1}, Body: long.Body, Target: profiles[2].Target},
+		{
+			Name: ProfileCharge, Profile: ProfileCharge, Keys: insurance, Rate: loadgen.Rate{PerSecond: 5},
+			Path: "/services/ledger/charges", IdempotencyKey: true,
+			Body: loadgen.ServiceBody, Verify: loadgen.VerifyServiceCall, Target: profiles[3].Target,
+		},
+	}
+}
+
+// chatRate has a burst, as at the opening of a market.
+func chatRate() loadgen.Rate {
+	return loadgen.Rate{
+		PerSecond: 15,
+		Bursts:    []loadgen.Burst{{Start: 6 * time.Second, Duration: 2 * time.Second, Factor: 3}},
+	}
+}
+
+func reportProgress(ctx context.Context, w io.Writer, began time.Time) {
+	ticker := time.NewTicker(progressEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if now.Sub(began) > loadDuration {
+				return
+			}
+			fmt.Fprintf(w, "%2.0f s of %.0f s\n", now.Sub(began).Seconds(), loadDuration.Seconds())
+		}
+	}
+}
+
+func (s *Site) slowOneEngine(ctx context.Context, w io.Writer) {
+	if sleep(ctx, slowAfter) != nil {
+		return
+	}
+	fmt.Fprintf(w, "engine-1 slowed %d times\n", slowFactor)
+	_ = s.Engines[0].SetFaults(standin.EngineFaults{SlowFactor: slowFactor})
+	_ = sleep(ctx, slowFor)
+	fmt.Fprintln(w, "engine-1 at normal speed")
+	_ = s.Engines[0].SetFaults(standin.EngineFaults{})
+}
+
+// propagation is how long a change took to be in force everywhere.
+type propagation struct {
+	took time.Duration
+	err  error
+}
+
+// changeProfile changes one profile by conditional write and waits until it is
+// in force in every process.
+func (s *Site) changeProfile(ctx context.Context, w io.Writer) propagation {
+	if err := sleep(ctx, changeAfter); err != nil {
+		return propagation{err: err}
+	}
+	store := catalog.NewStore(platform.NewTable(platform.Options{URL: s.tableURL}))
+	changed := Catalog().Profiles[1]
+	changed.Target.FirstTokenMS = 2500
+	accepted, err := store.Put(ctx, time.Now(), catalog.Change{ID: "demo-change", By: "demo", Base: 1, Profile: &changed})
+	if err != nil {
+		return propagation{err: err}
+	}
+	began := time.Now()
+	fmt.Fprintf(w, "profile %s changed, catalog version %d\n", changed.Name, accepted.Version)
+	for !s.inForce(accepted.Version) {
+		if time.Since(began) > MaxPropagation {
+			return propagation{took: time.Since(began), err: fmt.Errorf("not in force everywhere after %s", MaxPropagation)}
+		}
+		if err := sleep(ctx, readyInterval); err != nil {
+			return propagation{err: err}
+		}
+	}
+	return propagation{took: time.Since(began)}
+}
+
+func (s *Site) inForce(version uint64) bool {
+	for _, v := range s.CatalogVersions() {
+		if v < version {
+			return false
+		}
+	}
+	return true
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// chargeLog keeps what callers were told about their charges.
+type chargeLog struct {
+	notRun []string
+	ran    []string
+}
+
+// add is called for one result at a time.
+func (l *chargeLog) add(r loadgen.Result) {
+	if r.Sent.Class != ProfileCharge {
+		return
+	}
+	switch {
+	case r.Outcome == loadgen.Whole:
+		l.ran = append(l.ran, r.Sent.IdempotencyKey)
+	case r.Execution == string(resultcode.NotRun):
+		l.notRun = append(l.notRun, r.Sent.IdempotencyKey)
+	}
+}
--- /dev/null
+++ b/demo/site.go
@@ -0,0 +1,276 @@
+// Package demo runs a whole site in one process on loopback addresses: the
+// stand-ins of the platform, two routers, four model engines and two plain
+// services with their agents. Run sends mixed load, slows one engine and changes
+// one profile meanwhile, and checks that the promises held.
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/pistachiowind/pistachiowind/agent"
+	"github.com/pistachiowind/pistachiowind/catalog"
+	"github.com/pistachiowind/pistachiowind/daemon"
+	"github.com/pistachiowind/pistachiowind/httpserver"
+	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/router"
+	"github.com/pistachiowind/pistachiowind/settings"
+	"github.com/pistachiowind/pistachiowind/standin"
+)
+
+const (
+	loopback      = "127.0.0.1:0"
+	region        = "local"
+	engineCount   = 4
+	routerCount   = 2
+	engineSlots   = 16
+	readyTimeout  = 15 * time.Second
+	readyInterval = 20 * time.Millisecond
+)
+
+// Site is a running site. Its stand-ins are exported, so that a program can
+// inject faults and look at what truly ran.
+type Site struct {
+	Engines []*standin.Engine
+	Ledger  *standin.Service
+	Booking *standin.Service
+	Table   *standin.Table
+	VMs     *standin.VMList
+	Routers []*router.Router
+	Agents  []*agent.Agent
+
+	tableURL   string
+	objectsURL string
+	vmsURL     string
+	log        io.Writer
+	running    context.Context
+	stop       context.CancelFunc
+	services   errgroup.Group
+	closers    []func()
+}
+
+// Start starts a site with the catalog of Catalog. Log lines go to log.
+func Start(ctx context.Context, log io.Writer) (*Site, error) {
+	s := &Site{log: log}
+	s.running, s.stop = context.WithCancel(context.WithoutCancel(ctx))
+	if err := s.start(ctx); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context) error {
+	if err := s.startPlatform(); err != nil {
+		return err
+	}
+	store := catalog.NewStore(platform.NewTable(platform.Options{URL: s.tableURL}))
+	first := catalog.Change{ID: "demo-first", By: "demo", Catalog: Catalog()}
+	if _, err := store.Put(ctx, time.Now(), first); err != nil {
+		return fmt.Errorf("write the first catalog: %w", err)
+	}
+	if err := s.startEndpoints(); err != nil {
+		return err
+	}
+	if err := s.startRouters(); err != nil {
+		return err
+	}
+	if err := s.listVMs(); err != nil {
+		return err
+	}
+	return s.awaitReady(ctx)
+}
+
+func (s *Site) startPlatform() error {
+	s.Table = standin.NewTable(standin.TableOptions{})
+	s.VMs = standin.NewVMList(standin.VMListOptions{})
+	objects := standin.NewObjectStore(standin.ObjectStoreOptions{})
+	s.closers = append(s.closers, s.Table.Close, s.VMs.Close, objects.Close)
+	var err error
+	if s.tableURL, err = s.serve("table", s.Table); err != nil {
+		return err
+	}
+	if s.objectsURL, err = s.serve("objects", objects); err != nil {
+		return err
+	}
+	s.vmsURL, err = s.serve("vmlist", s.VMs)
+	return err
+}
+
+// serve runs a stand-in on a loopback address and returns its URL.
+func (s *Site) serve(name string, handler http.Handler) (string, error) {
+	server, err := httpserver.Listen(name, loopback, handler, nil)
+	if err != nil {
+		return "", err
+	}
+	s.services.Go(func() error { return server.Serve(s.running) })
+	return "http://" + server.Address(), nil
+}
+
+func (s *Site) startEndpoints() error {
+	for i := range engineCount {
+		engine := standin.NewEngine(standin.EngineOptions{Model: standin.EngineModelOptions{Slots: engineSlots}})
+		s.Engines = append(s.Engines, engine)
+		s.closers = append(s.closers, engine.Close)
+		endpoint := settings.Endpoint{Kind: settings.KindEngine, Models: []string{standin.DefaultModel}}
+		if err := s.startAgent(fmt.Sprintf("engine-%d", i+1), i, engine, endpoint); err != nil {
+			return err
+		}
+	}
+	s.Ledger = standin.NewLedger(standin.ServiceOptions{})
+	s.Booking = standin.NewBooking(standin.ServiceOptions{})
+	s.closers = append(s.closers, s.Ledger.Close, s.Booking.Close)
+	ledger := settings.Endpoint{Kind: settings.KindService, Service: LedgerService}
+	if err := s.startAgent("ledger-1", 0, s.Ledger, ledger); err != nil {
+		return err
+	}
+	booking := settings.Endpoint{Kind: settings.KindService, Service: BookingService}
+	return s.startAgent("booking-1", 1, s.Booking, booking)
+}
+
+func (s *Site) startAgent(name string, zone int, handler http.Handler, endpoint settings.Endpoint) error {
+	url, err := s.serve(name, handler)
+	if err != nil {
+		return err
+	}
+	endpoint.URL = url
+	a, err := daemon.NewAgent(settings.Agent{
+		Role:        settings.RoleAgent,
+		Process:     s.process(name, zone),
+		Listen:      settings.AgentListen{Peers: loopback, Admin: loopback},
+		Endpoint:    endpoint,
+		Concurrency: settings.Concurrency{Initial: engineSlots / 2, Min: 1, Max: engineSlots},
+	}, s.log)
+	if err != nil {
+		return err
+	}
+	s.Agents = append(s.Agents, a)
+	s.services.Go(func() error { return a.Serve(s.running, s.running) })
+	return nil
+}
+
+func (s *Site) startRouters() error {
+	for i := range routerCount {
+		r, err := daemon.NewRouter(settings.Router{
+			Role:    settings.RoleRouter,
+			Process: s.process(fmt.Sprintf("router-%d", i+1), i),
+			Listen:  settings.RouterListen{Callers: loopback, Peers: loopback, Admin: loopback},
+		}, s.log)
+		if err != nil {
+			return err
+		}
+		s.Routers = append(s.Routers, r)
+		s.services.Go(func() error { return r.Serve(s.running, s.running) })
+	}
+	return nil
+}
+
+func (s *Site) process(name string, zone int) settings.Process {
+	return settings.Process{
+		Name:             name,
+		Region:           region,
+		AvailabilityZone: zoneName(zone),
+		Log:              settings.Log{Level: "warn", Format: "console"},
+		Platform: settings.Platform{
+			TableURL:   s.tableURL,
+			ObjectsURL: s.objectsURL,
+			VMListURL:  s.vmsURL,
+		},
+		Operators: []settings.Operator{{Name: "demo", KeyHash: catalog.HashKey(OperatorKey)}},
+	}
+}
+
+func zoneName(i int) string { return fmt.Sprintf("local-%c", 'a'+i%2) }
+
+func (s *Site) listVMs() error {
+	var list []standin.VM
+	for _, a := range s.Agents {
+		st := a.Status()
+		list = append(list, standin.VM{
+			Name: st.Name, Role: standin.RoleAgent, Address: a.PeersAddress(),
+			Region: st.Region, AvailabilityZone: st.AvailabilityZone, State: standin.StateLive,
+		})
+	}
+	for _, r := range s.Routers {
+		st := r.Status()
+		list = append(list, standin.VM{
+			Name: st.Name, Role: standin.RoleRouter, Address: r.PeersAddress(),
+			Region: st.Region, AvailabilityZone: st.AvailabilityZone, State: standin.StateLive,
+		})
+	}
+	return s.VMs.Set(list)
+}
+
+// awaitReady waits until every router is ready and every agent serves.
+func (s *Site) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		err := s.ready()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(readyInterval):
+		case <-ctx.Done():
+			return fmt.Errorf("the site did not become ready: %w", err)
+		}
+	}
+}
+
+func (s *Site) ready() error {
+	for _, a := range s.Agents {
+		if err := a.Ready(); err != nil {
+			return fmt.Errorf("agent %s: %w", a.Status().Name, err)
+		}
+	}
+	for _, r := range s.Routers {
+		if err := r.Ready(); err != nil {
+			return fmt.Errorf("router %s: %w", r.Status().Name, err)
+		}
+		if open := r.ServingEndpoints(); open < len(s.Agents) {
+			return fmt.Errorf("router %s: knows %d of %d serving endpoints", r.Status().Name, open, len(s.Agents))
+		}
+	}
+	return nil
+}
+
+// CatalogVersions returns the version in force in each process.
+func (s *Site) CatalogVersions() []uint64 {
+	var versions []uint64
+	for _, r := range s.Routers {
+		versions = append(versions, r.CatalogVersion())
+	}
+	for _, a := range s.Agents {
+		versions = append(versions, a.CatalogVersion())
+	}
+	return versions
+}
+
+// URLs returns the base URLs for callers.
+func (s *Site) URLs() []string {
+	var urls []string
+	for _, r := range s.Routers {
+		urls = append(urls, "http://"+r.CallersAddress())
+	}
+	return urls
+}
+
+// Close stops all processes without a drain.
+func (s *Site) Close() error {
+	s.stop()
+	err := s.services.Wait()
+	for _, closer := range s.closers {
+		closer()
+	}
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -22,12 +22,6 @@
 
 	// catalogWait bounds the wait for a catalog version that an agent has.
 	catalogWait = 2 * time.Second
-
-	// cancelTimeout bounds the message that frees the slot of a given-up attempt.
-	cancelTimeout = 2 * time.Second
-
-	// reselectPause spaces attempts while no endpoint is available.
-	reselectPause = 50 * time.Millisecond
 )
 
 // Options configure a Dispatcher. All fields are required.
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -234,14 +234,15 @@
 	return list
 }
 
-// Serving reports whether any endpoint accepts work.
-func (f *Fleet) Serving() bool {
+// Serving returns the number of endpoints that accept work.
+func (f *Fleet) Serving() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	n := 0
 	for i := range f.candidates {
 		if f.candidates[i].State == rpc.AgentState_AGENT_STATE_SERVING {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
--- a/router/operate.go
+++ b/router/operate.go
@@ -46,7 +46,7 @@
 		return errDraining
 	case !r.catalog.distributor.Ready():
 		return errNoCatalog
-	case !r.fleet.Serving():
+	case r.fleet.Serving() == 0:
 		return errNoEndpoint
 	}
 	return nil
@@ -55,13 +55,14 @@
 // registerAdmin adds the operators' API to its listener.
 func (r *Router) registerAdmin(mux *http.ServeMux, metrics http.Handler) error {
 	server, err := admin.New(admin.Options{
-		Status:    r,
-		Catalog:   r.catalog.holder,
-		Store:     r.store,
-		Burn:      r.recorder,
-		Drain:     r.drainAsked,
-		Metrics:   metrics,
-		Operators: r.opts.Operators,
+		Status:      r,
+		Catalog:     r.catalog.holder,
+		Store:       r.store,
+		Burn:        r.recorder,
+		Drain:       r.drainAsked,
+		Propagation: r,
+		Metrics:     metrics,
+		Operators:   r.opts.Operators,
 	})
 	if err != nil {
 		return err
@@ -69,3 +70,7 @@
 	mux.Handle("/", server.Handler())
 	return nil
 }
+
+// ServingEndpoints returns the number of endpoints that accept work from this
+// router.
+func (r *Router) ServingEndpoints() int { return r.fleet.Serving() }
