--- /dev/null
+++ b/agent/queue/preempt_test.go
@@ -0,0 +1,220 @@
+package queue_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/pistachiowind/pistachiowind/agent/queue"
+)
+
+// randomRunning returns streams of all tiers in all states of preemption.
+func randomRunning(r *rand.Rand, now time.Time) []queue.Running {
+	running := make([]queue.Running, r.IntN(12))
+	for i := range running {
+		it := queue.Item{ID: fmt.Sprint("r", i), Tier: r.IntN(3), Class: fmt.Sprint("class", r.IntN(3))}
+		it.Deadline = now.Add(time.Duration(r.IntN(40)-20) * time.Second)
+		if it.Preemptions = r.IntN(queue.MaxPreemptions + 2); it.Preemptions > 0 {
+			it.Used = time.Duration(r.IntN(30)) * time.Second
+		}
+		started := now.Add(-time.Duration(r.IntN(10)) * time.Second)
+		running[i] = queue.Running{Item: it, Started: started, Cancelling: r.IntN(6) == 0}
+	}
+	return running
+}
+
+func mayBeTaken(now time.Time, r queue.Running) bool {
+	rested := r.Preemptions == 0 || now.Sub(r.Started) >= queue.MinRun
+	return r.Tier > 0 && !r.Cancelling && r.Preemptions < queue.MaxPreemptions && rested
+}
+
+// Guards against a preempted urgent stream, a stream preempted for work of a
+// lower tier or of its own class, too often or too soon, below the number that
+// must stay, and against an urgent item left waiting behind a lower tier.
+func TestPreemptionAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		for range 50 {
+			checkPreemption(t, r)
+		}
+	})
+}
+
+func checkPreemption(t *rapid.T, r *rand.Rand) {
+	q := queue.New(queue.Options{})
+	var waiting []queue.Item
+	lowest := r.IntN(3)
+	for i := range r.IntN(4) {
+		it := queue.Item{ID: fmt.Sprint(i), Tier: lowest + r.IntN(3-lowest), Class: fmt.Sprint("class", r.IntN(3))}
+		it.Deadline = start.Add(time.Duration(r.IntN(40)) * time.Second)
+		waiting = append(waiting, it)
+		if _, err := q.Push(start, it); err != nil {
+			t.Fatal(err)
+		}
+	}
+	running := randomRunning(r, start)
+	keep := r.IntN(4)
+	id, ok := q.PreemptFor(start, keep, running)
+	checkChoice(t, waiting, running, keep, id, ok)
+}
+
+// yields states when a stream gives way to an item below urgent.
+func yields(r queue.Running, it queue.Item) bool {
+	if r.Cancelling || r.Tier != it.Tier {
+		return !r.Cancelling && r.Tier > it.Tier
+	}
+	delay := 5 * time.Second
+	if r.UsedAt(start) >= queue.VeryLongAfter {
+		delay = 20 * time.Second
+	}
+	return r.UsedAt(start) >= queue.LongAfter && r.Class != it.Class && it.Deadline.Before(r.Deadline.Add(delay))
+}
+
+// justified reports whether a waiting item may take the victim's slot.
+func justified(waiting []queue.Item, running []queue.Running, victim queue.Running) bool {
+	cancelling := 0
+	for _, r := range running {
+		if r.Cancelling {
+			cancelling++
+		}
+	}
+	for tier := range 3 {
+		ofTier := slices.DeleteFunc(slices.Clone(waiting), func(it queue.Item) bool { return it.Tier != tier })
+		if len(ofTier) == 0 {
+			continue
+		}
+		if tier == 0 {
+			return len(ofTier) > cancelling
+		}
+		giveWay := func(r queue.Running) bool {
+			return slices.ContainsFunc(ofTier, func(it queue.Item) bool { return yields(r, it) })
+		}
+		others := slices.DeleteFunc(slices.Clone(running), func(r queue.Running) bool { return !giveWay(r) })
+		if len(ofTier) > cancelling && giveWay(victim) && len(others) > (len(running)-cancelling)/4 {
+			return true
+		}
+	}
+	return false
+}
+
+func checkChoice(t *rapid.T, waiting []queue.Item, running []queue.Running, keep int, id string, ok bool) {
+	urgent, cancelling, below := 0, 0, 0
+	var able []queue.Running
+	for _, it := range waiting {
+		if it.Tier == 0 {
+			urgent++
+		}
+	}
+	for _, r := range running {
+		switch {
+		case r.Cancelling:
+			cancelling++
+		case r.Tier > 0:
+			below++
+		}
+		if mayBeTaken(start, r) {
+			able = append(able, r)
+		}
+	}
+	if got, want := queue.Preemptible(start, keep, running), max(0, min(len(able), below-keep)); got != want {
+		t.Fatalf("%d preemptible, want %d", got, want)
+	}
+	if !ok {
+		if urgent > cancelling && len(able) > 0 && below > keep {
+			t.Fatal("urgent item waits behind a lower tier")
+		}
+		return
+	}
+	victim := running[slices.IndexFunc(running, func(r queue.Running) bool { return r.ID == id })]
+	if !mayBeTaken(start, victim) || below <= keep || !justified(waiting, running, victim) {
+		t.Fatalf("took %+v with %d below urgent, %d to stay, %v waiting", victim, below, keep, waiting)
+	}
+	for _, r := range able {
+		more := r.Tier > victim.Tier || r.Tier == victim.Tier && r.UsedAt(start) > victim.UsedAt(start)
+		if urgent > 0 && more {
+			t.Fatalf("took %+v before %+v", victim, r)
+		}
+	}
+}
+
+// endpoint is a fixed number of slots that runs the queue's decisions.
+type endpoint struct {
+	q       *queue.Queue
+	slots   int
+	keep    int
+	running []queue.Running
+	left    map[string]time.Duration
+}
+
+func (e *endpoint) start(now time.Time, pop func(time.Time) (queue.Item, bool)) {
+	if it, ok := pop(now); ok {
+		e.running = append(e.running, queue.Running{Item: it, Started: now})
+	}
+}
+
+// step ends what is complete, preempts, and fills the slots.
+func (e *endpoint) step(t *testing.T, now time.Time) {
+	e.running = slices.DeleteFunc(e.running, func(r queue.Running) bool {
+		return now.Sub(r.Started) >= e.left[r.ID]
+	})
+	for len(e.running) >= e.slots {
+		id, ok := e.q.PreemptFor(now, e.keep, e.running)
+		if !ok {
+			break
+		}
+		i := slices.IndexFunc(e.running, func(r queue.Running) bool { return r.ID == id })
+		r := e.running[i]
+		e.running = slices.Delete(e.running, i, i+1)
+		e.left[id] -= now.Sub(r.Started)
+		r.Used = r.UsedAt(now)
+		r.Preemptions++
+		push(t, e.q, now, r.Item)
+	}
+	for n := -1; n != len(e.running); {
+		n = len(e.running)
+		below := 0
+		for _, r := range e.running {
+			below += min(r.Tier, 1)
+		}
+		switch {
+		case n-min(below, e.keep) < e.slots:
+			e.start(now, e.q.Pop)
+		case below < e.keep:
+			e.start(now, e.q.PopBelowUrgent)
+		}
+	}
+}
+
+// Guards against a long history that never ends, because urgent work fills the
+// endpoint and each of its runs is cut short.
+func TestHistoryEndsUnderUrgentOverload(t *testing.T) {
+	e := &endpoint{q: queue.New(queue.Options{}), slots: 4, keep: 1, left: map[string]time.Duration{}}
+	for i := range 4 {
+		it := queue.Item{ID: fmt.Sprint("history", i), Tier: 2, Class: "history", WaitUntil: start.Add(time.Hour)}
+		e.left[it.ID] = time.Minute
+		push(t, e.q, start, it)
+	}
+	for step := range 2700 {
+		now := start.Add(time.Duration(step) * 100 * time.Millisecond)
+		urgent := queue.Item{ID: fmt.Sprint("urgent", step), Account: fmt.Sprint(step % 50), WaitUntil: now.Add(1500 * time.Millisecond)}
+		e.left[urgent.ID] = time.Second
+		push(t, e.q, now, urgent)
+		e.step(t, now)
+		for _, it := range e.q.Expire(now) {
+			if it.Tier > 0 {
+				t.Fatalf("%s expired", it.ID)
+			}
+		}
+	}
+	waiting := e.q.TierLen(2)
+	for _, r := range e.running {
+		waiting += min(r.Tier, 1)
+	}
+	if waiting > 0 {
+		t.Errorf("%d of 4 histories of 1 min have not ended after 4.5 min", waiting)
+	}
+}
