Add retry and hedge budgets

Cause: retries and hedges multiply the load when many requests fail at once. Change: router/budget keeps a token bucket per client account and one for the router, filled by 0.1 token per first attempt. A retry or hedge costs 1, a redirect after a refusal with not_run 0.25; hedges leave half of a burst to the others. Accounts are bounded by an LRU (1,024).

--- /dev/null
+++ b/router/budget/budget.go
@@ -0,0 +1,143 @@
+// Package budget limits the attempts beyond the first one. Each first attempt
+// earns a fraction of a token for its client account and for the router as a
+// whole; retries, redirects and hedges spend tokens of both. Repeated work
+// therefore stays a fixed fraction of the demand when everything fails.
+package budget
+
+import (
+	"math"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// Options adjust a Budget. Zero values take the defaults.
+type Options struct {
+	// Fraction of a token that a first attempt earns; 0.1 by default.
+	Fraction float64
+	// AccountBurst is the most that a client account can save, in tokens, and
+	// what it starts with; 10 by default.
+	AccountBurst int
+	// TotalBurst is the same for the router as a whole; 100 by default.
+	TotalBurst int
+	// RedirectCost is the price of a redirect in tokens; 0.25 by default.
+	RedirectCost float64
+	// HedgeReserve is the share of a burst that hedges leave to the others; 0.5
+	// by default.
+	HedgeReserve float64
+	// MaxAccounts bounds the client accounts; 1,024 by default. The least
+	// recently used one is forgotten and starts again with AccountBurst; the
+	// total still limits it.
+	MaxAccounts int
+}
+
+func (o Options) withDefaults() Options {
+	if o.Fraction <= 0 {
+		o.Fraction = 0.1
+	}
+	if o.AccountBurst <= 0 {
+		o.AccountBurst = 10
+	}
+	if o.TotalBurst <= 0 {
+		o.TotalBurst = 100
+	}
+	if o.RedirectCost <= 0 {
+		o.RedirectCost = 0.25
+	}
+	if o.HedgeReserve <= 0 {
+		o.HedgeReserve = 0.5
+	}
+	if o.MaxAccounts <= 0 {
+		o.MaxAccounts = 1024
+	}
+	return o
+}
+
+// Use names what a further attempt is for.
+type Use int
+
+const (
+	// Retry follows a failure: the endpoint may have worked in vain.
+	Retry Use = iota
+	// Redirect follows a refusal with not_run. It costs less than a retry,
+	// because no endpoint worked and because refusals are expected where load
+	// values are old.
+	Redirect
+	// Hedge runs beside an attempt that is late.
+	Hedge
+)
+
+// unitsPerToken makes the counting exact.
+const unitsPerToken = 1000
+
+func units(tokens float64) int64 {
+	return int64(math.Round(tokens * unitsPerToken))
+}
+
+// bucket is a number of units up to a burst.
+type bucket struct {
+	units, burst int64
+}
+
+func (b *bucket) earn(n int64) {
+	b.units = min(b.units+n, b.burst)
+}
+
+// allows reports whether the cost can be paid and leaves the reserve.
+func (b *bucket) allows(cost, reserve int64) bool {
+	return b.units >= cost+reserve
+}
+
+// Budget counts tokens. It is not safe for concurrent use.
+type Budget struct {
+	options  Options
+	total    bucket
+	accounts *simplelru.LRU[string, *bucket]
+}
+
+// New returns a Budget with full buckets.
+func New(o Options) *Budget {
+	b := &Budget{options: o.withDefaults()}
+	burst := int64(b.options.TotalBurst) * unitsPerToken
+	b.total = bucket{units: burst, burst: burst}
+	// The size is positive, which is all that NewLRU checks.
+	b.accounts, _ = simplelru.NewLRU[string, *bucket](b.options.MaxAccounts, nil)
+	return b
+}
+
+// First notes the first attempt of a request.
+func (b *Budget) First(account string) {
+	earned := units(b.options.Fraction)
+	b.account(account).earn(earned)
+	b.total.earn(earned)
+}
+
+// Spend takes the price of a further attempt and reports whether the budgets
+// of the account and of the router allow it. A refused one costs nothing.
+func (b *Budget) Spend(account string, use Use) bool {
+	a := b.account(account)
+	cost := int64(unitsPerToken)
+	var accountReserve, totalReserve int64
+	switch use {
+	case Redirect:
+		cost = units(b.options.RedirectCost)
+	case Hedge:
+		accountReserve = int64(float64(a.burst) * b.options.HedgeReserve)
+		totalReserve = int64(float64(b.total.burst) * b.options.HedgeReserve)
+	}
+	if !a.allows(cost, accountReserve) || !b.total.allows(cost, totalReserve) {
+		return false
+	}
+	a.units -= cost
+	b.total.units -= cost
+	return true
+}
+
+func (b *Budget) account(name string) *bucket {
+	if a, ok := b.accounts.Get(name); ok {
+		return a
+	}
+	burst := int64(b.options.AccountBurst) * unitsPerToken
+	a := &bucket{units: burst, burst: burst}
+	b.accounts.Add(name, a)
+	return a
+}
