Avoid slow endpoints and bound retries and hedges

Cause: a slowed engine kept its full share of requests, and further attempts had no budget. Change: the fleet feeds package health with first-token and inter-token times and failures; each tier has its own retry budget; late idempotent requests are hedged; the router's bound on open requests leaves the last parts to more urgent tiers. What remains missed are streams that were already running on the engine when it slowed down.

--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -62,10 +62,9 @@
 	head   *rpc.ResponseHead
 	// startedAt is when the attempt left the agent's queue.
 	startedAt time.Time
-	lastToken time.Time
 	first     bool
 	ended     bool
-	tokens    int
+	pace      pace
 }
 
 // flight is one request on its way.
@@ -90,6 +89,13 @@
 	deadline time.Time
 	// awaitVersion is the catalog version that an agent asked for.
 	awaitVersion uint64
+	// redirect is set when the last attempt was refused without having run.
+	redirect bool
+	// firstSent is when the first attempt was sent.
+	firstSent time.Time
+	hedge     *time.Timer
+	// leader is the attempt whose chunks the caller gets.
+	leader *call
 }
 
 // Dispatch runs the request and writes its answer to the sink. A nil result
@@ -134,6 +140,8 @@
 			action = f.handle(e)
 		case e := <-f.answers:
 			action = f.next(e)
+		case <-f.hedgeDue():
+			action = f.late()
 		case <-caller.Done():
 			action = f.next(callerEnd(caller))
 		}
@@ -181,6 +189,11 @@
 	if refused, action := f.mayNotSend(caller); refused {
 		return action
 	}
+	return f.place(a)
+}
+
+// place selects an endpoint and opens the stream of a new attempt there.
+func (f *flight) place(a recovery.Action) recovery.Action {
 	target, err := f.opts.Fleet.Select(time.Now(), f.query())
 	if err != nil {
 		return f.next(recovery.Event{Kind: recovery.NoEndpoint, Error: err})
@@ -191,10 +204,11 @@
 		return recovery.Action{}
 	}
 	f.calls[c.ticket] = c
+	f.redirect = false
 	f.req.Trace.Attempts++
 	f.req.Trace.Endpoint = target.Endpoint
 	if !a.KeepEndpoint {
-		f.tried = append(f.tried, target.Endpoint)
+		f.tried = append(f.tried, target.Address)
 	}
 	c.stream = &stream{ticket: c.ticket, events: f.events}
 	f.opts.Client.open(f.ctx, c.stream, target.Address, rpc.RunPath, f.message(c, a.From))
@@ -203,12 +217,17 @@
 
 // mayNotSend applies the retry budget and waits for a newer catalog.
 func (f *flight) mayNotSend(caller context.Context) (bool, recovery.Action) {
-	account := f.req.Account.Name
+	tier, account := f.req.Profile.Tier, f.req.Account.Name
 	if len(f.calls) == 0 {
-		f.opts.Budget.First(time.Now(), account)
+		f.opts.Budget.First(tier, account)
+		f.startHedgeTimer()
 		return false, recovery.Action{}
 	}
-	if !f.opts.Budget.Retry(time.Now(), account) {
+	spend := f.opts.Budget.Retry
+	if f.redirect {
+		spend = f.opts.Budget.Redirect
+	}
+	if !spend(tier, account) {
 		return true, f.next(recovery.Event{Kind: recovery.BudgetRefused})
 	}
 	f.refreshCatalog(caller)
@@ -345,11 +364,21 @@
 // attempts that have not ended.
 func (f *flight) close() {
 	now := time.Now()
+	if f.hedge != nil {
+		f.hedge.Stop()
+	}
 	for _, c := range f.calls {
-		c.stream.close()
 		f.opts.Fleet.Closed(now, c.target)
-		if !c.ended {
-			go f.askRenounce(context.WithoutCancel(f.ctx), c)
-		}
+		f.giveUp(c)
+	}
+}
+
+// giveUp closes an attempt's stream and frees its slot if it has not ended.
+func (f *flight) giveUp(c *call) {
+	c.stream.close()
+	if c.ended {
+		return
 	}
+	c.ended = true
+	go f.askRenounce(context.WithoutCancel(f.ctx), c)
 }
--- a/router/dispatch/frames.go
+++ b/router/dispatch/frames.go
@@ -105,7 +105,7 @@
 		f.req.Trace.WastedTokens++
 		return action
 	}
-	c.tokens++
+	f.lead(c)
 	f.traceToken(now)
 	if err := f.forward(c, chunk); err != nil {
 		return f.sinkFailed(err)
@@ -113,17 +113,36 @@
 	return action
 }
 
+// paceTokens is the number of times between tokens that are reported together.
+const paceTokens = 8
+
+// pace collects times between tokens of one attempt.
+type pace struct {
+	last  time.Time
+	since time.Time
+	n     int
+}
+
 func (f *flight) observePace(now time.Time, c *call) {
-	if !c.lastToken.IsZero() {
-		f.opts.Fleet.InterToken(now, c.target, now.Sub(c.lastToken))
+	p := &c.pace
+	if p.last.IsZero() {
+		p.since = now
+	} else {
+		p.n++
+	}
+	p.last = now
+	if p.n < paceTokens {
+		return
 	}
-	c.lastToken = now
+	f.opts.Fleet.InterToken(now, c.target, now.Sub(p.since)/paceTokens)
+	p.since, p.n = now, 0
 }
 
 func (f *flight) traceToken(now time.Time) {
 	t := &f.req.Trace
 	if t.FirstToken.IsZero() {
 		t.FirstToken = now
+		f.opts.Budget.FirstToken(f.group(), now.Sub(f.firstSent))
 	} else if t.Gaps != nil {
 		t.Gaps.Add(now.Sub(t.LastToken))
 	}
@@ -193,6 +212,7 @@
 func (f *flight) refused(now time.Time, c *call, e streamEvent, r *rpc.Refused) recovery.Action {
 	err := r.Err()
 	c.ended = !e.stream.attached || err.Verdict() != resultcode.Unknown
+	f.redirect = err.Verdict() == resultcode.NotRun
 	f.opts.Fleet.Load(now, c.target, r.GetLoad())
 	f.opts.Fleet.Refused(now, c.target, err.Code, r.GetAgent())
 	kind := recovery.Refused
--- a/router/dispatch/request.go
+++ b/router/dispatch/request.go
@@ -73,6 +73,8 @@
 	Endpoint    string
 	Address     string
 	Incarnation string
+	// Sent is when the attempt was placed.
+	Sent time.Time
 }
 
 // Query describes what an attempt needs.
@@ -96,8 +98,10 @@
 	Load(now time.Time, t Target, load *rpc.Load)
 	// Refused records a refusal; agent is the incarnation that sent it.
 	Refused(now time.Time, t Target, code resultcode.Code, agent string)
-	// FirstToken and InterToken record latencies of the endpoint itself.
+	// FirstToken and InterToken record latencies of the endpoint itself;
+	// FirstTokenPending records a time without a first token so far.
 	FirstToken(now time.Time, t Target, d time.Duration)
+	FirstTokenPending(now time.Time, t Target, d time.Duration)
 	InterToken(now time.Time, t Target, d time.Duration)
 	// Failed records a failed connection, stream or endpoint.
 	Failed(now time.Time, t Target)
@@ -105,12 +109,22 @@
 	Succeeded(now time.Time, t Target)
 }
 
-// Budget limits attempts beyond the first.
+// Budget limits attempts beyond the first. Each tier has a budget of its own, so
+// that lower tiers cannot use up what urgent requests need.
 type Budget interface {
 	// First records the first attempt of a request.
-	First(now time.Time, account string)
-	// Retry reports whether a further attempt may be sent, and counts it.
-	Retry(now time.Time, account string) bool
+	First(tier int, account string)
+	// Retry reports whether an attempt may follow a failure, and counts it.
+	Retry(tier int, account string) bool
+	// Redirect is Retry after a refusal that proves that nothing ran.
+	Redirect(tier int, account string) bool
+	// HedgeDelay is the time without a first token after which a request of the
+	// group counts as late; false means that too little is known.
+	HedgeDelay(group string) (time.Duration, bool)
+	// Hedge reports whether a second attempt may run beside a late one.
+	Hedge(tier int, account, group string, waited time.Duration) bool
+	// FirstToken records the time from the first attempt to the first token.
+	FirstToken(group string, d time.Duration)
 }
 
 // Catalog is the part of the catalog that the dispatcher needs.
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/router/dispatch"
+	"github.com/pistachiowind/pistachiowind/router/health"
 	"github.com/pistachiowind/pistachiowind/router/selection"
 	"github.com/pistachiowind/pistachiowind/rpc"
 )
@@ -20,6 +21,9 @@
 // MaxMembers bounds the endpoints that a router knows.
 const MaxMembers = selection.MaxCandidates
 
+// healthAge is how old the health of the candidates may be at a selection.
+const healthAge = 20 * time.Millisecond
+
 // Options configure a Fleet. VMs or Agents is required.
 type Options struct {
 	Region           string
@@ -64,6 +68,8 @@
 	byIndex    []*member
 	candidates []selection.Candidate
 	listRead   time.Time
+	health     *health.Tracker
+	healthAt   time.Time
 }
 
 // New returns a Fleet that knows the fixed agents only.
@@ -72,6 +78,7 @@
 		opts:    opts,
 		rng:     rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
 		members: make(map[string]*member),
+		health:  health.New(health.Options{}),
 	}
 	now := time.Now()
 	for _, address := range opts.Agents {
@@ -103,6 +110,7 @@
 func (f *Fleet) Select(now time.Time, q dispatch.Query) (dispatch.Target, *resultcode.Error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.refreshHealth(now)
 	pick, err := selection.Select(now, f.rng, selection.Request{
 		Model:            q.Model,
 		Service:          q.Service,
@@ -119,7 +127,22 @@
 	m := f.byIndex[pick.Index]
 	m.open++
 	f.candidates[pick.Index].Unreported++
-	return dispatch.Target{Endpoint: pick.Endpoint, Address: m.address, Incarnation: pick.Incarnation}, nil
+	f.health.Sent(now, m.address)
+	return dispatch.Target{Endpoint: m.name, Address: m.address, Incarnation: pick.Incarnation, Sent: now}, nil
+}
+
+// refreshHealth copies the judgement of the endpoints to the candidates. The copy
+// takes time for each endpoint, so it is made at most once in healthAge.
+func (f *Fleet) refreshHealth(now time.Time) {
+	if now.Sub(f.healthAt) < healthAge {
+		return
+	}
+	f.healthAt = now
+	f.health.Each(now, func(id string, weight float64, ejected bool) {
+		if m, ok := f.members[id]; ok {
+			f.candidates[m.index].Health = selection.Health{Weight: weight, Ejected: ejected}
+		}
+	})
 }
 
 // Closed ends the attempt that Select counted.
@@ -185,16 +208,32 @@
 }
 
 // FirstToken records a latency of the endpoint itself.
-func (f *Fleet) FirstToken(time.Time, dispatch.Target, time.Duration) {}
+func (f *Fleet) FirstToken(now time.Time, t dispatch.Target, d time.Duration) {
+	f.record(now, t, health.FirstToken, d)
+}
+
+// FirstTokenPending records a time without a first token so far.
+func (f *Fleet) FirstTokenPending(now time.Time, t dispatch.Target, d time.Duration) {
+	f.record(now, t, health.FirstTokenPending, d)
+}
 
 // InterToken records a latency of the endpoint itself.
-func (f *Fleet) InterToken(time.Time, dispatch.Target, time.Duration) {}
+func (f *Fleet) InterToken(now time.Time, t dispatch.Target, d time.Duration) {
+	f.record(now, t, health.InterToken, d)
+}
+
+func (f *Fleet) record(now time.Time, t dispatch.Target, kind health.Kind, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.health.Record(now, health.Observation{Endpoint: t.Address, Kind: kind, Duration: d, Sent: t.Sent})
+}
 
 // Failed records a failed connection, stream or endpoint. The endpoint receives
 // nothing until a probe is answered again.
-func (f *Fleet) Failed(_ time.Time, t dispatch.Target) {
+func (f *Fleet) Failed(now time.Time, t dispatch.Target) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.health.Record(now, health.Observation{Endpoint: t.Address, Kind: health.Failure, Sent: t.Sent})
 	if m, ok := f.members[t.Address]; ok {
 		f.candidates[m.index].State = rpc.AgentState_AGENT_STATE_DOWN
 		m.probed = time.Time{}
@@ -202,7 +241,9 @@
 }
 
 // Succeeded records a whole answer.
-func (f *Fleet) Succeeded(time.Time, dispatch.Target) {}
+func (f *Fleet) Succeeded(now time.Time, t dispatch.Target) {
+	f.record(now, t, health.Success, 0)
+}
 
 // Models lists what serving endpoints offer, sorted.
 func (f *Fleet) Models() []string {
--- a/router/fleet/probe.go
+++ b/router/fleet/probe.go
@@ -136,5 +136,18 @@
 	c.Models = resp.GetModels()
 	c.Service = resp.GetService()
 	c.Prepare()
+	f.health.Join(now, address, healthGroup(resp))
 	f.setLoad(now, m, resp.GetLoad())
 }
+
+// healthGroup names the endpoints that are compared with each other: those that
+// serve the same first model or service.
+func healthGroup(resp *rpc.ProbeResponse) string {
+	if resp.GetService() != "" {
+		return "service/" + resp.GetService()
+	}
+	if models := resp.GetModels(); len(models) > 0 {
+		return "model/" + models[0]
+	}
+	return ""
+}
--- a/router/ingress/chat.go
+++ b/router/ingress/chat.go
@@ -48,7 +48,7 @@
 	if refusal != nil {
 		return s.refuse(c, refusal)
 	}
-	defer in.leave()
+	defer s.open.leave()
 	params, refusal := s.prepareChat(c, in)
 	if refusal != nil {
 		return s.refuse(c, refusal)
--- a/router/ingress/ingress.go
+++ b/router/ingress/ingress.go
@@ -132,24 +132,21 @@
 	*dispatch.Request
 	// index is the catalog version by which the whole request is resolved.
 	index *catalog.Index
-	// leave must be called when the request has ended.
-	leave func()
 }
 
-// admit does what all routes share before the body is read.
+// admit does what all routes share before the body is read. After success the
+// caller ends the request with open.leave.
 func (s *Server) admit(c echo.Context) (*inbound, *resultcode.Error) {
 	in := &inbound{Request: &dispatch.Request{ID: uuid.NewString(), Received: time.Now()}}
 	c.Response().Header().Set(RequestIDHeader, in.ID)
 	if err := checkHeaders(c.Request().Header); err != nil {
 		return nil, err
 	}
-	leave, err := s.open.enter(s.opts.MaxOpen)
-	if err != nil {
+	if err := s.open.enter(); err != nil {
 		return nil, err
 	}
-	in.leave = leave
 	if err := s.authenticate(c, in); err != nil {
-		leave()
+		s.open.leave()
 		return nil, err
 	}
 	return in, nil
@@ -198,6 +195,12 @@
 // run dispatches the request and reports its end.
 func (s *Server) run(c echo.Context, in *inbound, sink dispatch.Sink) *resultcode.Error {
 	req := in.Request
+	remove, refusal := s.open.place(s.opts.MaxOpen, req.Account.Name, req.Profile)
+	if refusal != nil {
+		s.opts.Observer.Ended(req, refusal)
+		return refusal
+	}
+	defer remove()
 	ctx, cancel := context.WithTimeout(c.Request().Context(), req.Profile.MaxRun())
 	defer cancel()
 	s.opts.Observer.Begun(req)
@@ -207,10 +210,9 @@
 }
 
 func (s *Server) models(c echo.Context) error {
-	in, err := s.admit(c)
-	if err != nil {
+	if _, err := s.admit(c); err != nil {
 		return s.refuse(c, err)
 	}
-	defer in.leave()
+	defer s.open.leave()
 	return c.JSON(http.StatusOK, modelList(s.opts.Models.Models()))
 }
--- a/router/ingress/service.go
+++ b/router/ingress/service.go
@@ -20,7 +20,7 @@
 	if refusal != nil {
 		return s.refuse(c, refusal)
 	}
-	defer in.leave()
+	defer s.open.leave()
 	if refusal := s.prepareService(c, in); refusal != nil {
 		return s.refuse(c, refusal)
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -196,7 +196,7 @@
 		RouterAddress: r.peers.Address(),
 		Client:        r.client,
 		Fleet:         r.fleet,
-		Budget:        r.newBudget(),
+		Budget:        newTierBudgets(),
 		Catalog:       r.catalog,
 	})
 	r.ingress = ingress.New(ingress.Options{
