Bound the memory of ended attempts and fuzz the attempt table

Change: at most 32 MiB of frames of ended attempts; stateful fuzzing of accept, start, renounce and end at small bounds; tests of the replay buffer.

--- a/agent/execution/attempt.go
+++ b/agent/execution/attempt.go
@@ -127,6 +127,13 @@
 	return true
 }
 
+// size returns the bytes of the buffered frames.
+func (a *Attempt) size() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.bytes
+}
+
 // Renounced reports whether the attempt was renounced.
 func (a *Attempt) Renounced() bool {
 	a.mu.Lock()
--- /dev/null
+++ b/agent/execution/execution_test.go
@@ -0,0 +1,168 @@
+package execution_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/pistachiowind/pistachiowind/agent/execution"
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+func chunk(index uint32, size int) *rpc.Frame {
+	return &rpc.Frame{Kind: &rpc.Frame_Chunk{Chunk: &rpc.Chunk{Index: index, Data: make([]byte, size)}}}
+}
+
+// oracle is what must be true of one attempt, whatever the table forgets.
+type oracle struct {
+	accepted  bool
+	started   bool
+	toldNot   bool
+	startable *execution.Attempt
+}
+
+// Guards against an attempt that runs after the agent said that it never will,
+// and against one that is accepted twice, also when tombstones and ended
+// attempts have been dropped at their bounds.
+func TestNotRunIsNeverFalse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := execution.NewTable(execution.Options{
+			MaxOpen: 4, MaxEnded: 2, MaxTombstones: 3, EndedRetention: time.Second,
+		})
+		now := time.Unix(0, 0)
+		known := map[execution.ID]*oracle{}
+		draw := func(t *rapid.T) (execution.ID, *oracle) {
+			id := execution.ID{
+				Router: fmt.Sprintf("router-%d", rapid.IntRange(0, 1).Draw(t, "router")),
+				Ticket: uint64(rapid.IntRange(1, 8).Draw(t, "ticket")),
+			}
+			if known[id] == nil {
+				known[id] = &oracle{}
+			}
+			return id, known[id]
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"accept": func(t *rapid.T) {
+				id, o := draw(t)
+				a, err := table.Accept(now, id)
+				if err != nil {
+					return
+				}
+				if o.accepted {
+					t.Fatalf("%v accepted twice", id)
+				}
+				if o.toldNot {
+					t.Fatalf("%v accepted after not_run", id)
+				}
+				o.accepted, o.startable = true, a
+			},
+			"start": func(t *rapid.T) {
+				id, o := draw(t)
+				if o.startable == nil || !o.startable.Start(func() {}) {
+					return
+				}
+				if o.toldNot {
+					t.Fatalf("%v started after not_run", id)
+				}
+				o.started = true
+			},
+			"renounce": func(t *rapid.T) {
+				id, o := draw(t)
+				verdict, _ := table.Renounce(now, id)
+				if verdict != resultcode.NotRun {
+					return
+				}
+				if o.started {
+					t.Fatalf("%v is not_run but started", id)
+				}
+				o.toldNot = true
+			},
+			"end": func(t *rapid.T) {
+				_, o := draw(t)
+				if o.started {
+					table.End(now, o.startable)
+				}
+			},
+			"pass time": func(t *rapid.T) { now = now.Add(700 * time.Millisecond) },
+		})
+	})
+}
+
+// Guards against lost, repeated or reordered chunks when the connection of a
+// stream is replaced.
+func TestAttachContinuesWithoutLossOrRepeat(t *testing.T) {
+	table := execution.NewTable(execution.Options{})
+	a, _ := table.Accept(time.Unix(0, 0), execution.ID{Router: "r", Ticket: 1})
+	for i := range uint32(6) {
+		if err := a.Append(t.Context(), chunk(i, 10)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	first, _ := a.Attach(0)
+	for range 3 {
+		if _, err := first.Next(t.Context(), time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// The router received only chunks 0 and 1.
+	second, refusal := a.Attach(2)
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	if _, err := first.Next(t.Context(), time.Second); !errors.Is(err, execution.ErrDisplaced) {
+		t.Errorf("old reader: %v, want ErrDisplaced", err)
+	}
+	table.End(time.Unix(1, 0), a)
+	for want := uint32(2); want < 6; want++ {
+		f, err := second.Next(t.Context(), time.Second)
+		if err != nil || f.GetChunk().GetIndex() != want {
+			t.Fatalf("chunk %d: got %v, %v", want, f, err)
+		}
+	}
+	if _, err := second.Next(t.Context(), time.Second); !errors.Is(err, io.EOF) {
+		t.Errorf("after the last frame: %v, want EOF", err)
+	}
+}
+
+// Guards against unbounded memory when a router does not read, and against a
+// stream that claims to continue although chunks are gone.
+func TestFullBufferStopsTheWriter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := execution.NewTable(execution.Options{BufferBytes: 1000})
+		a, _ := table.Accept(time.Now(), execution.ID{Router: "r", Ticket: 1})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var index uint32
+		for a.Append(ctx, chunk(index, 100)) == nil {
+			index++
+		}
+		if index > 10 {
+			t.Errorf("%d chunks of 100 bytes fit into 1000 bytes", index)
+		}
+		reader, _ := a.Attach(0)
+		for range index {
+			if _, err := reader.Next(t.Context(), time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for range 8 {
+			if err := a.Append(t.Context(), chunk(index, 100)); err != nil {
+				t.Fatalf("no room after the reader caught up: %v", err)
+			}
+			index++
+			if _, err := reader.Next(t.Context(), time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, refusal := a.Attach(0); refusal == nil {
+			t.Error("attach at a dropped chunk was accepted")
+		}
+	})
+}
--- a/agent/execution/table.go
+++ b/agent/execution/table.go
@@ -18,6 +18,9 @@
 	// DefaultMaxEnded bounds ended attempts that are kept for late readers.
 	DefaultMaxEnded = 4096
 
+	// DefaultMaxEndedBytes bounds the frames of ended attempts in all.
+	DefaultMaxEndedBytes = 32 << 20
+
 	// DefaultMaxTombstones bounds renounced attempts. When the bound is reached,
 	// the oldest tombstone is dropped and its router's ticket floor rises above it.
 	DefaultMaxTombstones = 65536
@@ -45,6 +48,7 @@
 type Options struct {
 	MaxOpen        int
 	MaxEnded       int
+	MaxEndedBytes  int
 	MaxTombstones  int
 	MaxRouters     int
 	EndedRetention time.Duration
@@ -55,6 +59,7 @@
 func (o Options) withDefaults() Options {
 	setDefault(&o.MaxOpen, DefaultMaxOpen)
 	setDefault(&o.MaxEnded, DefaultMaxEnded)
+	setDefault(&o.MaxEndedBytes, DefaultMaxEndedBytes)
 	setDefault(&o.MaxTombstones, DefaultMaxTombstones)
 	setDefault(&o.MaxRouters, DefaultMaxRouters)
 	setDefault(&o.BufferBytes, DefaultBufferBytes)
@@ -71,8 +76,9 @@
 }
 
 type endedEntry struct {
-	id ID
-	at time.Time
+	id    ID
+	at    time.Time
+	bytes int
 }
 
 // Table holds the attempts of one agent incarnation. It is safe for concurrent
@@ -84,6 +90,7 @@
 	attempts   map[ID]*Attempt
 	open       int
 	ended      []endedEntry
+	endedBytes int
 	tombstones map[ID]struct{}
 	tombOrder  []ID
 	routers    map[string]*routerRecord
@@ -231,7 +238,9 @@
 		return
 	}
 	t.open--
-	t.ended = append(t.ended, endedEntry{id: a.id, at: now})
+	entry := endedEntry{id: a.id, at: now, bytes: a.size()}
+	t.ended = append(t.ended, entry)
+	t.endedBytes += entry.bytes
 	t.expire(now)
 }
 
@@ -245,10 +254,12 @@
 func (t *Table) expire(now time.Time) {
 	for len(t.ended) > 0 {
 		oldest := t.ended[0]
-		if len(t.ended) <= t.opts.MaxEnded && now.Sub(oldest.at) < t.opts.EndedRetention {
+		within := len(t.ended) <= t.opts.MaxEnded && t.endedBytes <= t.opts.MaxEndedBytes
+		if within && now.Sub(oldest.at) < t.opts.EndedRetention {
 			return
 		}
 		t.ended = t.ended[1:]
+		t.endedBytes -= oldest.bytes
 		delete(t.attempts, oldest.id)
 		t.raiseFloor(oldest.id)
 	}
