--- a/agent/intake/writer.go
+++ b/agent/intake/writer.go
@@ -49,7 +49,7 @@
 func Refusal(err *resultcode.Error) *rpc.Refused {
 	return &rpc.Refused{
 		Code:         uint32(err.Code),
-		Message:      err.Error(),
+		Message:      err.Detail(),
 		Execution:    rpc.ExecutionOf(err.Verdict()),
 		RetryAfterMs: uint32(err.RetryAfter.Milliseconds()),
 	}
--- a/agent/worker/worker.go
+++ b/agent/worker/worker.go
@@ -221,7 +221,7 @@
 func (w *Worker) refusedFrame(now time.Time, err *resultcode.Error) *rpc.Frame {
 	return &rpc.Frame{Kind: &rpc.Frame_Refused{Refused: &rpc.Refused{
 		Code:         uint32(err.Code),
-		Message:      err.Error(),
+		Message:      err.Detail(),
 		Execution:    rpc.ExecutionOf(err.Verdict()),
 		RetryAfterMs: uint32(err.RetryAfter.Milliseconds()),
 		Load:         w.load(now),
--- a/resultcode/error.go
+++ b/resultcode/error.go
@@ -66,13 +66,17 @@
 	return e.Execution
 }
 
+// Detail returns the message and the cause without the code.
+func (e *Error) Detail() string {
+	if e.Err == nil {
+		return e.Message
+	}
+	return e.Message + ": " + e.Err.Error()
+}
+
 // Error returns the code's number and name, the message and the cause.
 func (e *Error) Error() string {
-	s := fmt.Sprintf("%d %s: %s", uint32(e.Code), e.Code, e.Message)
-	if e.Err != nil {
-		s += ": " + e.Err.Error()
-	}
-	return s
+	return fmt.Sprintf("%d %s: %s", uint32(e.Code), e.Code, e.Detail())
 }
 
 // Unwrap returns the cause.
--- a/router/fleet/probe.go
+++ b/router/fleet/probe.go
@@ -12,6 +12,9 @@
 	// listInterval is the mean time between reads of the VM list.
 	listInterval = 5 * time.Second
 
+	// emptyListInterval is the time between reads while no endpoint is known.
+	emptyListInterval = 500 * time.Millisecond
+
 	// probeInterval spaces probes: at most 5 a second, which keeps a router's
 	// control traffic at 1.5 KB/s.
 	probeInterval = 200 * time.Millisecond
@@ -52,14 +55,13 @@
 	if f.opts.VMs == nil || now.Before(f.listRead) {
 		return
 	}
-	jitter := time.Duration(f.rng.Int64N(int64(listInterval / 2)))
-	f.listRead = now.Add(listInterval*3/4 + jitter)
 	vms, err := f.opts.VMs.List(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.planList(now)
 	if err != nil {
 		return
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	for _, vm := range vms {
 		if vm.Role == platform.RoleAgent && vm.State == platform.VMLive {
 			f.add(now, vm)
@@ -67,6 +69,16 @@
 	}
 }
 
+// planList sets when the VM list is read next.
+func (f *Fleet) planList(now time.Time) {
+	interval := listInterval
+	if len(f.members) == 0 {
+		interval = emptyListInterval
+	}
+	jitter := time.Duration(f.rng.Int64N(int64(interval / 2)))
+	f.listRead = now.Add(interval*3/4 + jitter)
+}
+
 // due returns the members to probe now: those never heard of at once, otherwise
 // the one with the oldest load value.
 func (f *Fleet) due(now time.Time) []string {
