--- a/router/budget/budget_test.go
+++ b/router/budget/budget_test.go
@@ -11,8 +11,11 @@
 	"github.com/pistachiowind/pistachiowind/router/budget"
 )
 
-// A fixed seed makes every run the same; -rapid.seed overrides it.
-func init() { _ = flag.Set("rapid.seed", "1") }
+// A fixed seed makes every run the same; flags of the command line override it.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
 
 // Guards against more repeated work than the fraction plus the burst, for one
 // account or in total, and against a refusal while there are tokens.
--- a/router/health/health_test.go
+++ b/router/health/health_test.go
@@ -11,8 +11,11 @@
 	"github.com/pistachiowind/pistachiowind/router/health"
 )
 
-// A fixed seed makes every run the same; -rapid.seed overrides it.
-func init() { _ = flag.Set("rapid.seed", "1") }
+// A fixed seed makes every run the same; flags of the command line override it.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
 
 // site drives a Tracker with endpoints of one group in virtual time.
 type site struct {
--- a/router/recovery/fuzz_test.go
+++ b/router/recovery/fuzz_test.go
@@ -10,8 +10,11 @@
 	"github.com/pistachiowind/pistachiowind/router/recovery"
 )
 
-// A fixed seed makes every run the same; -rapid.seed overrides it.
-func init() { _ = flag.Set("rapid.seed", "1") }
+// A fixed seed makes every run the same; flags of the command line override it.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
 
 // answerChunks is the length of every answer in the model.
 const answerChunks = 4
