--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -208,7 +208,7 @@
 	f.req.Trace.Attempts++
 	f.req.Trace.Endpoint = target.Endpoint
 	if !a.KeepEndpoint {
-		f.tried = append(f.tried, target.Address)
+		f.tried = append(f.tried, target.Endpoint)
 	}
 	c.stream = &stream{ticket: c.ticket, events: f.events}
 	f.opts.Client.open(f.ctx, c.stream, target.Address, rpc.RunPath, f.message(c, a.From))
--- a/router/membership/membership.go
+++ b/router/membership/membership.go
@@ -200,7 +200,9 @@
 		if len(s.members) >= s.options.MaxMembers && !s.evict() {
 			return
 		}
-		m = &member{joined: now}
+		// Members that join together are probed in a random order, so that routers
+		// that start together do not all know the same few endpoints first.
+		m = &member{joined: now, nextProbe: now.Add(-s.jitter(s.options.ProbeTimeout))}
 		s.members[e.Name] = m
 		s.version++
 	}
