Serve orders through the gate

Cause: agents refused every order. Change: the gate keeper checks the fencing number and repeats; the engine adapter passes model, adapter and role orders on. Measured: go vet passes; the gate's own tests pass; no order has been sent end to end yet.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -27,6 +27,7 @@
 	"github.com/pistachiowind/pistachiowind/agent/claim"
 	"github.com/pistachiowind/pistachiowind/agent/endpoint"
 	"github.com/pistachiowind/pistachiowind/agent/execution"
+	"github.com/pistachiowind/pistachiowind/agent/gate"
 	"github.com/pistachiowind/pistachiowind/agent/intake"
 	"github.com/pistachiowind/pistachiowind/agent/queue"
 	"github.com/pistachiowind/pistachiowind/agent/worker"
@@ -42,6 +43,9 @@
 	DefaultDrainTimeout = 5 * time.Minute
 
 	supervisorTimeout = 5 * time.Second
+
+	// PlacementLease is the lease whose holder orders models and roles.
+	PlacementLease = "placement"
 )
 
 // Options configure an Agent. Name, PeersAddress, AdminAddress, EndpointURL,
@@ -92,6 +96,7 @@
 	worker      *worker.Worker
 	monitor     *monitor
 	ledger      *claim.Ledger
+	gate        *gate.Keeper
 	catalog     *catalogView
 	peers       *httpserver.Server
 	admin       *httpserver.Server
--- a/agent/build.go
+++ b/agent/build.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pistachiowind/pistachiowind/agent/gate"
 	"github.com/pistachiowind/pistachiowind/agent/intake"
 	"github.com/pistachiowind/pistachiowind/agent/worker"
 	"github.com/pistachiowind/pistachiowind/httpserver"
@@ -26,6 +27,7 @@
 		Limiter:   a.limiter(),
 		Execution: a.opts.Execution,
 	})
+	a.gate = gate.NewKeeper(gate.Options{Table: a.opts.Table, Executor: backend, Lease: PlacementLease})
 	a.monitor = &monitor{
 		backend: backend,
 		worker:  a.worker,
@@ -56,7 +58,7 @@
 		Identity: a.identity(),
 		Worker:   a.worker,
 		Claims:   a.ledger,
-		Orders:   a.orders(),
+		Orders:   a.gate,
 		Catalog:  a.catalog,
 		Models:   a.monitor.Models,
 	})
--- a/agent/endpoint/endpoint.go
+++ b/agent/endpoint/endpoint.go
@@ -31,6 +31,9 @@
 
 	// Models lists what the endpoint serves; empty for a plain service.
 	Models(ctx context.Context) ([]string, error)
+
+	// Execute passes an admitted order on to the endpoint.
+	Execute(ctx context.Context, o *rpc.OrderRequest) error
 }
 
 const (
--- a/agent/intake/unary.go
+++ b/agent/intake/unary.go
@@ -25,7 +25,7 @@
 
 // Orders passes fenced orders on.
 type Orders interface {
-	Execute(ctx context.Context, req *rpc.OrderRequest) *rpc.OrderResponse
+	Order(ctx context.Context, req *rpc.OrderRequest) (*rpc.OrderResponse, error)
 }
 
 // CatalogSource returns the catalog in force as JSON.
@@ -86,5 +86,5 @@
 
 // Order passes a fenced order on to the endpoint.
 func (u *Unary) Order(ctx context.Context, req *rpc.OrderRequest) (*rpc.OrderResponse, error) {
-	return u.Orders.Execute(ctx, req), nil
+	return u.Orders.Order(ctx, req)
 }
--- a/agent/operate.go
+++ b/agent/operate.go
@@ -1,14 +1,11 @@
 package agent
 
 import (
-	"context"
 	"errors"
 	"net/http"
 
 	"github.com/pistachiowind/pistachiowind/admin"
-	"github.com/pistachiowind/pistachiowind/agent/intake"
 	"github.com/pistachiowind/pistachiowind/agent/worker"
-	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
 	"github.com/pistachiowind/pistachiowind/settings"
 )
@@ -24,16 +21,6 @@
 	return worker.FixedLimiter{Slots: slots}
 }
 
-// refusedOrders answers orders until the gate is in place.
-type refusedOrders struct{}
-
-// Execute refuses.
-func (refusedOrders) Execute(context.Context, *rpc.OrderRequest) *rpc.OrderResponse {
-	return &rpc.OrderResponse{Code: uint32(resultcode.FencingNumberNotSet), Message: "this agent takes no orders"}
-}
-
-func (a *Agent) orders() intake.Orders { return refusedOrders{} }
-
 // Status implements admin.StatusSource.
 func (a *Agent) Status() admin.Status {
 	return admin.Status{
