Learn the concurrency limit at the agent

Cause: a fixed number of slots ignores how the engine paces. Change: the worker drives package concurrency: admission, slots by tier, preemption when no slot is free, first-token target from the router.

--- a/agent/operate.go
+++ b/agent/operate.go
@@ -4,21 +4,22 @@
 	"errors"
 	"net/http"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pistachiowind/pistachiowind/admin"
+	"github.com/pistachiowind/pistachiowind/agent/concurrency"
 	"github.com/pistachiowind/pistachiowind/agent/worker"
 	"github.com/pistachiowind/pistachiowind/rpc"
 	"github.com/pistachiowind/pistachiowind/settings"
 )
 
-// defaultSlots is the concurrency limit without a learned one.
-const defaultSlots = 64
-
 func (a *Agent) limiter() worker.Limiter {
-	slots := a.opts.Concurrency.Max
-	if slots == 0 {
-		slots = defaultSlots
-	}
-	return worker.FixedLimiter{Slots: slots}
+	return worker.NewLearnedLimiter(concurrency.Options{
+		Initial: a.opts.Concurrency.Initial,
+		Min:     a.opts.Concurrency.Min,
+		Max:     a.opts.Concurrency.Max,
+		Seed:    xxhash.Sum64String(a.incarnation),
+	})
 }
 
 // Status implements admin.StatusSource.
--- a/agent/worker/run.go
+++ b/agent/worker/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/pistachiowind/pistachiowind/agent/concurrency"
 	"github.com/pistachiowind/pistachiowind/agent/queue"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
@@ -27,7 +28,7 @@
 // startReady starts waiting attempts while the concurrency limit allows it.
 func (w *Worker) startReady(now time.Time) {
 	for {
-		it, ok := w.limiter.Next(now, w.queue, w.runningList())
+		it, ok := w.limiter.Next(now, w.queue, w.occupancy())
 		if !ok {
 			return
 		}
@@ -37,6 +38,19 @@
 	}
 }
 
+// occupancy counts what runs and waits, by tier. A stream that is being
+// cancelled still uses its slot.
+func (w *Worker) occupancy() concurrency.Occupancy {
+	var o concurrency.Occupancy
+	for _, j := range w.running {
+		o.Running[j.item.Tier]++
+	}
+	for tier := range o.Waiting {
+		o.Waiting[tier] = w.queue.TierLen(tier)
+	}
+	return o
+}
+
 func (w *Worker) runningList() []queue.Running {
 	list := make([]queue.Running, 0, len(w.running))
 	for _, j := range w.running {
@@ -65,9 +79,10 @@
 	j.cancel = cancel
 	j.running = &queue.Running{Item: it, Started: now}
 	w.running[it.ID] = j
-	w.limiter.Started(now, j.req)
-	w.opts.Observer.Waited(j.req, now.Sub(it.Arrived))
-	started := &rpc.Started{WaitedMs: uint32(now.Sub(it.Arrived).Milliseconds())}
+	waited := now.Sub(j.waitingSince)
+	w.limiter.Started(now, it.Tier, waited)
+	w.opts.Observer.Waited(j.req, waited)
+	started := &rpc.Started{WaitedMs: uint32(waited.Milliseconds())}
 	w.append(j, &rpc.Frame{Kind: &rpc.Frame_Started{Started: started}})
 	w.runs.Go(func() { w.run(ctx, j) })
 }
@@ -84,7 +99,7 @@
 	delete(w.running, j.item.ID)
 	used := now.Sub(j.running.Started)
 	w.queue.Done(j.item, used)
-	w.limiter.Ended(now, j.req, used, err)
+	w.limiter.Ended(now, outcome(err, cause))
 	if err != nil && errors.Is(cause, errPreempted) {
 		w.requeue(now, j, used)
 	} else {
@@ -93,6 +108,21 @@
 	w.startReady(now)
 }
 
+// outcome tells the limiter how a run ended.
+func outcome(err *resultcode.Error, cause error) concurrency.Outcome {
+	switch {
+	case err == nil:
+		return concurrency.Completed
+	case cause != nil:
+		return concurrency.Cancelled
+	case err.Code == resultcode.EndpointOverloaded:
+		return concurrency.Overloaded
+	case err.Code == resultcode.EndpointFailed || err.Code == resultcode.EndpointDown:
+		return concurrency.Failed
+	}
+	return concurrency.Completed
+}
+
 // withCause names why the worker itself stopped a run.
 func withCause(err *resultcode.Error, cause error) *resultcode.Error {
 	if err == nil || cause == nil || errors.Is(cause, context.DeadlineExceeded) {
@@ -142,14 +172,7 @@
 		return err
 	}
 	now := time.Now()
-	switch k := f.GetKind().(type) {
-	case *rpc.Frame_Chunk:
-		w.observeChunk(now, j, k.Chunk)
-	case *rpc.Frame_Head:
-		w.observeFirst(now, j)
-	case *rpc.Frame_Done:
-		k.Done.Load = w.Load(now)
-	}
+	w.observe(now, j, f)
 	f.CatalogVersion = w.opts.Catalog.Version()
 	if j.req.GetIdempotent() {
 		return j.attempt.Append(ctx, f)
@@ -172,13 +195,27 @@
 	return ctx.Err()
 }
 
+// observe learns from the time of a frame.
+func (w *Worker) observe(now time.Time, j *job, f *rpc.Frame) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch k := f.GetKind().(type) {
+	case *rpc.Frame_Chunk:
+		w.observeChunk(now, j, k.Chunk)
+	case *rpc.Frame_Head:
+		w.observeFirst(now, j)
+	case *rpc.Frame_Done:
+		k.Done.Load = w.load(now)
+	}
+}
+
 func (w *Worker) observeFirst(now time.Time, j *job) {
 	if j.progress.first {
 		return
 	}
 	j.progress.first = true
 	d := now.Sub(j.running.Started)
-	w.limiter.FirstToken(now, j.req, d)
+	w.limiter.FirstToken(now, d, j.firstTokenTarget())
 	w.opts.Observer.FirstToken(j.req, d)
 }
 
@@ -206,6 +243,7 @@
 	it.WaitUntil = j.until
 	j.running = nil
 	j.cancel = nil
+	j.waitingSince = now
 	j.progress.last = time.Time{}
 	j.progress.first = false
 	j.attempt.Requeue()
@@ -247,7 +285,7 @@
 	if w.queue.Len() == 0 {
 		return
 	}
-	id, ok := w.limiter.Preempt(now, w.queue, w.runningList())
+	id, ok := w.limiter.Preempt(now, w.queue, w.occupancy(), w.runningList())
 	if !ok {
 		return
 	}
--- a/agent/worker/worker.go
+++ b/agent/worker/worker.go
@@ -69,6 +69,10 @@
 	attempt *execution.Attempt
 	// until is when the whole answer must exist.
 	until time.Time
+	// waitingSince is when the attempt entered the queue, or was requeued.
+	waitingSince time.Time
+	// firstBy is when the first token should exist; zero means no target.
+	firstBy time.Time
 	// progress is what the attempt has emitted so far.
 	progress progress
 	running  *queue.Running
@@ -147,17 +151,30 @@
 	if req.GetTier() >= catalog.TierCount {
 		return resultcode.New(resultcode.MalformedBody, "tier %d does not exist", req.GetTier())
 	}
-	return w.limiter.Admit(now, req, w.queue)
+	return w.limiter.Admit(now, w.admission(now, req))
+}
+
+// admission collects what the limiter judges a new attempt by.
+func (w *Worker) admission(now time.Time, req *rpc.RunRequest) Admission {
+	return Admission{
+		Tier:      int(req.GetTier()),
+		Class:     req.GetClass(),
+		WaitLimit: time.Duration(req.GetWaitLimitMs()) * time.Millisecond,
+		Queue:     w.queue,
+		Occupancy: w.occupancy(),
+		Running:   w.runningList(),
+	}
 }
 
 func newJob(now time.Time, req *rpc.RunRequest, attempt *execution.Attempt) *job {
 	wait := time.Duration(req.GetWaitLimitMs()) * time.Millisecond
 	whole := time.Duration(req.GetTimeLeftMs()) * time.Millisecond
-	return &job{
-		req:      req,
-		attempt:  attempt,
-		until:    now.Add(whole),
-		progress: progress{next: req.GetChat().GetFirstIndex(), text: []byte(req.GetChat().GetTextSoFar())},
+	j := &job{
+		req:          req,
+		attempt:      attempt,
+		until:        now.Add(whole),
+		waitingSince: now,
+		progress:     progress{next: req.GetChat().GetFirstIndex(), text: []byte(req.GetChat().GetTextSoFar())},
 		item: queue.Item{
 			ID:        itemID(attempt.ID()),
 			Tier:      int(req.GetTier()),
@@ -168,6 +185,20 @@
 			WaitUntil: now.Add(min(wait, whole)),
 		},
 	}
+	if left := req.GetFirstTokenLeftMs(); left > 0 {
+		j.firstBy = now.Add(time.Duration(left) * time.Millisecond)
+		j.item.Deadline = j.firstBy
+	}
+	return j
+}
+
+// firstTokenTarget is what the wait left of the target for the first token; zero
+// means that the time is not judged.
+func (j *job) firstTokenTarget() time.Duration {
+	if j.firstBy.IsZero() || j.item.Preemptions > 0 {
+		return 0
+	}
+	return max(j.firstBy.Sub(j.running.Started), 0)
 }
 
 func itemID(id execution.ID) string {
@@ -289,7 +320,7 @@
 }
 
 func (w *Worker) tierDelay(now time.Time, tier int) uint32 {
-	if w.queue.Len() == 0 && len(w.running) < w.limiter.Limit(now) {
+	if w.queue.Len() == 0 && w.limiter.HasSlot(now, tier, w.occupancy()) {
 		return 0
 	}
 	return uint32(w.queue.ExpectedDelay(now, tier).Milliseconds())
--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -277,21 +277,22 @@
 	p := f.req.Profile
 	left := max(f.deadline.Sub(now), 0)
 	m := &rpc.RunRequest{
-		Attempt:        &rpc.AttemptID{Router: f.opts.Router, Ticket: c.ticket},
-		Agent:          c.target.Incarnation,
-		CatalogVersion: f.req.CatalogVersion,
-		RequestId:      f.req.ID,
-		ClientAccount:  f.req.Account.Name,
-		Profile:        p.Name,
-		Class:          p.ClassName(),
-		Tier:           uint32(p.Tier),
-		Weight:         uint32(f.req.Account.Share()),
-		TimeLeftMs:     uint32(left.Milliseconds()),
-		WaitLimitMs:    uint32(f.waitLeft(now).Milliseconds()),
-		Idempotent:     p.Idempotent,
-		IdempotencyKey: f.req.IdempotencyKey,
-		BodyDigest:     f.req.BodyDigest,
-		RouterAddress:  f.opts.RouterAddress,
+		Attempt:          &rpc.AttemptID{Router: f.opts.Router, Ticket: c.ticket},
+		Agent:            c.target.Incarnation,
+		CatalogVersion:   f.req.CatalogVersion,
+		RequestId:        f.req.ID,
+		ClientAccount:    f.req.Account.Name,
+		Profile:          p.Name,
+		Class:            p.ClassName(),
+		Tier:             uint32(p.Tier),
+		Weight:           uint32(f.req.Account.Share()),
+		TimeLeftMs:       uint32(left.Milliseconds()),
+		WaitLimitMs:      uint32(f.waitLeft(now).Milliseconds()),
+		FirstTokenLeftMs: f.firstTokenLeft(now),
+		Idempotent:       p.Idempotent,
+		IdempotencyKey:   f.req.IdempotencyKey,
+		BodyDigest:       f.req.BodyDigest,
+		RouterAddress:    f.opts.RouterAddress,
 	}
 	if f.req.Service != nil {
 		m.Work = &rpc.RunRequest_Service{Service: f.req.Service}
@@ -306,6 +307,17 @@
 	return m
 }
 
+// firstTokenLeft is what is left of the target for the first token, at least 1,
+// or 0 without a target.
+func (f *flight) firstTokenLeft(now time.Time) uint32 {
+	target := f.req.Profile.Target.FirstTokenMS
+	if target == 0 || len(f.text) > 0 {
+		return 0
+	}
+	left := f.req.Received.Add(time.Duration(target) * time.Millisecond).Sub(now)
+	return uint32(max(left.Milliseconds(), 1))
+}
+
 // waitLeft is how long the next attempt may wait. A stream that has begun to
 // reach the caller may wait until the deadline, because refusing it would waste
 // what was generated.
