Retry at the only endpoint after a stale catalog or a failure

Ruled out: queue limits and the claim (the agent's refusal was 4002). Change: the retry keeps the endpoint; after a failure the endpoints that were tried are the fallback. Tests of dispatch against a scripted agent. Measured: the new test fails without the change (no_endpoint), passes with it; go test -race ./router/dispatch passes.

--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -194,7 +194,7 @@
 
 // place selects an endpoint and opens the stream of a new attempt there.
 func (f *flight) place(a recovery.Action) recovery.Action {
-	target, err := f.opts.Fleet.Select(time.Now(), f.query())
+	target, err := f.choose(a)
 	if err != nil {
 		return f.next(recovery.Event{Kind: recovery.NoEndpoint, Error: err})
 	}
@@ -207,14 +207,28 @@
 	f.redirect = false
 	f.req.Trace.Attempts++
 	f.req.Trace.Endpoint = target.Endpoint
-	if !a.KeepEndpoint {
-		f.tried = append(f.tried, target.Endpoint)
-	}
+	f.tried = append(f.tried, target.Endpoint)
 	c.stream = &stream{ticket: c.ticket, events: f.events}
 	f.opts.Client.open(f.ctx, c.stream, target.Address, rpc.RunPath, f.message(c, a.From))
 	return recovery.Action{}
 }
 
+// choose selects an endpoint that was not tried yet. After a failure, though not
+// after a refusal, it falls back to one that was: the only endpoint of a service
+// may be back.
+func (f *flight) choose(a recovery.Action) (Target, *resultcode.Error) {
+	if a.KeepEndpoint && len(f.tried) > 0 {
+		f.tried = f.tried[:len(f.tried)-1]
+	}
+	now := time.Now()
+	target, err := f.opts.Fleet.Select(now, f.query())
+	if err == nil || len(f.tried) == 0 || f.redirect {
+		return target, err
+	}
+	f.tried = nil
+	return f.opts.Fleet.Select(now, f.query())
+}
+
 // mayNotSend applies the retry budget and waits for a newer catalog.
 func (f *flight) mayNotSend(caller context.Context) (bool, recovery.Action) {
 	tier, account := f.req.Profile.Tier, f.req.Account.Name
--- /dev/null
+++ b/router/dispatch/dispatch_test.go
@@ -0,0 +1,197 @@
+package dispatch_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/catalog"
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/router/dispatch"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+// script answers the n-th message of a stream route.
+type script func(n int, w *frameWriter, req *rpc.RunRequest)
+
+type frameWriter struct{ http.ResponseWriter }
+
+func (w *frameWriter) send(f *rpc.Frame) {
+	_ = rpc.WriteMessage(w, f)
+	_ = http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+func (w *frameWriter) chunk(index uint32, text string) {
+	w.send(&rpc.Frame{Kind: &rpc.Frame_Chunk{Chunk: &rpc.Chunk{Index: index, Data: []byte(`{}`), Text: text}}})
+}
+
+func (w *frameWriter) refuse(code resultcode.Code, version uint64) {
+	w.send(&rpc.Frame{CatalogVersion: version, Kind: &rpc.Frame_Refused{Refused: &rpc.Refused{
+		Code: uint32(code), Execution: rpc.Execution_EXECUTION_NOT_RUN,
+	}}})
+}
+
+func (w *frameWriter) done() {
+	w.send(&rpc.Frame{Kind: &rpc.Frame_Done{Done: &rpc.Done{}}})
+}
+
+// fakeAgent is an agent whose streams follow scripts.
+func fakeAgent(t *testing.T, run script, attach func(w *frameWriter, from uint32)) *httptest.Server {
+	mux := http.NewServeMux()
+	var mu sync.Mutex
+	runs := 0
+	mux.HandleFunc(rpc.RunPath, func(w http.ResponseWriter, r *http.Request) {
+		var req rpc.RunRequest
+		if rpc.NewReader(r.Body).Read(&req) != nil {
+			return
+		}
+		mu.Lock()
+		runs++
+		n := runs
+		mu.Unlock()
+		run(n, &frameWriter{w}, &req)
+	})
+	mux.HandleFunc(rpc.AttachPath, func(w http.ResponseWriter, r *http.Request) {
+		var req rpc.AttachRequest
+		if rpc.NewReader(r.Body).Read(&req) != nil {
+			return
+		}
+		attach(&frameWriter{w}, req.GetFromIndex())
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server
+}
+
+// oneEndpoint is a fleet with a single endpoint.
+type oneEndpoint struct {
+	dispatch.Fleet
+	address string
+	open    int
+}
+
+func (f *oneEndpoint) Select(_ time.Time, q dispatch.Query) (dispatch.Target, *resultcode.Error) {
+	if len(q.Excluded) > 0 {
+		return dispatch.Target{}, resultcode.New(resultcode.NoEndpoint, "all were tried")
+	}
+	f.open++
+	return dispatch.Target{Endpoint: "only", Address: f.address, Incarnation: "i"}, nil
+}
+
+func (f *oneEndpoint) Closed(time.Time, dispatch.Target)                           { f.open-- }
+func (f *oneEndpoint) Load(time.Time, dispatch.Target, *rpc.Load)                  {}
+func (f *oneEndpoint) Refused(time.Time, dispatch.Target, resultcode.Code, string) {}
+func (f *oneEndpoint) FirstToken(time.Time, dispatch.Target, time.Duration)        {}
+func (f *oneEndpoint) InterToken(time.Time, dispatch.Target, time.Duration)        {}
+func (f *oneEndpoint) Failed(time.Time, dispatch.Target)                           {}
+func (f *oneEndpoint) Succeeded(time.Time, dispatch.Target)                        {}
+
+type freeBudget struct{}
+
+func (freeBudget) First(int, string)                             {}
+func (freeBudget) Retry(int, string) bool                        { return true }
+func (freeBudget) Redirect(int, string) bool                     { return true }
+func (freeBudget) HedgeDelay(string) (time.Duration, bool)       { return 0, false }
+func (freeBudget) Hedge(int, string, string, time.Duration) bool { return false }
+func (freeBudget) FirstToken(string, time.Duration)              {}
+
+// newerCatalog adopts version 2 as soon as an agent has it.
+type newerCatalog struct{ version uint64 }
+
+func (c *newerCatalog) Current() *catalog.Index {
+	return catalog.NewIndex(&catalog.Catalog{Version: c.version})
+}
+func (c *newerCatalog) Seen(uint64, string)                     {}
+func (c *newerCatalog) Await(_ context.Context, v uint64) error { c.version = v; return nil }
+
+type textSink struct {
+	text strings.Builder
+	done bool
+}
+
+func (s *textSink) Head(*rpc.ResponseHead) error { return nil }
+func (s *textSink) Chunk(c *rpc.Chunk) error     { s.text.WriteString(c.GetText()); return nil }
+func (s *textSink) Done(*rpc.Done) error         { s.done = true; return nil }
+func (s *textSink) Buffered() bool               { return false }
+func (s *textSink) Restart()                     {}
+
+func dispatchChat(t *testing.T, agent *httptest.Server) (*textSink, *oneEndpoint, *resultcode.Error) {
+	fleet := &oneEndpoint{address: strings.TrimPrefix(agent.URL, "http://")}
+	d := dispatch.New(dispatch.Options{
+		Router: "r", Client: dispatch.NewClient(dispatch.NewTransport()),
+		Fleet: fleet, Budget: freeBudget{}, Catalog: &newerCatalog{version: 1},
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	sink := &textSink{}
+	err := d.Dispatch(ctx, &dispatch.Request{
+		ID: "1", Account: &catalog.ClientAccount{Name: "a"}, Profile: &catalog.Profile{Name: "p", Idempotent: true},
+		Received: time.Now(), CatalogVersion: 1, Chat: &rpc.ChatWork{Model: "m", Body: []byte(`{}`)},
+	}, sink)
+	return sink, fleet, err
+}
+
+// Guards against a refusal of a request whose only endpoint has a newer catalog
+// than the router: the endpoint must be asked again after the router has it too.
+func TestStaleCatalogIsRetriedAtTheSameEndpoint(t *testing.T) {
+	agent := fakeAgent(t, func(n int, w *frameWriter, req *rpc.RunRequest) {
+		if req.GetCatalogVersion() < 2 {
+			w.refuse(resultcode.StaleCatalog, 2)
+			return
+		}
+		w.chunk(0, "whole")
+		w.done()
+	}, nil)
+	sink, fleet, err := dispatchChat(t, agent)
+	if err != nil || sink.text.String() != "whole" || !sink.done {
+		t.Errorf("got %q, done %t, %v", sink.text.String(), sink.done, err)
+	}
+	if fleet.open != 0 {
+		t.Errorf("%d attempts are still counted as open", fleet.open)
+	}
+}
+
+// Guards against lost or repeated chunks when a stream breaks and late chunks of
+// the first connection's attempt are sent again.
+func TestBrokenStreamIsContinued(t *testing.T) {
+	agent := fakeAgent(t, func(n int, w *frameWriter, _ *rpc.RunRequest) {
+		w.chunk(0, "a")
+		w.chunk(1, "b")
+		panic(http.ErrAbortHandler)
+	}, func(w *frameWriter, from uint32) {
+		for i, text := range []string{"a", "b", "c"} {
+			if uint32(i)+1 >= from {
+				w.chunk(uint32(i), text)
+			}
+		}
+		w.done()
+	})
+	sink, _, err := dispatchChat(t, agent)
+	if err != nil || sink.text.String() != "abc" {
+		t.Errorf("got %q, %v", sink.text.String(), err)
+	}
+}
+
+// Guards against a stream that ends as if it were whole although its end never
+// came.
+func TestUnfinishedStreamIsAnError(t *testing.T) {
+	agent := fakeAgent(t, func(n int, w *frameWriter, _ *rpc.RunRequest) {
+		if n == 1 {
+			w.chunk(0, "a")
+		}
+		panic(http.ErrAbortHandler)
+	}, func(w *frameWriter, _ uint32) {
+		w.refuse(resultcode.AttemptNotFound, 1)
+	})
+	sink, _, err := dispatchChat(t, agent)
+	if err == nil || sink.done {
+		t.Fatalf("done %t, %v", sink.done, err)
+	}
+	if err.Code != resultcode.StreamInterrupted {
+		t.Errorf("code %d, want %d", err.Code, resultcode.StreamInterrupted)
+	}
+}
