--- /dev/null
+++ b/agent/concurrency/admit.go
@@ -0,0 +1,151 @@
+package concurrency
+
+import (
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/catalog"
+	"github.com/pistachiowind/pistachiowind/resultcode"
+)
+
+// DefaultQueueDelay is the target of the wait in the queue by tier.
+var DefaultQueueDelay = [catalog.TierCount]time.Duration{
+	300 * time.Millisecond, time.Second, 10 * time.Second,
+}
+
+const (
+	// delayInterval is how long the wait of a tier stays above its target
+	// before new work of the lowest tier is refused; a shorter burst passes.
+	delayInterval = 2 * time.Second
+
+	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
+	// retrySpread is the largest random addition to Retry-After, as a part of
+	// it, so that refused callers do not return together.
+	retrySpread = 0.25
+)
+
+// delayControl follows the wait of each tier, in the manner of CoDel.
+type delayControl struct {
+	targets [catalog.TierCount]time.Duration
+	tiers   [catalog.TierCount]tierDelay
+}
+
+type tierDelay struct {
+	above bool
+	// since is when the wait went above the target.
+	since time.Time
+	// seen is the time of the last observation.
+	seen time.Time
+}
+
+func (d *delayControl) observe(now time.Time, tier int, wait time.Duration) {
+	t := &d.tiers[tier]
+	t.seen = now
+	switch {
+	case wait > d.targets[tier]:
+		if !t.above {
+			t.above, t.since = true, now
+		}
+	case !t.sustained(now, delayInterval) || wait <= d.targets[tier]/2:
+		// A sustained excess ends at half the target, so that the refusals do
+		// not alternate with single starts just below it.
+		t.above = false
+	}
+}
+
+func (t tierDelay) sustained(now time.Time, interval time.Duration) bool {
+	return t.above && now.Sub(t.since) >= interval
+}
+
+// refuses reports whether new work of tier is refused. Batch work is refused
+// while any tier's wait is above its target for an interval, standard work
+// while the wait of standard or urgent work is above it for two. Urgent work
+// is never refused for the queue delay.
+func (d *delayControl) refuses(now time.Time, tier int) bool {
+	switch tier {
+	case catalog.TierBatch:
+		for _, t := range d.tiers {
+			if t.sustained(now, delayInterval) {
+				return true
+			}
+		}
+	case catalog.TierStandard:
+		urgent, standard := d.tiers[catalog.TierUrgent], d.tiers[catalog.TierStandard]
+		return urgent.sustained(now, 2*delayInterval) || standard.sustained(now, 2*delayInterval)
+	}
+	return false
+}
+
+// ObserveWait records how long a request waited when it starts. The wait of a
+// requeued request counts from when it was requeued.
+func (l *Limiter) ObserveWait(now time.Time, tier int, wait time.Duration) {
+	l.delay.observe(now, tier, wait)
+}
+
+// Facts describe the queue to Admit.
+type Facts struct {
+	// HasSlot means that the request would start at once.
+	HasSlot bool
+	// Waiting is the number of waiting items by tier.
+	Waiting [catalog.TierCount]int
+	// ExpectedDelay is the expected wait of a new item by tier.
+	ExpectedDelay [catalog.TierCount]time.Duration
+	// ClassWaiting is the number of waiting items of the request's class in its
+	// tier.
+	ClassWaiting int
+	// Preemptible is the number of streams that could be preempted for urgent
+	// work.
+	Preemptible int
+}
+
+// Admit returns nil if a request may enter the queue, otherwise a refusal with
+// the execution not_run and a Retry-After: TargetOutOfReach if it is not
+// expected to start within waitLimit, QueueDelayTooHigh if its tier is refused
+// for the queue delay. An urgent request is refused only for urgent requests
+// ahead of it: streams that could be preempted count as free slots. Below
+// urgent a request is always admitted while no other of its class waits, so
+// that every class progresses.
+func (l *Limiter) Admit(now time.Time, tier int, waitLimit time.Duration, f Facts) *resultcode.Error {
+	l.observeStall(now, f)
+	if f.HasSlot {
+		return nil
+	}
+	if tier == catalog.TierUrgent && f.Waiting[tier] < f.Preemptible {
+		return nil
+	}
+	if tier != catalog.TierUrgent && f.ClassWaiting == 0 {
+		return nil
+	}
+	expected := f.ExpectedDelay[tier]
+	if expected > waitLimit {
+		return resultcode.New(resultcode.TargetOutOfReach, "the expected wait is %s, the limit %s",
+			expected.Round(time.Millisecond), waitLimit).
+			WithRetryAfter(l.retryAfter(expected - waitLimit))
+	}
+	if l.delay.refuses(now, tier) {
+		return resultcode.New(resultcode.QueueDelayTooHigh, "tier %d is refused, its expected wait is %s",
+			tier, expected.Round(time.Millisecond)).
+			WithRetryAfter(l.retryAfter(expected - l.opts.QueueDelay[tier]/2))
+	}
+	return nil
+}
+
+// observeStall judges a tier without starts by its expected delay, and takes an
+// empty tier as having none.
+func (l *Limiter) observeStall(now time.Time, f Facts) {
+	for tier := range f.Waiting {
+		if f.Waiting[tier] == 0 {
+			l.delay.observe(now, tier, 0)
+			continue
+		}
+		if now.Sub(l.delay.tiers[tier].seen) >= delayInterval {
+			l.delay.observe(now, tier, f.ExpectedDelay[tier])
+		}
+	}
+}
+
+// retryAfter bounds and spreads the time that the queue takes to drain.
+func (l *Limiter) retryAfter(drain time.Duration) time.Duration {
+	d := min(max(drain, minRetryAfter), maxRetryAfter)
+	return d + time.Duration(retrySpread*l.rand.Float64()*float64(d))
+}
