--- /dev/null
+++ b/agent/catalogview.go
@@ -0,0 +1,67 @@
+package agent
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/expirable"
+
+	"github.com/pistachiowind/pistachiowind/catalog"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+const (
+	maxKnownRouters = 64
+	routerMemory    = 10 * time.Minute
+)
+
+// catalogView is the agent's part of the catalog: the version in force and the
+// routers from which it can be fetched while the store is down.
+type catalogView struct {
+	holder      *catalog.Holder
+	distributor *catalog.Distributor
+	routers     *expirable.LRU[string, struct{}]
+}
+
+func newCatalogView(opts Options, incarnation string) *catalogView {
+	v := &catalogView{
+		holder:  catalog.NewHolder(),
+		routers: expirable.NewLRU[string, struct{}](maxKnownRouters, nil, routerMemory),
+	}
+	v.distributor = catalog.NewDistributor(catalog.DistributorOptions{
+		Store:    catalog.NewStore(opts.Table),
+		Peers:    catalog.NewRouterClient(peerURL(opts), &http.Client{Transport: opts.PeerTransport}),
+		Holder:   v.holder,
+		PeerList: v.routers.Keys,
+		Seed:     xxhash.Sum64String(incarnation),
+	})
+	return v
+}
+
+// peerURL returns the function that makes a base URL of a peer address.
+func peerURL(opts Options) func(string) string {
+	prefix := "http://"
+	if opts.PeerTLS != nil {
+		prefix = "https://"
+	}
+	return func(address string) string { return prefix + address }
+}
+
+// Version returns the catalog version in force.
+func (v *catalogView) Version() uint64 { return v.holder.Current().Version() }
+
+// Seen notes the version of a router.
+func (v *catalogView) Seen(version uint64, peer string) { v.distributor.Seen(version, peer) }
+
+// SeenPeer notes the address of a router.
+func (v *catalogView) SeenPeer(address string) {
+	if address != "" {
+		v.routers.Add(address, struct{}{})
+	}
+}
+
+// Snapshot returns the catalog as a message for a process that has a version.
+func (v *catalogView) Snapshot(have uint64) *rpc.CatalogSnapshot {
+	return catalog.Snapshot(v.holder, have)
+}
--- /dev/null
+++ b/router/fleet/fleet.go
@@ -0,0 +1,249 @@
+// Package fleet is what the router knows of its endpoints. It feeds the VM list,
+// probe answers and observations of requests to the decisions of packages
+// membership, health and selection, and it sends the probes.
+package fleet
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/catalog"
+	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/router/dispatch"
+	"github.com/pistachiowind/pistachiowind/router/health"
+	"github.com/pistachiowind/pistachiowind/router/membership"
+	"github.com/pistachiowind/pistachiowind/router/selection"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+// Options configure a Fleet. VMs or Agents is required.
+type Options struct {
+	Region           string
+	AvailabilityZone string
+	// VMs is the platform's VM list; nil means that only Agents are used.
+	VMs *platform.VMList
+	// Agents are fixed peer addresses, used besides the VM list.
+	Agents []string
+	// Client reaches the agents.
+	Client *dispatch.Client
+	// RouterAddress is where agents fetch the catalog from this router.
+	RouterAddress string
+	Catalog       Catalog
+	Seed          uint64
+}
+
+// Catalog is the part of the catalog that probes carry.
+type Catalog interface {
+	Version() uint64
+	Seen(version uint64, peer string)
+}
+
+// Fleet knows the endpoints. It is safe for concurrent use; Serve polls the VM
+// list and sends probes.
+type Fleet struct {
+	opts Options
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	set      *membership.Set
+	health   *health.Tracker
+	view     view
+	listRead time.Time
+}
+
+// New returns a Fleet that knows the fixed agents only.
+func New(opts Options) *Fleet {
+	rng := rand.New(rand.NewPCG(opts.Seed, opts.Seed))
+	f := &Fleet{
+		opts:   opts,
+		rng:    rng,
+		set:    membership.New(membership.Options{Region: opts.Region}, rng),
+		health: health.New(health.Options{}),
+	}
+	f.set.List(time.Now(), f.fixedEntries())
+	return f
+}
+
+func (f *Fleet) fixedEntries() []membership.Entry {
+	var entries []membership.Entry
+	for _, address := range f.opts.Agents {
+		entries = append(entries, membership.Entry{
+			Name:             address,
+			Role:             string(platform.RoleAgent),
+			Address:          address,
+			Region:           f.opts.Region,
+			AvailabilityZone: f.opts.AvailabilityZone,
+		})
+	}
+	return entries
+}
+
+// Select chooses the endpoint of an attempt and counts the attempt as open.
+func (f *Fleet) Select(now time.Time, q dispatch.Query) (dispatch.Target, *resultcode.Error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh(now)
+	pick, err := selection.Select(now, f.rng, selection.Request{
+		Model:            q.Model,
+		Service:          q.Service,
+		Tier:             q.Tier,
+		Prefix:           q.Prefix,
+		Region:           f.opts.Region,
+		AvailabilityZone: f.opts.AvailabilityZone,
+		Excluded:         q.Excluded,
+		NonIdempotent:    q.NonIdempotent,
+	}, f.view.candidates)
+	if err != nil {
+		return dispatch.Target{}, resultcode.As(err)
+	}
+	f.view.candidates[pick.Index].Unreported++
+	f.health.Sent(now, pick.Endpoint)
+	return dispatch.Target{
+		Endpoint:    pick.Endpoint,
+		Address:     f.view.addresses[pick.Index],
+		Incarnation: pick.Incarnation,
+		Sent:        now,
+	}, nil
+}
+
+// Closed ends the attempt that Select counted.
+func (f *Fleet) Closed(_ time.Time, t dispatch.Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.view.find(t.Endpoint)
+	if c != nil && t.Sent.After(c.Load.At) {
+		c.Unreported = max(c.Unreported-1, 0)
+	}
+}
+
+// Load records a load value that came with a frame. The frame was read on a
+// connection to the incarnation that the attempt was sent to.
+func (f *Fleet) Load(now time.Time, t dispatch.Target, load *rpc.Load) {
+	if load == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heard(now, membership.Report{
+		Name:        t.Endpoint,
+		Incarnation: t.Incarnation,
+		State:       load.GetState(),
+		Load:        loadValue(now, load),
+	})
+}
+
+func (f *Fleet) heard(now time.Time, r membership.Report) {
+	f.set.Heard(now, r)
+	if c := f.view.find(r.Name); c != nil {
+		c.Load = r.Load
+		c.Unreported = 0
+	}
+}
+
+func loadValue(now time.Time, load *rpc.Load) selection.Load {
+	value := selection.Load{
+		At:      now,
+		Queued:  int(load.GetQueued()),
+		Running: int(load.GetRunning()),
+		Limit:   int(load.GetLimit()),
+	}
+	for tier, ms := range load.GetTierDelayMs() {
+		if tier < catalog.TierCount {
+			value.TierDelay[tier] = time.Duration(ms) * time.Millisecond
+		}
+	}
+	return value
+}
+
+// Refused records a refusal; agent is the incarnation that sent it. The state in
+// its load has been recorded by Load.
+func (f *Fleet) Refused(now time.Time, t dispatch.Target, code resultcode.Code, agent string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case code == resultcode.WrongIncarnation:
+		f.set.Heard(now, membership.Report{
+			Name:        t.Endpoint,
+			Incarnation: agent,
+			State:       rpc.AgentState_AGENT_STATE_STARTING,
+		})
+	case code/1000 == 2:
+		f.observe(now, t, health.Refusal, 0)
+	}
+}
+
+// FirstToken records a latency of the endpoint itself.
+func (f *Fleet) FirstToken(now time.Time, t dispatch.Target, d time.Duration) {
+	f.record(now, t, health.FirstToken, d)
+}
+
+// FirstTokenPending records a time without a first token so far.
+func (f *Fleet) FirstTokenPending(now time.Time, t dispatch.Target, d time.Duration) {
+	f.record(now, t, health.FirstTokenPending, d)
+}
+
+// InterToken records a latency of the endpoint itself.
+func (f *Fleet) InterToken(now time.Time, t dispatch.Target, d time.Duration) {
+	f.record(now, t, health.InterToken, d)
+}
+
+// Succeeded records a whole answer.
+func (f *Fleet) Succeeded(now time.Time, t dispatch.Target) {
+	f.record(now, t, health.Success, 0)
+}
+
+// Failed records a failed connection, stream or endpoint.
+func (f *Fleet) Failed(now time.Time, t dispatch.Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.observe(now, t, health.Failure, 0)
+	f.set.Unreachable(now, t.Endpoint)
+}
+
+func (f *Fleet) record(now time.Time, t dispatch.Target, kind health.Kind, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.observe(now, t, kind, d)
+}
+
+func (f *Fleet) observe(now time.Time, t dispatch.Target, kind health.Kind, d time.Duration) {
+	f.health.Record(now, health.Observation{Endpoint: t.Endpoint, Kind: kind, Duration: d, Sent: t.Sent})
+}
+
+// Models lists what the endpoints offer, sorted.
+func (f *Fleet) Models() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh(time.Now())
+	var names []string
+	for i := range f.view.candidates {
+		names = append(names, f.view.candidates[i].Models...)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// Addresses lists the agents' addresses, for fetching the catalog.
+func (f *Fleet) Addresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh(time.Now())
+	return slices.Sorted(slices.Values(f.view.addresses))
+}
+
+// Serving returns the number of endpoints that accept work.
+func (f *Fleet) Serving() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh(time.Now())
+	n := 0
+	for i := range f.view.candidates {
+		if f.view.candidates[i].State == rpc.AgentState_AGENT_STATE_SERVING {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/router/fleet/probe.go
@@ -0,0 +1,137 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/router/membership"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+const (
+	// listInterval is the mean time between reads of the VM list.
+	listInterval = 5 * time.Second
+
+	// emptyListInterval is the time between reads while no endpoint is known.
+	emptyListInterval = 500 * time.Millisecond
+
+	// probeTick is how often due probes are looked for; package membership bounds
+	// their rate.
+	probeTick = 50 * time.Millisecond
+
+	probeTimeout = time.Second
+)
+
+// String names the service in the supervisor's reports.
+func (f *Fleet) String() string { return "fleet" }
+
+// Serve polls the VM list and sends probes until ctx ends.
+func (f *Fleet) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(probeTick)
+	defer ticker.Stop()
+	for {
+		now := time.Now()
+		if f.listDue(now) {
+			go f.readList(ctx)
+		}
+		f.sendProbes(ctx, now)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// listDue reports whether the VM list is to be read now, and plans the next read.
+func (f *Fleet) listDue(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.opts.VMs == nil || now.Before(f.listRead) {
+		return false
+	}
+	interval := listInterval
+	if len(f.view.candidates) == 0 {
+		interval = emptyListInterval
+	}
+	jitter := time.Duration(f.rng.Int64N(int64(interval / 2)))
+	f.listRead = now.Add(interval*3/4 + jitter)
+	return true
+}
+
+// readList reads the VM list. After an error the known members stay.
+func (f *Fleet) readList(ctx context.Context) {
+	vms, err := f.opts.VMs.List(ctx)
+	if err != nil {
+		return
+	}
+	entries := f.fixedEntries()
+	for _, vm := range vms {
+		entries = append(entries, listEntry(vm))
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	f.set.List(now, entries)
+	f.refresh(now)
+}
+
+func listEntry(vm platform.VM) membership.Entry {
+	e := membership.Entry{
+		Name:             vm.Name,
+		Role:             string(vm.Role),
+		Address:          vm.Address,
+		Region:           vm.Region,
+		AvailabilityZone: vm.AvailabilityZone,
+	}
+	if vm.State == platform.VMLeaving {
+		e.State = membership.Leaving
+	}
+	return e
+}
+
+func (f *Fleet) sendProbes(ctx context.Context, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for {
+		p, ok := f.set.NextProbe(now)
+		if !ok {
+			return
+		}
+		go f.probe(ctx, p)
+	}
+}
+
+func (f *Fleet) probe(ctx context.Context, p membership.Probe) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	agent := rpc.NewAgentProtobufClient(f.opts.Client.URL(p.Address), f.opts.Client.HTTPClient())
+	resp, err := agent.Probe(ctx, &rpc.ProbeRequest{
+		CatalogVersion: f.opts.Catalog.Version(),
+		RouterAddress:  f.opts.RouterAddress,
+	})
+	f.answered(p, resp, err)
+	if err == nil {
+		f.opts.Catalog.Seen(resp.GetCatalogVersion(), p.Address)
+	}
+}
+
+func (f *Fleet) answered(p membership.Probe, resp *rpc.ProbeResponse, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if err != nil {
+		f.set.Unreachable(now, p.Name)
+		return
+	}
+	f.heard(now, membership.Report{
+		Name:        p.Name,
+		Incarnation: resp.GetAgent(),
+		State:       resp.GetLoad().GetState(),
+		Load:        loadValue(now, resp.GetLoad()),
+		Offers:      true,
+		Models:      resp.GetModels(),
+		Service:     resp.GetService(),
+	})
+}
