Start suspects of a crash apart instead of alone

Cause: a suspect waited for an empty endpoint; after an ordinary crash every innocent request in flight, urgent ones too, would wait seconds. Change: during a suspect's probation (to 250 ms after its first token, at most 2 s) nothing else starts beside it; a crash in that time is evidence as strong as running alone.

--- a/agent/quarantine/quarantine.go
+++ b/agent/quarantine/quarantine.go
@@ -1,8 +1,10 @@
 // Package quarantine finds the requests that crash endpoints. A crash makes all
-// requests that were running there suspects; a suspect runs apart from other
-// work, so that a second crash shows which of them is the cause and takes
-// nothing else with it. The package is single-threaded: the caller serialises
-// the calls and passes the time.
+// requests that were running there suspects. A suspect starts apart from other
+// suspects, and nothing else starts beside it until it has proved itself, so that
+// a second crash in that time shows the cause. Streams that are already running
+// go on: waiting for an empty endpoint would delay every innocent request of an
+// ordinary crash by seconds. The package is single-threaded: the caller
+// serialises the calls and passes the time.
 package quarantine
 
 import (
@@ -22,18 +24,13 @@
 	// Lifetime is how long a fingerprint is kept after the last crash.
 	Lifetime = 15 * time.Minute
 
-	// Probation is how long a suspect runs alone. After it other work may start
-	// beside the suspect: about 30 requests become suspects with one crash, and
-	// running each of them alone to its end would stop the endpoint for minutes.
+	// Probation is the longest time in which a suspect has to prove itself.
 	Probation = 2 * time.Second
 
-	// HoldAfter is how long a suspect waits for the endpoint to become empty
-	// before work below urgent is held back for it.
-	HoldAfter = time.Second
-
-	// HoldPause is the time between two suspects during which nothing is held
-	// back, so that work below urgent progresses.
-	HoldPause = 10 * time.Second
+	// ProofAfterFirst ends the probation this long after the first token. A
+	// request that crashes an endpoint does so while its prompt is processed or
+	// with its first tokens.
+	ProofAfterFirst = 250 * time.Millisecond
 )
 
 // Fingerprint is the SHA-256 digest of what a request runs.
@@ -57,16 +54,17 @@
 	Fingerprint Fingerprint `json:"fingerprint"`
 	// Endpoints are the endpoints that crashed with the request, at most two.
 	Endpoints []string `json:"endpoints"`
-	// Alone means that the request ran alone at one of these crashes.
+	// Alone means that one of these crashes came while the request was on
+	// probation, so that no other request had started after it.
 	Alone bool `json:"alone"`
 	// Last is the time of the last crash.
 	Last time.Time `json:"last"`
 }
 
 // Condemned reports whether the evidence suffices: crashes of two different
-// endpoints, at least one of them with the request running alone. A request
-// that only ran beside others at both may be innocent, and an endpoint that
-// crashes twice may itself be the cause.
+// endpoints, at least one of them during the request's probation. A request that
+// only ran beside others at both may be innocent, and an endpoint that crashes
+// twice may itself be the cause.
 func (r Record) Condemned() bool {
 	return r.Alone && len(r.Endpoints) >= 2
 }
@@ -75,14 +73,22 @@
 type Run struct {
 	Fingerprint Fingerprint
 	Started     time.Time
+	// FirstToken is the time of the first token of this run; zero means none yet.
+	FirstToken time.Time
+}
+
+// onProbation reports whether a run of a suspect has not proved itself yet.
+func (r Run) onProbation(now time.Time) bool {
+	if now.Sub(r.Started) >= Probation {
+		return false
+	}
+	return r.FirstToken.IsZero() || now.Sub(r.FirstToken) < ProofAfterFirst
 }
 
 // Table is the evidence known to one process.
 type Table struct {
 	suspects  *simplelru.LRU[Fingerprint, Record]
 	condemned *simplelru.LRU[Fingerprint, Record]
-	// lastAlone is when a suspect last started.
-	lastAlone time.Time
 }
 
 // New returns an empty Table.
@@ -127,16 +133,19 @@
 }
 
 // Crashed records that endpoint crashed while running ran there, and returns
-// the fingerprints that this condemns. Copies of one request count as alone.
+// the fingerprints that this condemns.
 func (t *Table) Crashed(now time.Time, endpoint string, running []Run) []Fingerprint {
+	alone := make([]bool, len(running))
+	for i, run := range running {
+		alone[i] = t.alone(now, run, running)
+	}
 	var condemned []Fingerprint
-	alone := !slices.ContainsFunc(running, func(r Run) bool { return r.Fingerprint != running[0].Fingerprint })
-	for _, run := range running {
+	for i, run := range running {
 		before := t.Verdict(now, run.Fingerprint)
 		t.add(now, Record{
 			Fingerprint: run.Fingerprint,
 			Endpoints:   []string{endpoint},
-			Alone:       alone,
+			Alone:       alone[i],
 			Last:        now,
 		})
 		if before != Condemned && t.Verdict(now, run.Fingerprint) == Condemned {
@@ -146,6 +155,28 @@
 	return condemned
 }
 
+// alone reports whether a crash is attributed to one run: it is a suspect on
+// probation, and no other request started after it or is on probation too.
+// Copies of one request count as one.
+func (t *Table) alone(now time.Time, run Run, running []Run) bool {
+	if t.Verdict(now, run.Fingerprint) == Clear || !run.onProbation(now) {
+		return false
+	}
+	for _, other := range running {
+		if other.Fingerprint == run.Fingerprint {
+			continue
+		}
+		if !other.Started.Before(run.Started) || t.suspectOnProbation(now, other) {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *Table) suspectOnProbation(now time.Time, run Run) bool {
+	return run.onProbation(now) && t.Verdict(now, run.Fingerprint) == Suspect
+}
+
 // Merge adds the evidence of other processes; repeated records change nothing.
 // A crash later than now, by the clock of another process, counts as now.
 func (t *Table) Merge(now time.Time, records []Record) {
@@ -208,34 +239,18 @@
 	return out
 }
 
-// MayStart reports whether f may start beside running: a suspect only at an
-// empty endpoint, other work not while a suspect is in its probation, and a
-// condemned request never.
+// MayStart reports whether a request may start beside running: none while a
+// suspect is on probation there, and a condemned one never. Suspects therefore
+// start one after the other, and what starts beside a suspect cannot be mistaken
+// for it.
 func (t *Table) MayStart(now time.Time, f Fingerprint, running []Run) bool {
-	switch t.Verdict(now, f) {
-	case Condemned:
+	if t.Verdict(now, f) == Condemned {
 		return false
-	case Suspect:
-		return len(running) == 0
 	}
 	for _, run := range running {
-		if now.Sub(run.Started) < Probation && t.Verdict(now, run.Fingerprint) == Suspect {
+		if t.suspectOnProbation(now, run) {
 			return false
 		}
 	}
 	return true
 }
-
-// Started records that f starts.
-func (t *Table) Started(now time.Time, f Fingerprint) {
-	if t.Verdict(now, f) == Suspect {
-		t.lastAlone = now
-	}
-}
-
-// Hold reports whether work below urgent should not start, so that the endpoint
-// empties for a suspect that has waited since suspectSince. Urgent work is not
-// held back for a suspect.
-func (t *Table) Hold(now, suspectSince time.Time) bool {
-	return now.Sub(suspectSince) >= HoldAfter && now.Sub(t.lastAlone) >= HoldPause
-}
