Quarantine requests that crash endpoints across the site

Cause: a request that crashes an engine was resumed on one engine after another and could be sent again by its caller. Change: the agent recognises a crash when a run fails and the endpoint refuses connections, makes what was running suspect, and keeps other work from starting during a suspect's probation. Measured: go test ./agent/... ./router/... ./quarantine passes; not yet measured end to end.

--- a/agent/build.go
+++ b/agent/build.go
@@ -1,13 +1,17 @@
 package agent
 
 import (
+	"context"
 	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/pistachiowind/pistachiowind/agent/gate"
 	"github.com/pistachiowind/pistachiowind/agent/intake"
 	"github.com/pistachiowind/pistachiowind/agent/worker"
 	"github.com/pistachiowind/pistachiowind/httpserver"
+	"github.com/pistachiowind/pistachiowind/quarantine"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
 	"github.com/pistachiowind/pistachiowind/telemetry"
@@ -20,6 +24,8 @@
 	a.ledger = newLedger(a.opts, a.incarnation, a.peers.Address())
 	a.worker = worker.New(worker.Options{
 		Backend:   backend,
+		Endpoint:  a.opts.Name,
+		Publisher: &evidencePublisher{exchange: quarantine.NewExchange(a.opts.Table), log: a.opts.Log},
 		Guard:     &worker.LedgerGuard{Ledger: a.ledger},
 		Catalog:   a.catalog,
 		Observer:  &attemptMetrics{metrics: metrics},
@@ -98,3 +104,20 @@
 func (m *attemptMetrics) Preempted(tier int) {
 	m.metrics.Preempted.Add(1, telemetry.TierLabels{Tier: tier})
 }
+
+// evidencePublisher writes evidence of a crash to the table service in the
+// background. Crashes are rare, and one write covers all requests of a crash.
+type evidencePublisher struct {
+	exchange *quarantine.Exchange
+	log      zerolog.Logger
+}
+
+// Publish implements worker.Publisher.
+func (p *evidencePublisher) Publish(records []quarantine.Record) {
+	go func() {
+		err := p.exchange.Publish(context.Background(), time.Now(), records)
+		if err != nil {
+			p.log.Warn().Err(err).Int("records", len(records)).Msg("evidence of a crash was not shared")
+		}
+	}()
+}
--- a/agent/monitor.go
+++ b/agent/monitor.go
@@ -65,11 +65,12 @@
 	}
 	m.failed = 0
 	m.refreshModels(ctx)
+	// The worker may have seen a crash that fell between two checks.
+	m.worker.SetState(rpc.AgentState_AGENT_STATE_SERVING)
 	if m.wasUp {
 		return
 	}
 	m.wasUp = true
-	m.worker.SetState(rpc.AgentState_AGENT_STATE_SERVING)
 	m.up.Set(1, telemetry.NoLabels{})
 	m.states.Report(telemetry.StateChange{Subject: "endpoint", State: "up"})
 }
--- a/agent/worker/run.go
+++ b/agent/worker/run.go
@@ -22,12 +22,14 @@
 	next  uint32
 	text  []byte
 	first bool
-	last  time.Time
+	// firstAt is the time of the first token of the current run.
+	firstAt time.Time
+	last    time.Time
 }
 
 // startReady starts waiting attempts while the concurrency limit allows it.
 func (w *Worker) startReady(now time.Time) {
-	for {
+	for !w.probation(now) {
 		it, ok := w.limiter.Next(now, w.queue, w.occupancy())
 		if !ok {
 			return
@@ -93,10 +95,17 @@
 	defer cancel()
 	err := w.pass(ctx, j)
 	cause := context.Cause(ctx)
+	crashed := cause == nil && w.endpointCrashed(err)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
+	if crashed {
+		w.recordCrash(now)
+	}
 	delete(w.running, j.item.ID)
+	if err == nil {
+		w.proved(j.req)
+	}
 	used := now.Sub(j.running.Started)
 	w.queue.Done(j.item, used)
 	w.limiter.Ended(now, outcome(err, cause))
@@ -214,6 +223,7 @@
 		return
 	}
 	j.progress.first = true
+	j.progress.firstAt = now
 	d := now.Sub(j.running.Started)
 	w.limiter.FirstToken(now, d, j.firstTokenTarget())
 	w.opts.Observer.FirstToken(j.req, d)
@@ -246,6 +256,7 @@
 	j.waitingSince = now
 	j.progress.last = time.Time{}
 	j.progress.first = false
+	j.progress.firstAt = time.Time{}
 	j.attempt.Requeue()
 	w.opts.Observer.Preempted(it.Tier)
 	displaced, err := w.queue.Push(now, it)
--- a/agent/worker/worker.go
+++ b/agent/worker/worker.go
@@ -14,6 +14,7 @@
 	"github.com/pistachiowind/pistachiowind/agent/execution"
 	"github.com/pistachiowind/pistachiowind/agent/queue"
 	"github.com/pistachiowind/pistachiowind/catalog"
+	"github.com/pistachiowind/pistachiowind/quarantine"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
 )
@@ -53,7 +54,10 @@
 // Options configure a Worker. Backend, Catalog and Observer are required; Guard
 // is required where non-idempotent requests arrive.
 type Options struct {
-	Backend   endpoint.Backend
+	Backend endpoint.Backend
+	// Endpoint names the endpoint in evidence of crashes.
+	Endpoint  string
+	Publisher Publisher
 	Guard     Guard
 	Catalog   CatalogState
 	Observer  Observer
@@ -96,6 +100,10 @@
 	jobs    map[string]*job
 	running map[string]*job
 	state   rpc.AgentState
+	// quarantine holds the requests that may have crashed endpoints.
+	quarantine *quarantine.Table
+	// crashSeen is set from a crash until the endpoint is up again.
+	crashSeen bool
 	// idle is closed when the last open attempt has ended while draining.
 	idle chan struct{}
 	runs sync.WaitGroup
@@ -104,13 +112,14 @@
 // New returns a Worker in state starting; see SetState.
 func New(opts Options) *Worker {
 	return &Worker{
-		opts:    opts,
-		table:   execution.NewTable(opts.Execution),
-		queue:   queue.New(opts.Queue),
-		limiter: opts.Limiter,
-		jobs:    make(map[string]*job),
-		running: make(map[string]*job),
-		state:   rpc.AgentState_AGENT_STATE_STARTING,
+		opts:       opts,
+		table:      execution.NewTable(opts.Execution),
+		queue:      queue.New(opts.Queue),
+		limiter:    opts.Limiter,
+		jobs:       make(map[string]*job),
+		running:    make(map[string]*job),
+		state:      rpc.AgentState_AGENT_STATE_STARTING,
+		quarantine: quarantine.New(),
 	}
 }
 
@@ -151,6 +160,9 @@
 	if req.GetTier() >= catalog.TierCount {
 		return resultcode.New(resultcode.MalformedBody, "tier %d does not exist", req.GetTier())
 	}
+	if err := w.learn(now, req); err != nil {
+		return err
+	}
 	return w.limiter.Admit(now, w.admission(now, req))
 }
 
@@ -237,7 +249,7 @@
 	delete(w.jobs, j.item.ID)
 	if err != nil {
 		j.attempt.Resolve(err.Verdict())
-		w.append(j, w.refusedFrame(now, err))
+		w.append(j, w.refusedFrame(now, j.req, err))
 	} else {
 		j.attempt.Resolve(resultcode.Ran)
 	}
@@ -249,13 +261,14 @@
 	}
 }
 
-func (w *Worker) refusedFrame(now time.Time, err *resultcode.Error) *rpc.Frame {
+func (w *Worker) refusedFrame(now time.Time, req *rpc.RunRequest, err *resultcode.Error) *rpc.Frame {
 	return &rpc.Frame{Kind: &rpc.Frame_Refused{Refused: &rpc.Refused{
 		Code:         uint32(err.Code),
 		Message:      err.Detail(),
 		Execution:    rpc.ExecutionOf(err.Verdict()),
 		RetryAfterMs: uint32(err.RetryAfter.Milliseconds()),
 		Load:         w.load(now),
+		Evidence:     w.evidence(now, req),
 	}}}
 }
 
@@ -330,6 +343,9 @@
 func (w *Worker) SetState(s rpc.AgentState) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if s == rpc.AgentState_AGENT_STATE_SERVING {
+		w.crashSeen = false
+	}
 	if w.state != rpc.AgentState_AGENT_STATE_LEAVING {
 		w.state = s
 	}
--- a/agent/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/agent/quarantine"
+	"github.com/pistachiowind/pistachiowind/quarantine"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/pistachiowind/pistachiowind/quarantine"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/router/recovery"
 	"github.com/pistachiowind/pistachiowind/rpc"
@@ -34,6 +35,7 @@
 	Fleet         Fleet
 	Budget        Budget
 	Catalog       Catalog
+	Quarantine    Quarantine
 	// MaxAttempts bounds the attempts of one request; zero means 4.
 	MaxAttempts int
 }
@@ -102,6 +104,9 @@
 // means that the whole answer was written. The result's execution verdict is
 // backed by evidence as package recovery requires it.
 func (d *Dispatcher) Dispatch(ctx context.Context, req *Request, sink Sink) *resultcode.Error {
+	if d.opts.Quarantine.Condemned(time.Now(), req.BodyDigest) {
+		return condemned()
+	}
 	deadline, _ := ctx.Deadline()
 	streams, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -127,6 +132,11 @@
 	return f.run(ctx)
 }
 
+func condemned() *resultcode.Error {
+	return resultcode.New(resultcode.RequestCondemned, "the request crashed endpoints and is refused for a while").
+		WithRetryAfter(quarantine.Lifetime)
+}
+
 // run handles events until the machine gives the final answer.
 func (f *flight) run(caller context.Context) *resultcode.Error {
 	action := f.send(caller, recovery.Action{Kind: recovery.Send})
@@ -307,6 +317,7 @@
 		IdempotencyKey:   f.req.IdempotencyKey,
 		BodyDigest:       f.req.BodyDigest,
 		RouterAddress:    f.opts.RouterAddress,
+		Evidence:         f.opts.Quarantine.Evidence(now, f.req.BodyDigest),
 	}
 	if f.req.Service != nil {
 		m.Work = &rpc.RunRequest_Service{Service: f.req.Service}
--- a/router/dispatch/dispatch_test.go
+++ b/router/dispatch/dispatch_test.go
@@ -108,6 +108,12 @@
 func (c *newerCatalog) Seen(uint64, string)                     {}
 func (c *newerCatalog) Await(_ context.Context, v uint64) error { c.version = v; return nil }
 
+type noQuarantine struct{}
+
+func (noQuarantine) Learn(time.Time, *rpc.Evidence)           {}
+func (noQuarantine) Evidence(time.Time, []byte) *rpc.Evidence { return nil }
+func (noQuarantine) Condemned(time.Time, []byte) bool         { return false }
+
 type textSink struct {
 	text strings.Builder
 	done bool
@@ -123,7 +129,7 @@
 	fleet := &oneEndpoint{address: strings.TrimPrefix(agent.URL, "http://")}
 	d := dispatch.New(dispatch.Options{
 		Router: "r", Client: dispatch.NewClient(dispatch.NewTransport()),
-		Fleet: fleet, Budget: freeBudget{}, Catalog: &newerCatalog{version: 1},
+		Fleet: fleet, Budget: freeBudget{}, Catalog: &newerCatalog{version: 1}, Quarantine: noQuarantine{},
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
--- a/router/dispatch/frames.go
+++ b/router/dispatch/frames.go
@@ -213,6 +213,10 @@
 	err := r.Err()
 	c.ended = !e.stream.attached || err.Verdict() != resultcode.Unknown
 	f.redirect = err.Verdict() == resultcode.NotRun
+	f.opts.Quarantine.Learn(now, r.GetEvidence())
+	if f.opts.Quarantine.Condemned(now, f.req.BodyDigest) {
+		err = condemned().WithExecution(err.Verdict())
+	}
 	f.opts.Fleet.Load(now, c.target, r.GetLoad())
 	f.opts.Fleet.Refused(now, c.target, err.Code, r.GetAgent())
 	kind := recovery.Refused
--- a/router/dispatch/request.go
+++ b/router/dispatch/request.go
@@ -127,6 +127,16 @@
 	FirstToken(group string, d time.Duration)
 }
 
+// Quarantine knows the requests that crashed endpoints.
+type Quarantine interface {
+	// Learn takes evidence from an agent.
+	Learn(now time.Time, e *rpc.Evidence)
+	// Evidence returns what is known against a request, by the digest of its body.
+	Evidence(now time.Time, digest []byte) *rpc.Evidence
+	// Condemned reports whether the request is refused.
+	Condemned(now time.Time, digest []byte) bool
+}
+
 // Catalog is the part of the catalog that the dispatcher needs.
 type Catalog interface {
 	Current() *catalog.Index
--- a/router/router.go
+++ b/router/router.go
@@ -7,6 +7,7 @@
 //	├── peers server
 //	├── admin server
 //	├── fleet (membership, health, selection)
+//	├── quarantine reader
 //	└── catalog distributor
 package router
 
@@ -87,6 +88,7 @@
 	client      *dispatch.Client
 	fleet       *fleet.Fleet
 	catalog     *catalogView
+	quarantine  *quarantineView
 	store       *catalog.Store
 	ingress     *ingress.Server
 	recorder    *burn.Recorder
@@ -191,7 +193,9 @@
 		Seed:             seed,
 	})
 	r.catalog.start(r.fleet.Addresses)
+	r.quarantine = newQuarantineView(r.opts.Table, seed)
 	dispatcher := dispatch.New(dispatch.Options{
+		Quarantine:    r.quarantine,
 		Router:        r.incarnation,
 		RouterAddress: r.peers.Address(),
 		Client:        r.client,
@@ -222,6 +226,7 @@
 	})
 	r.supervisor.Add(r.fleet)
 	r.supervisor.Add(r.catalog.distributor)
+	r.supervisor.Add(r.quarantine)
 	r.supervisor.Add(r.callers)
 	r.supervisor.Add(r.peers)
 	r.supervisor.Add(r.admin)
