--- a/router/health/health_test.go
+++ b/router/health/health_test.go
@@ -257,3 +257,31 @@
 		})
 	}
 }
+
+// The virtual time until a slowed endpoint of 12, with 5 attempts/s each, has
+// lost 40% of its share, and until it is ejected. Zero means never within 20 s.
+func BenchmarkDetection(b *testing.B) {
+	for _, factor := range []int{2, 3, 5, 10, 30} {
+		b.Run(fmt.Sprintf("slowdown=%d", factor), func(b *testing.B) {
+			var reduced, ejected time.Duration
+			for b.Loop() {
+				s := newSite(12)
+				s.run(5 * time.Second)
+				start := s.now
+				s.latency[0] *= time.Duration(factor)
+				reduced, ejected = 0, 0
+				for ejected == 0 && s.now.Sub(start) < 20*time.Second {
+					s.run(200 * time.Millisecond)
+					if reduced == 0 && s.weight(0) < 0.6 {
+						reduced = s.now.Sub(start)
+					}
+					if s.ejected() > 0 {
+						ejected = s.now.Sub(start)
+					}
+				}
+			}
+			b.ReportMetric(float64(reduced.Milliseconds()), "ms-to-0.6")
+			b.ReportMetric(float64(ejected.Milliseconds()), "ms-to-eject")
+		})
+	}
+}
