Secure the traffic between processes by mutual TLS

Cause: the tls section of the settings had no effect, and an agent took work from anybody who reached it. Change: package peertls with certificates read again when their files change; an agent takes work and orders only from certificates with the role router; the HTTP servers' own messages go to the structured log.

--- a/agent/build.go
+++ b/agent/build.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -11,6 +12,7 @@
 	"github.com/pistachiowind/pistachiowind/agent/intake"
 	"github.com/pistachiowind/pistachiowind/agent/worker"
 	"github.com/pistachiowind/pistachiowind/httpserver"
+	"github.com/pistachiowind/pistachiowind/peertls"
 	"github.com/pistachiowind/pistachiowind/quarantine"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
@@ -47,15 +49,24 @@
 // listen opens the listeners for routers and operators.
 func (a *Agent) listen(peers, operators http.Handler) error {
 	var err error
-	a.peers, err = httpserver.Listen("peers", a.opts.PeersAddress, peers, a.opts.PeerTLS)
+	a.peers, err = httpserver.Listen("peers", a.opts.PeersAddress, peertls.RequireRouter(openToAgents, peers), a.opts.PeerTLS)
 	if err != nil {
 		return err
 	}
 	a.admin, err = httpserver.Listen("admin", a.opts.AdminAddress, operators, nil)
 	if err != nil {
 		_ = a.peers.Close()
+		return err
 	}
-	return err
+	a.peers.LogTo(a.opts.Log)
+	a.admin.LogTo(a.opts.Log)
+	return nil
+}
+
+// openToAgents reports whether other agents may use a route: they ask about claims
+// and fetch the catalog, but never send work or orders.
+func openToAgents(path string) bool {
+	return strings.HasSuffix(path, "/ClaimStatus") || strings.HasSuffix(path, "/FetchCatalog")
 }
 
 func (a *Agent) registerPeers(mux *http.ServeMux) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net/http"
 	"os"
@@ -15,7 +16,9 @@
 
 	"github.com/pistachiowind/pistachiowind/agent"
 	"github.com/pistachiowind/pistachiowind/agent/queue"
+	"github.com/pistachiowind/pistachiowind/peertls"
 	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/router"
 	"github.com/pistachiowind/pistachiowind/router/dispatch"
 	"github.com/pistachiowind/pistachiowind/settings"
@@ -79,7 +82,11 @@
 	if s.Platform.VMListURL != "" {
 		opts.VMs = platform.NewVMList(platform.Options{URL: s.Platform.VMListURL})
 	}
-	opts.PeerTransport = peerTransport(s.TLS, log)
+	security, err := newPeerSecurity(s.TLS, log)
+	if err != nil {
+		return nil, err
+	}
+	opts.PeerTLS, opts.PeerTransport = security.server, security.transport
 	return router.New(opts)
 }
 
@@ -89,6 +96,10 @@
 	if err != nil {
 		return nil, err
 	}
+	security, err := newPeerSecurity(s.TLS, log)
+	if err != nil {
+		return nil, err
+	}
 	return agent.New(agent.Options{
 		Name:             s.Name,
 		Region:           s.Region,
@@ -102,7 +113,8 @@
 		Objects:          platform.NewObjects(platform.Options{URL: s.Platform.ObjectsURL}),
 		Queue:            queue.Options{Capacity: s.Queue.MaxItems, PerAccount: s.Queue.MaxItemsPerAccount},
 		Concurrency:      agent.Concurrency(s.Concurrency),
-		PeerTransport:    peerTransport(s.TLS, log),
+		PeerTLS:          security.server,
+		PeerTransport:    security.transport,
 		DrainTimeout:     s.DrainTimeout(),
 		Operators:        s.Operators,
 		Log:              log,
@@ -119,10 +131,30 @@
 	})
 }
 
-// peerTransport returns the transport for traffic between processes.
-func peerTransport(tls *settings.TLS, log zerolog.Logger) *http.Transport {
-	if tls == nil {
+// peerSecurity is how a process talks to its peers.
+type peerSecurity struct {
+	server    *tls.Config
+	transport *http.Transport
+}
+
+// newPeerSecurity loads the certificates, or reports that there are none.
+func newPeerSecurity(s *settings.TLS, log zerolog.Logger) (peerSecurity, error) {
+	transport := dispatch.NewTransport()
+	if s == nil {
 		log.Warn().Msg("traffic between processes is not encrypted: settings have no tls section")
+		return peerSecurity{transport: transport}, nil
+	}
+	files := peertls.Files{Certificate: s.CertificateFile, Key: s.KeyFile, CA: s.CAFile}
+	identity, err := peertls.Load(files, func(err error) {
+		if err != nil {
+			log.Error().Err(err).Msg("new TLS files are not usable; the previous certificate stays in use")
+			return
+		}
+		log.Info().Msg("TLS files reloaded")
+	})
+	if err != nil {
+		return peerSecurity{}, resultcode.Wrap(resultcode.InvalidSettings, err, "field tls")
 	}
-	return dispatch.NewTransport()
+	transport.TLSClientConfig = identity.ClientConfig()
+	return peerSecurity{server: identity.ServerConfig(), transport: transport}, nil
 }
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -7,11 +7,14 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
 
 	"github.com/pistachiowind/pistachiowind/rpc"
@@ -56,6 +59,20 @@
 	}}, nil
 }
 
+// LogTo sends the HTTP server's own messages, such as failed TLS handshakes, to a
+// logger at debug level: a peer can cause any number of them.
+func (s *Server) LogTo(logger zerolog.Logger) {
+	s.http.ErrorLog = log.New(&debugWriter{logger: logger}, "", 0)
+}
+
+type debugWriter struct{ logger zerolog.Logger }
+
+// Write logs one message.
+func (w *debugWriter) Write(p []byte) (int, error) {
+	w.logger.Debug().Str("detail", strings.TrimSpace(string(p))).Msg("http server message")
+	return len(p), nil
+}
+
 // Address returns the listening address with the port that the kernel chose.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
--- a/router/router.go
+++ b/router/router.go
@@ -172,8 +172,12 @@
 	if err != nil {
 		_ = r.callers.Close()
 		_ = r.peers.Close()
+		return err
+	}
+	for _, s := range []*httpserver.Server{r.callers, r.peers, r.admin} {
+		s.LogTo(r.opts.Log)
 	}
-	return err
+	return nil
 }
 
 func (r *Router) build() {
