Bound the wait below urgent by the first-token target

Cause: at six times the demo's load, chat requests waited up to their 10 s limit and were answered long after their 3 s target, and 830 refusals said retry_budget_spent instead of the agent's reason. Change: without an explicit limit, a profile below urgent waits no longer than its first-token target; a redirect that the budget refuses keeps the agent's code. New command load.

--- a/catalog/types.go
+++ b/catalog/types.go
@@ -97,11 +97,16 @@
 	DefaultMaxRun = 10 * time.Minute
 )
 
-// MaxWait returns the longest wait before the start at an endpoint. Without
-// an explicit limit, a first-token target bounds the wait as well.
+// MaxWait returns the longest wait before the start at an endpoint. Without an
+// explicit limit, a request below urgent does not wait longer than its target
+// for the first token: an early refusal lets its caller come back, while a late
+// answer takes the place of one that would be in time.
 func (p Profile) MaxWait() time.Duration {
-	if p.Limits.MaxWaitMS > 0 {
+	switch {
+	case p.Limits.MaxWaitMS > 0:
 		return time.Duration(p.Limits.MaxWaitMS) * time.Millisecond
+	case p.Tier != TierUrgent && p.Target.FirstTokenMS > 0:
+		return time.Duration(p.Target.FirstTokenMS) * time.Millisecond
 	}
 	return DefaultMaxWait
 }
--- a/cmd/pistachiowind/main.go
+++ b/cmd/pistachiowind/main.go
@@ -52,6 +52,7 @@
 	commands := map[string]command{}
 	addDaemons(app, commands)
 	addDemo(app, commands)
+	addLoad(app, commands)
 	addProfile(app, commands)
 	addCatalog(app, commands)
 	addReport(app, commands)
--- a/demo/catalog.go
+++ b/demo/catalog.go
@@ -31,7 +31,6 @@
 			{
 				Name: ProfileChat, Tier: catalog.TierStandard, Idempotent: true,
 				Target: catalog.Target{FirstTokenMS: 3000, InterTokenMS: 100},
-				Limits: catalog.Limits{MaxWaitMS: 10000},
 			},
 			{
 				Name: ProfileHistory, Tier: catalog.TierBatch, Idempotent: true,
--- a/router/recovery/machine.go
+++ b/router/recovery/machine.go
@@ -134,7 +134,7 @@
 		return Action{}
 	}
 	cause := m.cause
-	if e.Kind == BudgetRefused {
+	if e.Kind == BudgetRefused && !isRefusal(cause) {
 		cause = resultcode.New(resultcode.RetryBudgetSpent, "no further attempt")
 		if m.cause != nil {
 			cause.Err = m.cause
@@ -149,6 +149,12 @@
 	return m.conclude(cause)
 }
 
+// isRefusal reports whether the last attempt was refused for lack of capacity. The
+// caller is then told that reason: a refused redirect adds nothing to it.
+func isRefusal(cause *resultcode.Error) bool {
+	return cause != nil && cause.Code/1000 == 2
+}
+
 func (m *Machine) notOpened(now time.Time, a *attempt) Action {
 	if a.started || a.attaches > 0 {
 		return m.lost(now, a, resultcode.New(resultcode.ConnectionSilent, "attach failed"), true)
