Verify the read behind a refused catalog change

Cause: stateful fuzzing showed a change that was accepted, then repeated and refused with a conflict, because a lagging read showed a version from before it. The row catalog/current also held the list of changed fields, up to 14 KB, and every process reads it every 4 s. Change: before a conflict is reported, the row is written again with its own value under its revision, which fails if the read lagged; a read below the base version counts as lagging. The polled row names the change only; the history row has the fields. The polled row has at most 600 bytes (TestPolledRowIsSmall).

--- a/catalog/distribution_test.go
+++ b/catalog/distribution_test.go
@@ -105,6 +105,8 @@
 	peer  *Catalog
 	down  error
 	loads int
+	// slow is how long the store takes to answer.
+	slow time.Duration
 }
 
 func (f *fakeSources) set(change func()) {
@@ -117,6 +119,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.loads++
+	time.Sleep(f.slow)
 	if f.down != nil {
 		return 0, nil, f.down
 	}
@@ -198,3 +201,27 @@
 		}
 	})
 }
+
+// Guards against a confirmation that counts from the receipt of an answer: what
+// the store said 4 s ago proves nothing about the time since.
+func TestConfirmationCountsFromSending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &fakeSources{store: version(1), slow: 4 * time.Second}
+		h := NewHolder()
+		d := NewDistributor(DistributorOptions{Store: f, Peers: f, Holder: h, PeerList: func() []string { return nil }})
+		done := make(chan error)
+		go func() { done <- d.Serve(ctx) }()
+		sent := time.Now()
+		time.Sleep(f.slow + time.Millisecond)
+		if h.Current().Version() != 1 || h.Fresh(sent.Add(FreshFor+time.Millisecond)) {
+			t.Fatalf("version %d, adoption fresh beyond %v after the question", h.Current().Version(), FreshFor)
+		}
+		time.Sleep(f.slow)
+		if now := sent.Add(f.slow + FreshFor); !h.Fresh(now) || h.Fresh(now.Add(time.Millisecond)) {
+			t.Fatalf("confirmation fresh beyond %v after the question", FreshFor)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/catalog/history.go
+++ b/catalog/history.go
@@ -23,58 +23,63 @@
 	return chain[:min(limit, len(chain))], err
 }
 
-// chain follows the parents from the newest entry through the history rows. A
+// chain follows the parents from the newest version through the history rows. A
 // missing row means a lagging read and yields ErrUnavailable.
 func (s *Store) chain(ctx context.Context, newest Entry) ([]Entry, error) {
-	if newest.Version == 0 {
-		return nil, nil
-	}
-	chain := []Entry{newest}
-	if newest.Version == 1 {
-		return chain, nil
-	}
-	oldest := uint64(1)
+	f := follower{version: newest.Version, changeID: newest.ChangeID}
 	if newest.Version > HistoryVersions {
-		oldest = newest.Version - HistoryVersions + 1
+		f.end = newest.Version - HistoryVersions
 	}
 	after := ""
 	for range maxHistoryPages {
+		if f.version == f.end {
+			return f.chain, nil
+		}
 		rows, next, err := s.table.List(ctx, historyPrefix, after, platform.MaxListRows)
 		if err != nil {
 			return nil, err
 		}
-		chain, err = extend(chain, rows, oldest)
-		if err != nil || chain[len(chain)-1].Version == oldest {
-			return chain, err
+		if err := f.follow(rows); err != nil {
+			return nil, err
 		}
 		if next == "" {
 			break
 		}
 		after = next
 	}
-	last := chain[len(chain)-1]
+	if f.version == f.end {
+		return f.chain, nil
+	}
 	return nil, fmt.Errorf("%w: history row of version %d, change %s, not found",
-		platform.ErrUnavailable, last.Version-1, last.Parent)
+		platform.ErrUnavailable, f.version, f.changeID)
+}
+
+// follower collects a chain of entries down to the version end, without it.
+type follower struct {
+	chain []Entry
+	// The next entry to find.
+	version  uint64
+	changeID string
+	end      uint64
 }
 
-// extend appends the parents that occur among rows, which are sorted from the
-// highest version down, until the oldest version wanted.
-func extend(chain []Entry, rows []platform.Row, oldest uint64) ([]Entry, error) {
+// follow takes rows that are sorted from the highest version down.
+func (f *follower) follow(rows []platform.Row) error {
 	for _, row := range rows {
-		last := chain[len(chain)-1]
-		if last.Version == oldest {
-			return chain, nil
+		if f.version == f.end {
+			return nil
 		}
-		if row.Key != versionKey(historyPrefix, last.Version-1, last.Parent) {
+		if row.Key != versionKey(historyPrefix, f.version, f.changeID) {
 			continue
 		}
 		e, err := decodeEntry(row)
 		if err != nil {
-			return nil, err
+			return err
 		}
-		chain = append(chain, e)
+		f.chain = append(f.chain, e)
+		f.version, f.changeID = e.Version-1, e.Parent
 	}
-	return chain, nil
+	return nil
 }
 
 // prune deletes rows of versions that are no longer kept, a bounded number at
--- a/catalog/holder.go
+++ b/catalog/holder.go
@@ -74,6 +74,17 @@
 	return h.Current().Version() > 0 && now.Sub(h.confirmed) <= FreshFor
 }
 
+// Snapshot answers a peer that has the version have: the version in effect, and
+// its document as JSON if that version is higher.
+func (h *Holder) Snapshot(have uint64) (version uint64, body []byte, err error) {
+	c := h.Current().Catalog()
+	if c.Version <= have {
+		return c.Version, nil, nil
+	}
+	body, err = Encode(c)
+	return c.Version, body, err
+}
+
 // Changed returns a channel that is closed at the next adoption. A watcher
 // calls Changed before it reads Current, so that it misses no version.
 func (h *Holder) Changed() <-chan struct{} {
--- a/catalog/rows.go
+++ b/catalog/rows.go
@@ -47,8 +47,9 @@
 	Parent string    `json:"parent,omitempty"`
 	By     string    `json:"by"`
 	At     time.Time `json:"at"`
-	// What lists the changed fields, at most 32.
-	What []Difference `json:"what"`
+	// What lists the changed fields, at most 32. The row catalog/current leaves it
+	// out: every process reads that row every 4 s, and the list can have 14 KB.
+	What []Difference `json:"what,omitempty"`
 }
 
 // versionKey sorts rows of higher versions first.
@@ -58,8 +59,8 @@
 
 // current is the decoded row catalog/current; its zero value means no row.
 type current struct {
-	entry    Entry
-	revision platform.Revision
+	entry Entry
+	row   platform.Row
 }
 
 func decodeEntry(row platform.Row) (Entry, error) {
--- a/catalog/store.go
+++ b/catalog/store.go
@@ -96,7 +96,7 @@
 		return current{}, err
 	}
 	e, err := decodeEntry(row)
-	return current{entry: e, revision: row.Revision}, err
+	return current{entry: e, row: row}, err
 }
 
 // Put makes the change the next version and returns it. A change that is
@@ -160,6 +160,9 @@
 		return nil, err
 	}
 	if change.Base != cur.entry.Version {
+		if err := s.verify(ctx, cur, change.Base); err != nil {
+			return nil, err
+		}
 		return nil, conflict(change, cur.entry, base)
 	}
 	next, err := apply(base, change, now)
@@ -169,6 +172,19 @@
 	return s.write(ctx, cur, base, next)
 }
 
+// verify proves that cur is in force by writing the same value again under its
+// revision. Without it a lagging read could refuse a change that is in force. The
+// write changes no content, so its outcome does not matter to the put.
+func (s *Store) verify(ctx context.Context, cur current, base uint64) error {
+	if cur.entry.Version < base {
+		return fmt.Errorf("%w: read version %d, the change is based on version %d", platform.ErrUnavailable, cur.entry.Version, base)
+	}
+	if _, err := s.table.Put(ctx, currentKey, cur.row.Value, cur.row.Revision); err != nil {
+		return fmt.Errorf("%w: version %d not verified: %v", platform.ErrUnavailable, cur.entry.Version, err)
+	}
+	return nil
+}
+
 // accepted returns the version that an accepted change made. Its document may
 // have been pruned; then the result has no contents.
 func (s *Store) accepted(ctx context.Context, e Entry) (*Catalog, error) {
@@ -252,7 +268,11 @@
 	if _, err := s.create(ctx, versionKey(historyPrefix, entry.Version, entry.ChangeID), value); err != nil {
 		return nil, err
 	}
-	_, err = s.table.Put(ctx, currentKey, value, cur.revision)
+	entry.What = nil
+	if value, err = json.Marshal(entry); err != nil {
+		return nil, err
+	}
+	_, err = s.table.Put(ctx, currentKey, value, cur.row.Revision)
 	if errors.Is(err, platform.ErrConflict) {
 		return nil, fmt.Errorf("%w: %w", errMoved, err)
 	}
--- a/catalog/store_test.go
+++ b/catalog/store_test.go
@@ -227,6 +227,44 @@
 	table.rows[currentKey] = platform.Row{Key: currentKey, Value: value, Revision: "f"}
 }
 
+// Guards against a poll that exceeds the 3 KB/s of control traffic per process.
+func TestPolledRowIsSmall(t *testing.T) {
+	s, table := storeWithCatalog(t)
+	many := sample()
+	for i := range maxProfiles - 2 {
+		many.Profiles = append(many.Profiles, Profile{Name: fmt.Sprint("p", i)})
+	}
+	id := strings.Repeat("x", 64)
+	if _, err := s.Put(ctx, start, Change{ID: id, By: strings.Repeat("y", maxAuthorBytes), Base: 1, Catalog: many}); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(table.rows[currentKey].Value); n > 600 {
+		t.Fatalf("polled row has %d bytes", n)
+	}
+}
+
+// BenchmarkAdopt decodes, validates and indexes a catalog of the planned size,
+// which each process does once per change.
+func BenchmarkAdopt(b *testing.B) {
+	c := sample()
+	for i := range 840 {
+		name := fmt.Sprint("account-", i)
+		c.ClientAccounts = append(c.ClientAccounts, ClientAccount{Name: name, KeyHashes: []string{HashKey(name), HashKey(name + "b")}, DefaultProfile: "urgent"})
+	}
+	body, err := Encode(c)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		c, err := DecodeStored(body)
+		if err != nil {
+			b.Fatal(err)
+		}
+		NewIndex(c)
+	}
+	b.ReportMetric(float64(len(body)), "bytes")
+}
+
 // Guards against a put reported as without effect while it may be in force.
 func TestPutReportsUnknownOutcome(t *testing.T) {
 	s, table := storeWithCatalog(t)
