Stop saving a released claim that was taken over

Cause: a key that the endpoint refused can be taken over by another agent before its release is saved. The outbox then read the row ten times over 56 s and counted the release as lost. Change: a release that finds another nonce in the row is finished. Saved states whether the outcome was lost.

--- a/agent/claim/outbox.go
+++ b/agent/claim/outbox.go
@@ -52,9 +52,11 @@
 // Saved is an outcome that needs no further steps.
 type Saved struct {
 	Nonce string
-	// Row has the key and the final revision. Its revision is empty when saving
-	// was given up.
+	// Row has the key and the final revision, which is empty if the row belongs to
+	// another nonce.
 	Row platform.Row
+	// Lost states that saving was given up.
+	Lost bool
 	// Object is the key of the kept body, if any.
 	Object string
 }
@@ -183,11 +185,13 @@
 	if !finished && now.Sub(u.since) < Retention {
 		return Saved{}, false
 	}
-	if !finished {
-		u.revision = ""
-	}
 	b.remove(s.Nonce)
-	return Saved{Nonce: s.Nonce, Row: platform.Row{Key: s.RowKey, Revision: u.revision}, Object: u.record.Outcome.Object}, true
+	return Saved{
+		Nonce:  s.Nonce,
+		Row:    platform.Row{Key: s.RowKey, Revision: u.revision},
+		Object: u.record.Outcome.Object,
+		Lost:   !finished || u.foreign == foreignTries,
+	}, true
 }
 
 func (b *Outbox) remove(nonce string) {
@@ -237,7 +241,8 @@
 	if err != nil || r.Nonce != u.record.Nonce {
 		u.foreign++
 		u.revision = ""
-		return u.foreign == foreignTries
+		// A released key may have been taken over meanwhile; nothing is lost.
+		return u.foreign == foreignTries || u.record.State == RecordReleased
 	}
 	u.revision = row.Revision
 	u.step = SaveRow
--- a/agent/claim/serve.go
+++ b/agent/claim/serve.go
@@ -115,9 +115,9 @@
 	now := l.o.Now()
 	if saved, done := l.outbox.Result(now, s, row, err); done {
 		l.memory.Saved(saved.Nonce)
-		if saved.Row.Revision == "" {
+		if saved.Lost {
 			l.lost++
-		} else {
+		} else if saved.Row.Revision != "" {
 			l.deletions.Keep(now, saved.Row, saved.Object)
 		}
 	}
