Test that a lagging read refuses no accepted change

Cause: only the stateful test covered the verified read behind a conflict. Change: a unit test with stale reads; the distributor's lower bound on its wait has a name of its own. Measured: with the verification removed TestLaggingReadIsNoConflict fails; go test -race ./catalog passes.

--- a/catalog/distributor.go
+++ b/catalog/distributor.go
@@ -41,6 +41,9 @@
 	defaultPeerTimeout = time.Second
 	// answerGrace lets a call that ends by its own timeout report that error.
 	answerGrace = 500 * time.Millisecond
+	// A poll that is due while one is open waits for its answer, which wakes the
+	// loop; this bound keeps the loop from spinning until then.
+	minPause = 500 * time.Millisecond
 )
 
 // Distributor keeps a Holder up to date. It drives a Distribution.
@@ -96,9 +99,7 @@
 	defer d.mu.Unlock()
 	now := d.o.Now()
 	asks := d.machine.Next(now, d.have(), d.o.PeerList())
-	// A poll that is due while one is open waits for its answer, which wakes the
-	// loop; the lower bound keeps the loop from spinning until then.
-	return asks, max(d.machine.Wake().Sub(now), answerGrace)
+	return asks, max(d.machine.Wake().Sub(now), minPause)
 }
 
 func (d *Distributor) have() uint64 {
--- a/catalog/store_test.go
+++ b/catalog/store_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -155,6 +156,35 @@
 	}
 }
 
+// staleReads shows the rows of an earlier time to all reads.
+type staleReads struct {
+	*fakeTable
+	rows fakeTable
+}
+
+func (s *staleReads) Get(ctx context.Context, key string) (platform.Row, error) {
+	return s.rows.Get(ctx, key)
+}
+
+func (s *staleReads) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, string, error) {
+	return s.rows.List(ctx, prefix, after, limit)
+}
+
+// Guards against a change in force that a lagging read makes look refused.
+func TestLaggingReadIsNoConflict(t *testing.T) {
+	s, table := storeWithCatalog(t)
+	stale := &staleReads{fakeTable: table, rows: fakeTable{rows: maps.Clone(table.rows)}}
+	if _, err := s.Put(ctx, start, tierChange("x", 1, 1)); err != nil {
+		t.Fatal(err)
+	}
+	for _, base := range []uint64{0, 2} {
+		_, err := NewStore(stale).Put(ctx, start, tierChange("x", base, 1))
+		if code := resultcode.As(err).Code; code != resultcode.StoreUnavailable {
+			t.Fatalf("base %d: %v, want an unavailable store", base, err)
+		}
+	}
+}
+
 // Guards against history that misses a change in force or lists one that never
 // came into force, after a crash at any of the three writes.
 func TestHistoryAfterCrash(t *testing.T) {
