Test that a broken run is not repeated

Cause: only the stateful test covered an endpoint that may have run a request without an answer. Change: TestNeverRunIsTakenOver claims the key again before and after that outcome is saved.

--- a/agent/claim/ledger_test.go
+++ b/agent/claim/ledger_test.go
@@ -202,7 +202,8 @@
 }
 
 // Guards against a key that stays blocked after an attempt that certainly did
-// not run: one that met a store outage, and one that the endpoint refused.
+// not run: one that met a store outage, and one that the endpoint refused; and
+// against a second run after an endpoint that broke while it may have run one.
 func TestNeverRunIsTakenOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeStore()
@@ -219,6 +220,12 @@
 		}
 		expect(t, claimOnce(t, b, "n3"), "run")
 		expect(t, claimOnce(t, b, "n3"), "unknown duplicate_attempt")
+		b.Finish("n3", Outcome{Execution: resultcode.Unknown})
+		expect(t, claimOnce(t, b, "n4"), "unknown outcome_unknown")
+		if err := b.Flush(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		expect(t, claimOnce(t, b, "n5"), "unknown outcome_unknown")
 	})
 }
 
