Drop idle connections when a stream to an agent goes silent

Cause: when connections go silent for good, the idle ones in the router's pool are silent as well. An Attach was sent on such a connection, waited 3 s for nothing and used up one of the two attaches, so that the router gave the attempt up and let another engine generate the rest. Ruled out: the replay buffer of the agent (the attempts there ran on to their end, all 300 tokens) and second attempts for late first tokens (none are sent without samples of the tier).

Change: a silent stream, also one that got no response headers in time, closes the idle connections, so that the Attach opens a new one.

--- a/router/dispatch/client.go
+++ b/router/dispatch/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -127,8 +128,11 @@
 		return s.deliver(ctx, streamEvent{frame: f})
 	})
 	end := streamEvent{end: endBroken, err: err}
-	if silent.Load() {
+	if silent.Load() || timedOut(err) {
 		end.end = endSilent
+		// Idle connections over the same path may be silent as well. An Attach
+		// on one of them would lose the attempt.
+		c.http.CloseIdleConnections()
 	}
 	if !connected.Load() {
 		end.end = endNotOpened
@@ -136,6 +140,12 @@
 	s.deliver(ctx, end)
 }
 
+// timedOut reports whether the transport gave up waiting for response headers.
+func timedOut(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 func (s *stream) deliver(ctx context.Context, e streamEvent) bool {
 	e.stream = s
 	select {
