Refuse waiting work when an agent leaves; bound engine silence

Cause: requests that waited when an agent began to leave still started at its endpoint, for batch work up to 30 s later; a stream from the engine that went silent held its slot until the request's limit of 10 minutes. Change: a drain refuses waiting work at once (leaving, not_run), so that routers place it elsewhere; a stream without an event for 10 s, 60 s before the first token, counts as broken. Tests of the worker in virtual time: preemption, drain, crash, orphan. Measured: go test -race ./agent/worker passes. Seen to fail: without the refusal TestDrainRefusesWaitingAndFinishesRunning, without the index of the preempted run TestPreemptedStreamContinues.

--- a/agent/endpoint/engine.go
+++ b/agent/endpoint/engine.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
@@ -19,6 +20,13 @@
 	// maxEventBytes bounds one server-sent event of an engine.
 	maxEventBytes = 1 << 20
 
+	// firstTokenSilence and tokenSilence bound the time without an event before
+	// and after the first token. A stream that is silent for longer is taken as
+	// broken: engines produce a token in a fraction of a second, and a connection
+	// can go silent for good.
+	firstTokenSilence = time.Minute
+	tokenSilence      = 10 * time.Second
+
 	maxErrorBodyBytes  = 64 << 10
 	maxModelsBodyBytes = 1 << 20
 )
@@ -72,6 +80,10 @@
 	if err != nil {
 		return resultcode.Wrap(resultcode.MalformedBody, err, "the body cannot be passed on")
 	}
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	silence := time.AfterFunc(firstTokenSilence, func() { stop(errSilent) })
+	defer silence.Stop()
 	var sent sendState
 	httpReq, err := http.NewRequestWithContext(sent.trace(ctx), http.MethodPost, e.url+"/v1/chat/completions", bytes.NewReader(body))
 	if err != nil {
@@ -87,10 +99,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return engineRefusal(resp)
 	}
-	s := engineStream{emit: emit, index: req.GetChat().GetFirstIndex()}
+	s := engineStream{emit: emit, index: req.GetChat().GetFirstIndex(), silence: silence}
 	return s.copy(resp.Body)
 }
 
+var errSilent = errors.New("endpoint: the engine sent nothing for too long")
+
 // engineBody sets the fields that belong to the router in the caller's body.
 func engineBody(req *rpc.RunRequest) ([]byte, error) {
 	chat := req.GetChat()
@@ -176,6 +190,8 @@
 	emit  Emit
 	index uint32
 	usage []byte
+	// silence ends the run; each event puts it off.
+	silence *time.Timer
 	// finished is set when a choice carried a finish reason.
 	finished bool
 }
@@ -226,6 +242,7 @@
 			continue
 		}
 		data = bytes.TrimSpace(data)
+		s.silence.Reset(tokenSilence)
 		if bytes.Equal(data, doneMarker) {
 			return s.finish()
 		}
--- a/agent/worker/worker.go
+++ b/agent/worker/worker.go
@@ -244,6 +244,15 @@
 	w.finish(now, j, err)
 }
 
+// refuseAllWaiting gives up every attempt that is not at the endpoint.
+func (w *Worker) refuseAllWaiting(now time.Time) {
+	for id := range w.jobs {
+		if it, waiting := w.queue.Remove(id); waiting {
+			w.refuseWaiting(now, it, resultcode.New(resultcode.Leaving, "this agent is leaving"))
+		}
+	}
+}
+
 // finish ends an attempt: with its refusal when err is set.
 func (w *Worker) finish(now time.Time, j *job, err *resultcode.Error) {
 	delete(w.jobs, j.item.ID)
@@ -358,11 +367,13 @@
 	return w.state
 }
 
-// Drain refuses new attempts and waits until the open ones have ended or ctx
-// ends. It returns how many are still open.
+// Drain refuses new attempts and the waiting ones, which routers then place
+// elsewhere, and waits until the running ones have ended or ctx ends. It returns
+// how many are still open.
 func (w *Worker) Drain(ctx context.Context) int {
 	w.mu.Lock()
 	w.state = rpc.AgentState_AGENT_STATE_LEAVING
+	w.refuseAllWaiting(time.Now())
 	if len(w.jobs) == 0 {
 		w.mu.Unlock()
 		return 0
--- /dev/null
+++ b/agent/worker/worker_test.go
@@ -0,0 +1,216 @@
+package worker_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/agent/endpoint"
+	"github.com/pistachiowind/pistachiowind/agent/execution"
+	"github.com/pistachiowind/pistachiowind/agent/worker"
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+// pacedBackend emits tokens at a fixed pace until its context ends.
+type pacedBackend struct {
+	endpoint.Backend
+	tokens int
+	// started lists the first index of each run.
+	started []uint32
+	down    atomic.Bool
+}
+
+func (b *pacedBackend) Check(context.Context) error {
+	if b.down.Load() {
+		return errors.New("connection refused")
+	}
+	return nil
+}
+
+func (b *pacedBackend) Run(ctx context.Context, req *rpc.RunRequest, emit endpoint.Emit) *resultcode.Error {
+	first := req.GetChat().GetFirstIndex()
+	b.started = append(b.started, first)
+	for i := first; i < uint32(b.tokens); i++ {
+		select {
+		case <-time.After(100 * time.Millisecond):
+		case <-ctx.Done():
+			return resultcode.New(resultcode.EndpointFailed, "cancelled").WithExecution(resultcode.Unknown)
+		}
+		if b.down.Load() {
+			return resultcode.New(resultcode.EndpointFailed, "crashed").WithExecution(resultcode.Unknown)
+		}
+		chunk := &rpc.Chunk{Index: i, Text: "x"}
+		if emit(&rpc.Frame{Kind: &rpc.Frame_Chunk{Chunk: chunk}}) != nil {
+			return resultcode.New(resultcode.EndpointFailed, "stopped").WithExecution(resultcode.Unknown)
+		}
+	}
+	_ = emit(&rpc.Frame{Kind: &rpc.Frame_Done{Done: &rpc.Done{}}})
+	return nil
+}
+
+type noObserver struct{}
+
+func (noObserver) Ended(*rpc.RunRequest, *resultcode.Error)  {}
+func (noObserver) Waited(*rpc.RunRequest, time.Duration)     {}
+func (noObserver) FirstToken(*rpc.RunRequest, time.Duration) {}
+func (noObserver) Displaced(int)                             {}
+func (noObserver) Preempted(int)                             {}
+
+type noCatalog struct{}
+
+func (noCatalog) Version() uint64     { return 1 }
+func (noCatalog) Seen(uint64, string) {}
+func (noCatalog) SeenPeer(string)     {}
+
+func newWorker(t *testing.T, b endpoint.Backend, slots int) *worker.Worker {
+	w := worker.New(worker.Options{
+		Backend: b, Endpoint: "e", Catalog: noCatalog{}, Observer: noObserver{},
+		Limiter: worker.FixedLimiter{Slots: slots},
+	})
+	w.SetState(rpc.AgentState_AGENT_STATE_SERVING)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = w.Serve(ctx)
+	}()
+	t.Cleanup(func() { stop(); <-ended })
+	return w
+}
+
+func request(ticket uint64, tier uint32) *rpc.RunRequest {
+	return &rpc.RunRequest{
+		Attempt: &rpc.AttemptID{Router: "r", Ticket: ticket}, ClientAccount: "a", Class: "c", Tier: tier,
+		TimeLeftMs: 600_000, WaitLimitMs: 60_000, Idempotent: true,
+		Work: &rpc.RunRequest_Chat{Chat: &rpc.ChatWork{Model: "m"}},
+	}
+}
+
+// read returns the indexes of an attempt's chunks and its refusal, if any.
+func read(t *testing.T, a *execution.Attempt) ([]uint32, *rpc.Refused) {
+	reader, refusal := a.Attach(0)
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	var indexes []uint32
+	for {
+		f, err := reader.Next(t.Context(), time.Hour)
+		if err != nil {
+			return indexes, nil
+		}
+		if c := f.GetChunk(); c != nil {
+			indexes = append(indexes, c.GetIndex())
+		}
+		if r := f.GetRefused(); r != nil {
+			return indexes, r
+		}
+	}
+}
+
+func submit(t *testing.T, w *worker.Worker, req *rpc.RunRequest) *execution.Attempt {
+	a, err := w.Submit(time.Now(), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// Guards against a preempted stream that starts again from its beginning, loses
+// or repeats a token, or never comes back.
+func TestPreemptedStreamContinues(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &pacedBackend{tokens: 50}
+		w := newWorker(t, b, 1)
+		long := submit(t, w, request(1, 2))
+		time.Sleep(time.Second + time.Millisecond)
+		urgent := submit(t, w, request(2, 0))
+		if got, refused := read(t, urgent); len(got) != 50 || refused != nil {
+			t.Errorf("urgent: %d chunks, %v", len(got), refused)
+		}
+		got, refused := read(t, long)
+		if len(got) != 50 || refused != nil {
+			t.Fatalf("preempted: %d chunks, %v", len(got), refused)
+		}
+		for i, index := range got {
+			if index != uint32(i) {
+				t.Fatalf("chunk %d has index %d", i, index)
+			}
+		}
+		if len(b.started) != 3 || b.started[2] < 5 {
+			t.Errorf("runs began at %v; the third should continue the first", b.started)
+		}
+	})
+}
+
+// Guards against work that starts at an endpoint after its agent began to leave,
+// and against running work that is cut off by it.
+func TestDrainRefusesWaitingAndFinishesRunning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &pacedBackend{tokens: 20}
+		w := newWorker(t, b, 1)
+		running := submit(t, w, request(1, 0))
+		waiting := submit(t, w, request(2, 0))
+		if left := w.Drain(t.Context()); left != 0 {
+			t.Errorf("%d attempts left", left)
+		}
+		if got, refused := read(t, running); len(got) != 20 || refused != nil {
+			t.Errorf("running: %d chunks, %v", len(got), refused)
+		}
+		_, refused := read(t, waiting)
+		if resultcode.Code(refused.GetCode()) != resultcode.Leaving || refused.GetExecution() != rpc.Execution_EXECUTION_NOT_RUN {
+			t.Errorf("waiting: %v", refused)
+		}
+		if _, err := w.Submit(time.Now(), request(3, 0)); err == nil || err.Code != resultcode.Leaving {
+			t.Errorf("new attempt: %v", err)
+		}
+		if len(b.started) != 1 {
+			t.Errorf("%d runs at the endpoint", len(b.started))
+		}
+	})
+}
+
+// Guards against an agent that keeps sending work to a crashed endpoint, and
+// against a crash that leaves no evidence for the routers.
+func TestCrashMakesRunningRequestsSuspects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &pacedBackend{tokens: 20}
+		w := newWorker(t, b, 2)
+		req := request(1, 0)
+		req.BodyDigest = make([]byte, 32)
+		a := submit(t, w, req)
+		time.Sleep(500 * time.Millisecond)
+		b.down.Store(true)
+		_, refused := read(t, a)
+		if e := refused.GetEvidence(); len(e.GetEndpoints()) != 1 || e.GetEndpoints()[0] != "e" {
+			t.Errorf("evidence %v", e)
+		}
+		if _, err := w.Submit(time.Now(), request(2, 0)); err == nil || err.Code != resultcode.EndpointDown {
+			t.Errorf("new attempt after the crash: %v", err)
+		}
+		b.down.Store(false)
+		w.SetState(rpc.AgentState_AGENT_STATE_SERVING)
+		submit(t, w, request(3, 0))
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// Guards against a slot that stays taken after the router that asked for it is
+// gone.
+func TestOrphanIsCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &pacedBackend{tokens: 10_000}
+		w := newWorker(t, b, 1)
+		a := submit(t, w, request(1, 0))
+		reader, _ := a.Attach(0)
+		time.Sleep(time.Second)
+		reader.Close(time.Now())
+		time.Sleep(worker.OrphanTimeout + time.Second)
+		if load := w.Load(time.Now()); load.GetRunning() != 0 {
+			t.Errorf("%d attempts are still running", load.GetRunning())
+		}
+	})
+}
