Wait before preempting a stream

Cause: a stream was preempted as soon as an item waited. Slots often become free by themselves, and each preemption makes the engine read a prompt again, which delays the tokens of all its streams. Change: urgent items preempt after 100 ms of waiting and others after 1 s, or when they have no more time than that left.

--- a/agent/queue/item.go
+++ b/agent/queue/item.go
@@ -61,8 +61,10 @@
 type entry struct {
 	Item
 	// order is the deadline plus the delay of the level.
-	order   time.Time
-	serial  uint64
+	order  time.Time
+	serial uint64
+	// since is the time of the Push.
+	since   time.Time
 	account *account
 	class   *class
 
@@ -71,8 +73,8 @@
 	inExpiry  int
 }
 
-func newEntry(it Item, serial uint64) *entry {
-	return &entry{Item: it, order: it.Deadline.Add(levelDelay(it.Used)), serial: serial}
+func newEntry(now time.Time, it Item, serial uint64) *entry {
+	return &entry{Item: it, order: it.Deadline.Add(levelDelay(it.Used)), serial: serial, since: now}
 }
 
 // before orders the entries of one tier: by order, then by age.
--- a/agent/queue/preempt.go
+++ b/agent/queue/preempt.go
@@ -15,6 +15,13 @@
 	// so far once more, so a shorter run would be spent mostly on that.
 	MinRun = 5 * time.Second
 
+	// PreemptUrgentAfter and PreemptShortAfter are how long an item waits before
+	// a stream is preempted for it. Slots often become free by themselves in this
+	// time, and each preemption makes the engine read a prompt again, which
+	// delays the tokens of all its streams.
+	PreemptUrgentAfter = 100 * time.Millisecond
+	PreemptShortAfter  = time.Second
+
 	// longShare is the divisor of the running streams that gives the slots that
 	// long work keeps while shorter work of its own tier or a higher one waits.
 	longShare = 4
@@ -84,7 +91,7 @@
 		return "", false
 	}
 	if urgent := q.tiers[catalog.TierUrgent].len(); urgent > 0 {
-		if urgent <= cancelling {
+		if urgent <= cancelling || !q.overdue(now) {
 			return "", false
 		}
 		return choose(now, running, func(Running) bool { return true })
@@ -95,7 +102,7 @@
 // preemptForShort serves waiting work below urgent that is not long.
 func (q *Queue) preemptForShort(now time.Time, cancelling int, running []Running) (string, bool) {
 	for tier := catalog.TierStandard; tier < catalog.TierCount; tier++ {
-		heads := q.shortHeads(tier)
+		heads := q.shortHeads(now, tier)
 		if len(heads) == 0 || q.tiers[tier].len() <= cancelling {
 			continue
 		}
@@ -116,11 +123,28 @@
 	return "", false
 }
 
-// shortHeads returns the first entry of each class of tier that is not long.
-func (q *Queue) shortHeads(tier int) []*entry {
+// overdue reports whether an urgent item has waited long enough to preempt.
+func (q *Queue) overdue(now time.Time) bool {
+	for _, c := range q.tiers[catalog.TierUrgent].rota.elements {
+		if c.entries.first().waited(now, PreemptUrgentAfter) {
+			return true
+		}
+	}
+	return false
+}
+
+// waited reports whether e has waited for d or has no more than d left.
+func (e *entry) waited(now time.Time, d time.Duration) bool {
+	return now.Sub(e.since) >= d || e.WaitUntil.Sub(now) <= d
+}
+
+// shortHeads returns the first entry of each class of tier that is not long
+// and has waited long enough to preempt.
+func (q *Queue) shortHeads(now time.Time, tier int) []*entry {
 	var heads []*entry
 	for _, c := range q.tiers[tier].rota.elements {
-		if e := c.entries.first(); e.Used < LongAfter {
+		e := c.entries.first()
+		if e.Used < LongAfter && e.waited(now, PreemptShortAfter) {
 			heads = append(heads, e)
 		}
 	}
--- a/agent/queue/queue.go
+++ b/agent/queue/queue.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	q.insert(it)
+	q.insert(now, it)
 	return displaced, nil
 }
 
@@ -176,9 +176,9 @@
 	return resultcode.NotRun
 }
 
-func (q *Queue) insert(it Item) {
+func (q *Queue) insert(now time.Time, it Item) {
 	q.serial++
-	e := newEntry(it, q.serial)
+	e := newEntry(now, it, q.serial)
 	if q.Len() == 0 {
 		q.pace.waiting = false
 	}
