Add the scheduler that joins the limiter and the queue

Cause: the worker asks one object what to admit, start and preempt; the limiter and the queue each know half of the answer. Change: concurrency.Scheduler with the methods of worker.Limiter. It is not connected to the worker here. Measured: go test -race ./agent/concurrency passes. 7 faults put into the code on purpose, one at a time, each made a test fail: overload or crash taken for an ordinary end; waits, running or preemptible streams not seen; preemption with a free slot; urgent slot filled with other work.

--- /dev/null
+++ b/agent/concurrency/scheduler.go
@@ -0,0 +1,144 @@
+package concurrency
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/agent/queue"
+	"github.com/pistachiowind/pistachiowind/catalog"
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+// DefaultFirstToken is the target of the time from the start at the endpoint to
+// the first token by tier; zero means that the tier is not judged. With 1.5 s
+// for the caller it leaves 0.5 s for the queue and the network.
+var DefaultFirstToken = [catalog.TierCount]time.Duration{time.Second, time.Second, 0}
+
+// SchedulerOptions configure a Scheduler. Zero values take the defaults.
+type SchedulerOptions struct {
+	Limiter Options
+	// FirstToken is by tier; a negative value means that the tier is not judged.
+	FirstToken [catalog.TierCount]time.Duration
+}
+
+// Scheduler applies a Limiter to a queue.Queue. It has the methods that package
+// worker calls. It is single-threaded.
+type Scheduler struct {
+	limiter    *Limiter
+	firstToken [catalog.TierCount]time.Duration
+	running    [catalog.TierCount]int
+	// preemptible is the count at the last call of Next.
+	preemptible int
+}
+
+// NewScheduler returns a Scheduler for an idle endpoint.
+func NewScheduler(opts SchedulerOptions) *Scheduler {
+	for tier := range opts.FirstToken {
+		opts.FirstToken[tier] = cmp.Or(opts.FirstToken[tier], DefaultFirstToken[tier])
+	}
+	return &Scheduler{limiter: New(opts.Limiter), firstToken: opts.FirstToken}
+}
+
+// Admit returns the refusal of a request that should not enter q.
+func (s *Scheduler) Admit(now time.Time, req *rpc.RunRequest, q *queue.Queue) *resultcode.Error {
+	tier := int(req.GetTier())
+	waitLimit := time.Duration(req.GetWaitLimitMs()) * time.Millisecond
+	facts := Facts{
+		HasSlot:      s.limiter.HasSlot(now, tier, Occupancy{Running: s.running}),
+		ClassWaiting: q.ClassLen(tier, req.GetClass()),
+		Preemptible:  s.preemptible,
+	}
+	for t := range facts.Waiting {
+		facts.Waiting[t] = q.TierLen(t)
+		facts.ExpectedDelay[t] = q.ExpectedDelay(now, t)
+	}
+	return s.limiter.Admit(now, tier, waitLimit, facts)
+}
+
+// Next takes the item to start now from q, if a slot is free for it.
+func (s *Scheduler) Next(now time.Time, q *queue.Queue, running []queue.Running) (queue.Item, bool) {
+	s.preemptible = queue.Preemptible(now, s.limiter.Keep(), running)
+	it, ok := s.pop(now, q, occupancy(q, running))
+	if ok && it.Preemptions == 0 {
+		s.limiter.ObserveWait(now, it.Tier, now.Sub(it.Arrived))
+	}
+	return it, ok
+}
+
+func (s *Scheduler) pop(now time.Time, q *queue.Queue, o Occupancy) (queue.Item, bool) {
+	switch s.limiter.NextSlot(now, o) {
+	case SlotUrgent:
+		return q.PopUrgent(now)
+	case SlotBelowUrgent:
+		return q.PopBelowUrgent(now)
+	default:
+		return queue.Item{}, false
+	}
+}
+
+func occupancy(q *queue.Queue, running []queue.Running) Occupancy {
+	var o Occupancy
+	for _, r := range running {
+		o.Running[r.Tier]++
+	}
+	for tier := range o.Waiting {
+		o.Waiting[tier] = q.TierLen(tier)
+	}
+	return o
+}
+
+// Preempt names the running item to cancel for waiting work.
+func (s *Scheduler) Preempt(now time.Time, q *queue.Queue, running []queue.Running) (string, bool) {
+	if s.limiter.NextSlot(now, occupancy(q, running)) != SlotNone {
+		return "", false
+	}
+	return q.PreemptFor(now, s.limiter.Keep(), running)
+}
+
+// Started records that req was passed to the endpoint.
+func (s *Scheduler) Started(now time.Time, req *rpc.RunRequest) {
+	s.running[req.GetTier()]++
+	s.limiter.ObserveStart(now)
+}
+
+// FirstToken records the time from the start to the first token.
+func (s *Scheduler) FirstToken(now time.Time, req *rpc.RunRequest, took time.Duration) {
+	s.limiter.ObserveFirstToken(now, took, s.firstToken[req.GetTier()])
+}
+
+// Token records the time since the previous token of the same request.
+func (s *Scheduler) Token(now time.Time, gap time.Duration) {
+	s.limiter.ObserveToken(now, gap)
+}
+
+// Ended records that req left the endpoint.
+func (s *Scheduler) Ended(now time.Time, req *rpc.RunRequest, _ time.Duration, err *resultcode.Error) {
+	s.running[req.GetTier()] = max(0, s.running[req.GetTier()]-1)
+	s.limiter.ObserveEnd(now, outcomeOf(err))
+}
+
+func outcomeOf(err *resultcode.Error) Outcome {
+	if err == nil {
+		return Completed
+	}
+	switch err.Code {
+	case resultcode.EndpointOverloaded:
+		return Overloaded
+	case resultcode.EndpointFailed, resultcode.EndpointDown, resultcode.StreamInterrupted:
+		return Failed
+	default:
+		return Cancelled
+	}
+}
+
+// Limit returns the learned limit.
+func (s *Scheduler) Limit(now time.Time) int { return s.limiter.Limit(now) }
+
+// Describe fills the limit and the latencies of a load message.
+func (s *Scheduler) Describe(now time.Time, load *rpc.Load) {
+	first, inter := s.limiter.Latency()
+	load.Limit = uint32(s.limiter.Limit(now))
+	load.FirstTokenMs = uint32(first.Milliseconds())
+	load.InterTokenUs = uint32(inter.Microseconds())
+}
--- /dev/null
+++ b/agent/concurrency/scheduler_test.go
@@ -0,0 +1,103 @@
+package concurrency_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/agent/concurrency"
+	"github.com/pistachiowind/pistachiowind/agent/queue"
+	"github.com/pistachiowind/pistachiowind/agent/worker"
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+var _ worker.Limiter = (*concurrency.Scheduler)(nil)
+
+// Guards against a limiter that sees other counts than the queue and the
+// endpoint have: work started over the limit, a preemption while a slot is
+// free, an urgent request refused although a stream can be preempted for it.
+func TestSchedulerFollowsTheWork(t *testing.T) {
+	s := concurrency.NewScheduler(concurrency.SchedulerOptions{})
+	q := queue.New(queue.Options{})
+	batch := &rpc.RunRequest{Tier: 2, Class: "history", WaitLimitMs: 60_000}
+	var running []queue.Running
+	for i := range 20 {
+		it := queue.Item{ID: fmt.Sprint(i), Tier: 2, Class: "history", Account: fmt.Sprint(i)}
+		if _, err := q.Push(start, it); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.Admit(start, batch, q); err != nil {
+		t.Errorf("refused at an idle endpoint: %v", err)
+	}
+	for {
+		if _, ok := s.Preempt(start, q, running); ok {
+			t.Fatal("preempted while a slot is free")
+		}
+		it, ok := s.Next(start, q, running)
+		if !ok {
+			break
+		}
+		s.Started(start, batch)
+		running = append(running, queue.Running{Item: it, Started: start})
+	}
+	// Limit 8: 7 without the headroom, and 1 on top for lower tiers.
+	if len(running) != concurrency.DefaultInitial {
+		t.Errorf("%d streams started", len(running))
+	}
+	now := start.Add(10 * time.Second)
+	if err := s.Admit(now, batch, q); err == nil {
+		t.Error("batch work admitted after 10 s without a start")
+	}
+	urgent := &rpc.RunRequest{WaitLimitMs: 1}
+	for i := range 2 {
+		if err := s.Admit(now, urgent, q); err != nil {
+			t.Errorf("urgent request refused: %v", err)
+		}
+		it := queue.Item{ID: fmt.Sprint("urgent", i), Account: "a", WaitUntil: now.Add(time.Minute)}
+		if _, err := q.Push(now, it); err != nil {
+			t.Fatal(err)
+		}
+	}
+	it, ok := s.Next(now, q, running)
+	if !ok || it.Tier != 0 {
+		t.Fatalf("headroom gave %v, %v", it, ok)
+	}
+	s.Started(now, urgent)
+	running = append(running, queue.Running{Item: it, Started: now})
+	if err := s.Admit(now, urgent, q); err != nil {
+		t.Errorf("urgent request refused with preemptible streams running: %v", err)
+	}
+	now = now.Add(time.Second)
+	if _, ok := s.Preempt(now, q, running); !ok {
+		t.Error("no preemption for urgent work")
+	}
+	if _, ok := s.Preempt(now, q, running[:7]); ok {
+		t.Error("preempted while a slot is free for urgent work")
+	}
+}
+
+// Guards against a crash or an overload that is taken for an ordinary end, and
+// against a load message that lacks what was learned.
+func TestSchedulerOutcomes(t *testing.T) {
+	cases := map[resultcode.Code]uint32{resultcode.CallerCancelled: 10, resultcode.EndpointOverloaded: 9, resultcode.EndpointFailed: 8}
+	for code, want := range cases {
+		s := concurrency.NewScheduler(concurrency.SchedulerOptions{})
+		req := &rpc.RunRequest{}
+		for range concurrency.DefaultInitial {
+			s.Started(start, req)
+		}
+		now := start.Add(time.Second)
+		for range 50 {
+			s.Token(now, 20*time.Millisecond)
+		}
+		s.FirstToken(now, req, 10*time.Millisecond)
+		s.Ended(now, req, time.Second, resultcode.New(code, "ended"))
+		var load rpc.Load
+		s.Describe(now, &load)
+		if load.GetLimit() != want || load.GetFirstTokenMs() != 10 || load.GetInterTokenUs() != 20_000 {
+			t.Errorf("%s: load %v, want the limit %d", code, &load, want)
+		}
+	}
+}
