--- a/agent/operate.go
+++ b/agent/operate.go
@@ -14,12 +14,12 @@
 )
 
 func (a *Agent) limiter() worker.Limiter {
-	return worker.NewLearnedLimiter(concurrency.Options{
+	return concurrency.NewScheduler(concurrency.SchedulerOptions{Limiter: concurrency.Options{
 		Initial: a.opts.Concurrency.Initial,
 		Min:     a.opts.Concurrency.Min,
 		Max:     a.opts.Concurrency.Max,
 		Seed:    xxhash.Sum64String(a.incarnation),
-	})
+	}})
 }
 
 // Status implements admin.StatusSource.
--- a/agent/worker/run.go
+++ b/agent/worker/run.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/agent/concurrency"
 	"github.com/pistachiowind/pistachiowind/agent/queue"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
@@ -30,7 +29,7 @@
 // startReady starts waiting attempts while the concurrency limit allows it.
 func (w *Worker) startReady(now time.Time) {
 	for !w.probation(now) {
-		it, ok := w.limiter.Next(now, w.queue, w.occupancy())
+		it, ok := w.limiter.Next(now, w.queue, w.runningList())
 		if !ok {
 			return
 		}
@@ -40,19 +39,6 @@
 	}
 }
 
-// occupancy counts what runs and waits, by tier. A stream that is being
-// cancelled still uses its slot.
-func (w *Worker) occupancy() concurrency.Occupancy {
-	var o concurrency.Occupancy
-	for _, j := range w.running {
-		o.Running[j.item.Tier]++
-	}
-	for tier := range o.Waiting {
-		o.Waiting[tier] = w.queue.TierLen(tier)
-	}
-	return o
-}
-
 func (w *Worker) runningList() []queue.Running {
 	list := make([]queue.Running, 0, len(w.running))
 	for _, j := range w.running {
@@ -82,7 +68,7 @@
 	j.running = &queue.Running{Item: it, Started: now}
 	w.running[it.ID] = j
 	waited := now.Sub(j.waitingSince)
-	w.limiter.Started(now, it.Tier, waited)
+	w.limiter.Started(now, j.req)
 	w.opts.Observer.Waited(j.req, waited)
 	started := &rpc.Started{WaitedMs: uint32(waited.Milliseconds())}
 	w.append(j, &rpc.Frame{Kind: &rpc.Frame_Started{Started: started}})
@@ -108,30 +94,16 @@
 	}
 	used := now.Sub(j.running.Started)
 	w.queue.Done(j.item, used)
-	w.limiter.Ended(now, outcome(err, cause))
+	err = withCause(err, cause)
+	w.limiter.Ended(now, j.req, used, err)
 	if err != nil && errors.Is(cause, errPreempted) {
 		w.requeue(now, j, used)
 	} else {
-		w.finish(now, j, withCause(err, cause))
+		w.finish(now, j, err)
 	}
 	w.startReady(now)
 }
 
-// outcome tells the limiter how a run ended.
-func outcome(err *resultcode.Error, cause error) concurrency.Outcome {
-	switch {
-	case err == nil:
-		return concurrency.Completed
-	case cause != nil:
-		return concurrency.Cancelled
-	case err.Code == resultcode.EndpointOverloaded:
-		return concurrency.Overloaded
-	case err.Code == resultcode.EndpointFailed || err.Code == resultcode.EndpointDown:
-		return concurrency.Failed
-	}
-	return concurrency.Completed
-}
-
 // withCause names why the worker itself stopped a run.
 func withCause(err *resultcode.Error, cause error) *resultcode.Error {
 	if err == nil || cause == nil || errors.Is(cause, context.DeadlineExceeded) {
@@ -225,7 +197,7 @@
 	j.progress.first = true
 	j.progress.firstAt = now
 	d := now.Sub(j.running.Started)
-	w.limiter.FirstToken(now, d, j.firstTokenTarget())
+	w.limiter.FirstToken(now, j.req, d)
 	w.opts.Observer.FirstToken(j.req, d)
 }
 
@@ -296,7 +268,7 @@
 	if w.queue.Len() == 0 {
 		return
 	}
-	id, ok := w.limiter.Preempt(now, w.queue, w.occupancy(), w.runningList())
+	id, ok := w.limiter.Preempt(now, w.queue, w.runningList())
 	if !ok {
 		return
 	}
--- a/agent/worker/worker.go
+++ b/agent/worker/worker.go
@@ -75,8 +75,6 @@
 	until time.Time
 	// waitingSince is when the attempt entered the queue, or was requeued.
 	waitingSince time.Time
-	// firstBy is when the first token should exist; zero means no target.
-	firstBy time.Time
 	// progress is what the attempt has emitted so far.
 	progress progress
 	running  *queue.Running
@@ -163,19 +161,7 @@
 	if err := w.learn(now, req); err != nil {
 		return err
 	}
-	return w.limiter.Admit(now, w.admission(now, req))
-}
-
-// admission collects what the limiter judges a new attempt by.
-func (w *Worker) admission(now time.Time, req *rpc.RunRequest) Admission {
-	return Admission{
-		Tier:      int(req.GetTier()),
-		Class:     req.GetClass(),
-		WaitLimit: time.Duration(req.GetWaitLimitMs()) * time.Millisecond,
-		Queue:     w.queue,
-		Occupancy: w.occupancy(),
-		Running:   w.runningList(),
-	}
+	return w.limiter.Admit(now, req, w.queue)
 }
 
 func newJob(now time.Time, req *rpc.RunRequest, attempt *execution.Attempt) *job {
@@ -198,21 +184,11 @@
 		},
 	}
 	if left := req.GetFirstTokenLeftMs(); left > 0 {
-		j.firstBy = now.Add(time.Duration(left) * time.Millisecond)
-		j.item.Deadline = j.firstBy
+		j.item.Deadline = now.Add(time.Duration(left) * time.Millisecond)
 	}
 	return j
 }
 
-// firstTokenTarget is what the wait left of the target for the first token; zero
-// means that the time is not judged.
-func (j *job) firstTokenTarget() time.Duration {
-	if j.firstBy.IsZero() || j.item.Preemptions > 0 {
-		return 0
-	}
-	return max(j.firstBy.Sub(j.running.Started), 0)
-}
-
 func itemID(id execution.ID) string {
 	return id.Router + "/" + strconv.FormatUint(id.Ticket, 10)
 }
@@ -342,7 +318,7 @@
 }
 
 func (w *Worker) tierDelay(now time.Time, tier int) uint32 {
-	if w.queue.Len() == 0 && w.limiter.HasSlot(now, tier, w.occupancy()) {
+	if w.queue.Len() == 0 && len(w.running) < w.limiter.Limit(now) {
 		return 0
 	}
 	return uint32(w.queue.ExpectedDelay(now, tier).Milliseconds())
