Pass an engine's choices on as one line

Cause: the agent passed the JSON of a choice and of the usage on unchanged. A carriage return between its parts is valid JSON and stays in one event line of the engine's stream as Go reads it, but it is a line break of server-sent events, so the caller's client saw a damaged event. Ruled out: the router, which adds no line break; line feeds, which end the event at the agent already. Change: the agent compacts each choice and the usage.

--- a/agent/endpoint/engine.go
+++ b/agent/endpoint/engine.go
@@ -245,7 +245,7 @@
 		return interrupted(errors.New(chunk.Error.Message), "the engine reported an error in its stream")
 	}
 	if len(chunk.Usage) > 0 && !bytes.Equal(chunk.Usage, jsonNull) {
-		s.usage = bytes.Clone(chunk.Usage)
+		s.usage = oneLine(chunk.Usage)
 	}
 	for _, raw := range chunk.Choices {
 		if err := s.choice(raw); err != nil {
@@ -263,7 +263,7 @@
 	s.finished = s.finished || choice.FinishReason != nil
 	chunk := &rpc.Chunk{
 		Index:    s.index,
-		Data:     bytes.Clone(raw),
+		Data:     oneLine(raw),
 		Text:     choice.Delta.Content,
 		Opaque:   choice.opaque(),
 		Finished: choice.FinishReason != nil,
@@ -275,6 +275,17 @@
 	return nil
 }
 
+// oneLine copies valid JSON without the space between its parts. A carriage
+// return there would end the caller's event, because it is a line break of
+// server-sent events.
+func oneLine(raw json.RawMessage) []byte {
+	var out bytes.Buffer
+	out.Grow(len(raw))
+	// Only invalid JSON is an error, and raw has been decoded.
+	_ = json.Compact(&out, raw)
+	return out.Bytes()
+}
+
 func (s *engineStream) finish() *resultcode.Error {
 	if !s.finished {
 		return interrupted(nil, "the engine's stream ended without a finish reason")
