Refuse a lease row whose fencing number cannot rise

Cause: the next holder adds 1 to the number of the row, so that a row with the largest number made a process take the lease with number 0. Orders with number 0 are refused, but the number must never start again. Found by FuzzDecode; such a row takes damage or a foreign writer. Change: Decode refuses the row, and no process takes the lease over.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/platform"
@@ -56,6 +57,10 @@
 	if r.Format != format {
 		return Record{}, fmt.Errorf("decode lease: format %d, want %d", r.Format, format)
 	}
+	// The next holder adds 1, and the number must not start again at 0.
+	if r.Number == math.MaxUint64 {
+		return Record{}, errors.New("decode lease: the fencing number cannot rise any more")
+	}
 	return r, nil
 }
 
