Refuse invalid UTF-8 in every header and query

Cause: only four headers and the query of plain services were checked. Any other header with invalid UTF-8 was changed and passed on to a plain service, and a chat with such a query ran. Ruled out: Go's server, which passes such bytes in values and queries on. Change: all header values and the query are checked before anything else.

--- a/router/ingress/headers.go
+++ b/router/ingress/headers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"unicode/utf8"
 
@@ -18,7 +19,9 @@
 		if len(values) > 1 {
 			return resultcode.New(resultcode.DuplicateHeader, "header %s occurs %d times", name, len(values))
 		}
-		if len(values) == 1 && !utf8.ValidString(values[0]) {
+	}
+	for name, values := range h {
+		if slices.ContainsFunc(values, func(v string) bool { return !utf8.ValidString(v) }) {
 			return resultcode.New(resultcode.InvalidUTF8, "header %s is not valid UTF-8", name)
 		}
 	}
--- a/router/ingress/ingress.go
+++ b/router/ingress/ingress.go
@@ -8,6 +8,7 @@
 	"context"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
@@ -142,6 +143,9 @@
 	if err := checkHeaders(c.Request().Header); err != nil {
 		return nil, err
 	}
+	if !utf8.ValidString(c.Request().URL.RawQuery) {
+		return nil, resultcode.New(resultcode.InvalidUTF8, "the query is not valid UTF-8")
+	}
 	if err := s.open.enter(); err != nil {
 		return nil, err
 	}
--- a/router/ingress/service.go
+++ b/router/ingress/service.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"slices"
 	"strings"
-	"unicode/utf8"
 
 	"github.com/labstack/echo/v4"
 
@@ -41,9 +40,6 @@
 	if err := in.resolveProfile(r.Header, service.DefaultProfile); err != nil {
 		return err
 	}
-	if !utf8.ValidString(r.URL.RawQuery) {
-		return resultcode.New(resultcode.InvalidUTF8, "the query is not valid UTF-8")
-	}
 	body, err := s.readBody(c)
 	if err != nil {
 		return err
@@ -99,7 +95,7 @@
 			continue
 		}
 		for _, v := range h[name] {
-			out = append(out, &rpc.Header{Name: name, Value: strings.ToValidUTF8(v, "\uFFFD")})
+			out = append(out, &rpc.Header{Name: name, Value: v})
 		}
 	}
 	return out
