Say when a request that arrived too slowly may come again

Cause: the refusal of a body that did not arrive in time (1003) had no Retry-After, although the same request may succeed later. Change: it asks for 1 s.

--- a/router/ingress/body.go
+++ b/router/ingress/body.go
@@ -12,6 +12,9 @@
 	"github.com/pistachiowind/pistachiowind/resultcode"
 )
 
+// timeoutRetryAfter leaves a congested connection some time.
+const timeoutRetryAfter = time.Second
+
 // readBody reads the whole body within the bounds on size and time.
 func (s *Server) readBody(c echo.Context) ([]byte, *resultcode.Error) {
 	r := c.Request()
@@ -37,7 +40,8 @@
 		return tooLarge(s.opts.MaxBodyBytes)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return resultcode.New(resultcode.BodyTimeout, "the body did not arrive within %s", s.opts.BodyTimeout)
+		return resultcode.New(resultcode.BodyTimeout, "the body did not arrive within %s", s.opts.BodyTimeout).
+			WithRetryAfter(timeoutRetryAfter)
 	}
 	return resultcode.Wrap(resultcode.MalformedBody, err, "the body broke off")
 }
