--- /dev/null
+++ b/quarantine/fuzz_test.go
@@ -0,0 +1,62 @@
+package quarantine
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/platform"
+)
+
+type fixedRow []byte
+
+func (r fixedRow) Get(context.Context, string) (platform.Row, error) {
+	return platform.Row{Value: r, Revision: "1"}, nil
+}
+
+func (r fixedRow) Put(context.Context, string, []byte, platform.Revision) (platform.Row, error) {
+	return platform.Row{}, nil
+}
+
+// Guards against a shared row that crashes its reader or exceeds the bounds of
+// the table, and against evidence of one endpoint that condemns a request.
+func FuzzSharedRow(f *testing.F) {
+	fp := `[1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30,31,32]`
+	for _, seed := range []string{
+		`{"records":[{"fingerprint":` + fp + `,"endpoints":["engine-1","engine-2"],"alone":true,"last":"2026-12-04T00:00:00Z"}]}`,
+		`{"records":[{"fingerprint":` + fp + `,"endpoints":["engine-1","engine-1"],"alone":true,"last":"2026-12-04T00:00:00Z"}]}`,
+		`{"records":[{"fingerprint":[1],"endpoints":[],"last":"9999-12-31T23:59:59Z"}]}`,
+		`{"records":[{"endpoints":null}]}`, `{}`, `null`, `[`, "",
+	} {
+		f.Add([]byte(seed))
+	}
+	now := time.Date(2026, 12, 4, 0, 1, 0, 0, time.UTC)
+	f.Fuzz(func(t *testing.T, value []byte) {
+		x := NewExchange(fixedRow(value))
+		records, err := x.Read(t.Context())
+		if err != nil {
+			return
+		}
+		table := New()
+		table.Merge(now, records)
+		if n := len(table.Records(now)); n > MaxSuspects+MaxCondemned {
+			t.Fatalf("%d records", n)
+		}
+		for _, r := range table.Records(now) {
+			checkVerdict(t, now, table, r)
+		}
+		if err := x.Publish(t.Context(), now, records); err != nil {
+			t.Fatalf("publish what was read: %v", err)
+		}
+	})
+}
+
+func checkVerdict(t *testing.T, now time.Time, table *Table, r Record) {
+	if r.Last.After(now) {
+		t.Fatalf("record of the future: %+v", r)
+	}
+	distinct := len(r.Endpoints) == 2 && r.Endpoints[0] != r.Endpoints[1]
+	if table.Verdict(now, r.Fingerprint) == Condemned && !(r.Alone && distinct) {
+		t.Fatalf("condemned by %+v", r)
+	}
+}
--- /dev/null
+++ b/rpc/fuzz_test.go
@@ -0,0 +1,65 @@
+package rpc_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pistachiowind/pistachiowind/rpc"
+)
+
+// Guards against a peer whose bytes crash the reader, make it allocate more than
+// a frame may hold, or are read as a message that cannot be written again.
+func FuzzReader(f *testing.F) {
+	var frames bytes.Buffer
+	for _, m := range []*rpc.Frame{
+		{Kind: &rpc.Frame_Chunk{Chunk: &rpc.Chunk{Index: 3, Data: []byte(`{"index":0}`), Text: "ț"}}},
+		{Kind: &rpc.Frame_Done{Done: &rpc.Done{Usage: []byte("{}")}}},
+		{Kind: &rpc.Frame_Refused{Refused: &rpc.Refused{Code: 2005, Message: "no"}}},
+	} {
+		if err := rpc.WriteMessage(&frames, m); err != nil {
+			f.Fatal(err)
+		}
+	}
+	f.Add(frames.Bytes())
+	f.Add(frames.Bytes()[:frames.Len()-2])
+	f.Add([]byte{})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x0f, 1})
+	f.Add(bytes.Repeat([]byte{0xff}, 11))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := rpc.NewReader(bytes.NewReader(data))
+		for {
+			var frame rpc.Frame
+			err := r.Read(&frame)
+			if err != nil {
+				if errors.Is(err, io.ErrUnexpectedEOF) && errors.Is(err, io.EOF) {
+					t.Fatalf("a cut frame is reported as the end: %v", err)
+				}
+				return
+			}
+			checkWrite(t, &frame)
+		}
+	})
+}
+
+func checkWrite(t *testing.T, frame *rpc.Frame) {
+	var out bytes.Buffer
+	if err := rpc.WriteMessage(&out, frame); err != nil {
+		t.Fatalf("write what was read: %v", err)
+	}
+	var again rpc.Frame
+	if err := rpc.NewReader(&out).Read(&again); err != nil {
+		t.Fatalf("read what was written: %v", err)
+	}
+	if !proto.Equal(frame, &again) {
+		// NaN fields are never equal to themselves; compare the encodings.
+		a, _ := proto.MarshalOptions{Deterministic: true}.Marshal(frame)
+		b, _ := proto.MarshalOptions{Deterministic: true}.Marshal(&again)
+		if !bytes.Equal(a, b) {
+			t.Fatalf("%v became %v", frame, &again)
+		}
+	}
+}
