Keep lower tiers from refusing or delaying urgent work at bounds

Cause: three quarters of the router's open requests could be of lower tiers when an urgent one was refused; a suspect of a lower tier on probation delayed urgent starts by up to 2 s; a large concurrency limit could fill the agent's attempt table. Change: urgent requests are counted against the bound by themselves; only urgent suspects hold back urgent work; the attempt table has room for the queue and the endpoint. Measured: TestLowerTiersLeaveRoomForUrgent fails with the earlier shares (2 of 8 urgent placed) and passes now.

--- a/agent/build.go
+++ b/agent/build.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/pistachiowind/pistachiowind/agent/execution"
 	"github.com/pistachiowind/pistachiowind/agent/gate"
 	"github.com/pistachiowind/pistachiowind/agent/intake"
 	"github.com/pistachiowind/pistachiowind/agent/worker"
@@ -33,7 +34,7 @@
 		Observer:  &attemptMetrics{metrics: metrics},
 		Queue:     a.opts.Queue,
 		Limiter:   a.limiter(),
-		Execution: a.opts.Execution,
+		Execution: a.executionOptions(),
 	})
 	a.gate = gate.NewKeeper(gate.Options{Table: a.opts.Table, Executor: backend, Lease: PlacementLease})
 	a.monitor = &monitor{
@@ -46,6 +47,16 @@
 	}
 }
 
+// executionOptions makes room for everything that the queue and the endpoint can
+// hold, so that the bound on attempts never refuses urgent work for others.
+func (a *Agent) executionOptions() execution.Options {
+	opts := a.opts.Execution
+	if opts.MaxOpen == 0 {
+		opts.MaxOpen = execution.DefaultMaxOpen + 2*(a.opts.Concurrency.Max+a.opts.Queue.Capacity)
+	}
+	return opts
+}
+
 // listen opens the listeners for routers and operators.
 func (a *Agent) listen(peers, operators http.Handler) error {
 	var err error
--- a/agent/worker/crash.go
+++ b/agent/worker/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pistachiowind/pistachiowind/catalog"
 	"github.com/pistachiowind/pistachiowind/quarantine"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
@@ -33,14 +34,22 @@
 }
 
 // probation reports whether a suspect has to prove itself before anything else
-// starts.
+// starts. A suspect of a lower tier does not delay urgent work.
 func (w *Worker) probation(now time.Time) bool {
-	return !w.quarantine.MayStart(now, quarantine.Fingerprint{}, w.suspectRuns())
+	tier := catalog.TierBatch
+	if w.queue.TierLen(catalog.TierUrgent) > 0 {
+		tier = catalog.TierUrgent
+	}
+	return !w.quarantine.MayStart(now, quarantine.Fingerprint{}, w.runsUpTo(tier))
 }
 
-func (w *Worker) suspectRuns() []quarantine.Run {
+// runsUpTo returns what is running of a tier and of more urgent ones.
+func (w *Worker) runsUpTo(tier int) []quarantine.Run {
 	list := make([]quarantine.Run, 0, len(w.running))
 	for _, j := range w.running {
+		if j.item.Tier > tier {
+			continue
+		}
 		if f, ok := quarantine.FingerprintOf(j.req.GetBodyDigest()); ok {
 			list = append(list, quarantine.Run{Fingerprint: f, Started: j.running.Started, FirstToken: j.progress.firstAt})
 		}
@@ -71,7 +80,7 @@
 	if w.state == rpc.AgentState_AGENT_STATE_SERVING {
 		w.state = rpc.AgentState_AGENT_STATE_DOWN
 	}
-	runs := w.suspectRuns()
+	runs := w.runsUpTo(catalog.TierBatch)
 	w.quarantine.Crashed(now, w.opts.Endpoint, runs)
 	var records []quarantine.Record
 	for _, run := range runs {
--- a/router/ingress/open.go
+++ b/router/ingress/open.go
@@ -14,10 +14,10 @@
 	leavingRetryAfter   = time.Second
 )
 
-// tierShare is the part of the open requests, in quarters, up to which a tier is
-// admitted. The last part is left to more urgent tiers, so that a burst of lower
-// tiers cannot make the router refuse an urgent request.
-var tierShare = [catalog.TierCount]int{4, 3, 2}
+// lowerShare is the part of the bound, in quarters, up to which requests below
+// urgent are admitted, by tier. Urgent requests are counted against the whole
+// bound by themselves, so that no number of others makes the router refuse one.
+var lowerShare = [catalog.TierCount]int{0, 3, 2}
 
 const quarters = 4
 
@@ -29,9 +29,12 @@
 // openRequests counts requests in progress. It refuses new ones when draining
 // and at the bounds of the tier and of the account.
 type openRequests struct {
-	mu       sync.Mutex
-	n        int
-	placed   int
+	mu sync.Mutex
+	n  int
+	// urgent and lower count the placed requests of the urgent tier and of the
+	// others.
+	urgent   int
+	lower    int
 	byOwner  map[owner]int
 	draining bool
 	idle     chan struct{}
@@ -63,8 +66,8 @@
 func (o *openRequests) place(bound int, account string, p *catalog.Profile) (func(), *resultcode.Error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.placed >= bound*tierShare[p.Tier]/quarters {
-		return nil, resultcode.New(resultcode.RouterSaturated, "%d requests are open", o.placed).
+	if !o.hasPlace(bound, p.Tier) {
+		return nil, resultcode.New(resultcode.RouterSaturated, "%d requests are open", o.urgent+o.lower).
 			WithRetryAfter(saturatedRetryAfter)
 	}
 	key := owner{account: account, profile: p.Name}
@@ -75,15 +78,30 @@
 	if o.byOwner == nil {
 		o.byOwner = make(map[owner]int)
 	}
-	o.placed++
+	count := o.counter(p.Tier)
+	*count++
 	o.byOwner[key]++
-	return func() { o.remove(key) }, nil
+	return func() { o.remove(key, count) }, nil
 }
 
-func (o *openRequests) remove(key owner) {
+func (o *openRequests) hasPlace(bound, tier int) bool {
+	if tier == catalog.TierUrgent {
+		return o.urgent < bound
+	}
+	return o.lower < bound*lowerShare[tier]/quarters
+}
+
+func (o *openRequests) counter(tier int) *int {
+	if tier == catalog.TierUrgent {
+		return &o.urgent
+	}
+	return &o.lower
+}
+
+func (o *openRequests) remove(key owner, count *int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.placed--
+	*count--
 	o.byOwner[key]--
 	if o.byOwner[key] == 0 {
 		delete(o.byOwner, key)
