Cut contention and redials at many streams per agent

Cause: with 256 streams at one agent, profiles showed the waits at the worker's mutex, under which the list of all running attempts was copied at each start and end, and at the router's transport, which kept 64 idle connections per agent and dialled the others again. Change: the list is built only while something waits; the router keeps 256 idle connections per agent, still at most 1024 in total.

--- a/agent/worker/run.go
+++ b/agent/worker/run.go
@@ -26,7 +26,7 @@
 
 // startReady starts waiting attempts while the concurrency limit allows it.
 func (w *Worker) startReady(now time.Time) {
-	for {
+	for w.queue.Len() > 0 {
 		it, ok := w.limiter.Next(now, w.queue, w.runningList())
 		if !ok {
 			return
--- a/router/dispatch/client.go
+++ b/router/dispatch/client.go
@@ -23,7 +23,7 @@
 
 	dialTimeout        = time.Second
 	idleConnTimeout    = 60 * time.Second
-	maxIdlePerAgent    = 64
+	maxIdlePerAgent    = 256
 	maxIdleConnections = 1024
 	userTimeout        = 5 * time.Second
 	frameBacklog       = 16
