Measure memory of requests that ended lately

Cause: an agent keeps ended attempts for 60 s, which nothing had measured. Change: step ended of command slopes; size of the catalog after gzip; prompts of the benchmark share their start, so that the engine is not the bottleneck.

--- a/capacity/load.go
+++ b/capacity/load.go
@@ -82,7 +82,9 @@
 	c.site.Close()
 }
 
-// chatBody is a streamed request for an answer of exactly this many tokens.
+// chatBody is a streamed request for an answer of exactly this many tokens. Its
+// prompt differs at the end only, so that the engine's stand-in finds the rest
+// in its cache and does not become the bottleneck.
 func chatBody(id, tokens int) []byte {
 	type message struct {
 		Role    string `json:"role"`
@@ -96,7 +98,7 @@
 		IgnoreEOS bool      `json:"ignore_eos"`
 	}{
 		Model:    standin.DefaultModel,
-		Messages: []message{{"user", fmt.Sprintf("%08d ", id) + strings.Repeat("text ", promptBytes/5)}},
+		Messages: []message{{"user", strings.Repeat("text ", promptBytes/5) + fmt.Sprint(id)}},
 		Stream:   true, MaxTokens: tokens, IgnoreEOS: true,
 	})
 	return body
--- a/capacity/overhead_test.go
+++ b/capacity/overhead_test.go
@@ -24,7 +24,13 @@
 	"github.com/pistachiowind/pistachiowind/standin"
 )
 
-const overheadTokens = 16
+const (
+	overheadTokens = 16
+
+	// fastInterval is four times the planned pace; 256 streams then carry four times
+	// the tokens of one router at the planned size.
+	fastInterval = 10 * time.Millisecond
+)
 
 // BenchmarkOverhead compares requests straight to the engine's stand-in, through
 // httputil.ReverseProxy (one and two hops), and through router and agent. All
@@ -35,7 +41,7 @@
 	for _, pace := range []struct {
 		name string
 		step time.Duration
-	}{{"paced", tokenInterval}, {"unpaced", time.Microsecond}} {
+	}{{"paced", tokenInterval}, {"fast", fastInterval}, {"unpaced", time.Microsecond}} {
 		site := benchSite(b, pace.step)
 		for _, streams := range []int{1, 256} {
 			for _, path := range paths(b, site) {
--- a/capacity/report.go
+++ b/capacity/report.go
@@ -35,6 +35,7 @@
 		{"probed-agent", seriesOf(ProbedAgent)},
 		{"streams", seriesOf(Streams)},
 		{"requests", seriesOf(Requests)},
+		{"ended", seriesOf(Ended)},
 		{"propagation", func(log io.Writer, r *Report) error {
 			p, series, err := Propagations(log)
 			r.Propagations = p
--- a/capacity/static.go
+++ b/capacity/static.go
@@ -1,6 +1,8 @@
 package capacity
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -34,7 +36,7 @@
 // adoption, its processor time and the memory of the version in force.
 func Accounts() ([]*Series, error) {
 	set := newSet(Control, "router and agent", "client accounts", []string{
-		"bytes of the document", "bytes of one adoption from the store",
+		"bytes of the document", "bytes of the document after gzip", "bytes of one adoption from the store",
 		"bytes of one poll, last change: one profile", "bytes of one poll, last change: all accounts",
 		"seconds of processor time per adoption", "bytes of heap of the version in force",
 	})
@@ -76,7 +78,7 @@
 		return err
 	}
 	cpu, heap, err := adoptionCost(body)
-	set.add(float64(n), float64(len(body)), adoption, poll, pollAfterMany, cpu.Seconds(), heap)
+	set.add(float64(n), float64(len(body)), float64(gzipBytes(body)), adoption, poll, pollAfterMany, cpu.Seconds(), heap)
 	return err
 }
 
@@ -89,6 +91,15 @@
 	return c
 }
 
+func gzipBytes(body []byte) int {
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	// A buffer accepts every write.
+	_, _ = w.Write(body)
+	_ = w.Close()
+	return out.Len()
+}
+
 func loadBytes(wire *Wire, store *catalog.Store, have uint64) (float64, error) {
 	before := wire.Traffic()
 	_, _, err := store.Load(context.Background(), have)
