--- a/capacity/claims.go
+++ b/capacity/claims.go
@@ -20,7 +20,7 @@
 
 var (
 	claimCounts = []int{50, 100, 200, 400}
-	leaseCounts = []int{1, 4, 16, 64}
+	leaseCounts = []int{2, 16, 64, 128, 410}
 )
 
 // Claims measures the calls and bytes of the table service against requests
@@ -74,56 +74,74 @@
 	return nil
 }
 
-// Leases measures the calls per second of one lease against the processes that
-// compete for it, in virtual time.
+// Leases measures the calls per second of one lease against the routers that
+// compete for it, in virtual time, and the calls in the minute after its holder
+// was lost.
 func Leases() []*Series {
 	set := newSet(Control, "router", "routers that compete for a lease", []string{
 		"reads/s of the table service", "writes/s of the table service",
+		"reads in the minute after the holder was lost", "writes in the minute after the holder was lost",
 	})
 	for _, n := range leaseCounts {
 		for r := range repetitions {
-			reads, writes := leases(n, r)
-			set.add(float64(n), float64(reads)/leaseTime.Seconds(), float64(writes)/leaseTime.Seconds())
+			steady, lost := leases(n, r)
+			seconds := leaseTime.Seconds()
+			set.add(float64(n), float64(steady.reads)/seconds, float64(steady.writes)/seconds,
+				float64(lost.reads), float64(lost.writes))
 		}
 	}
 	return set.finish()
 }
 
-// leases runs n competitors that started a different time apart.
-func leases(n, apart int) (reads, writes int) {
+type leaseCalls struct{ reads, writes int }
+
+// leases runs n competitors that started a number of ticks apart. The first one
+// becomes the holder; it is lost after leaseTime.
+func leases(n, apart int) (steady, lost leaseCalls) {
 	began := time.Unix(0, 0)
-	var row platform.Row
-	revision := 0
+	table := &leaseTable{}
 	competitors := make([]*lease.Lease, n)
 	for i := range competitors {
 		competitors[i] = lease.New(fmt.Sprintf("router-%d", i))
 	}
-	for at := time.Duration(0); at < leaseTime; at += leaseTick {
-		now := began.Add(at)
+	for at := time.Duration(0); at < leaseTime+time.Minute; at += leaseTick {
+		if at == leaseTime {
+			steady, table.leaseCalls = table.leaseCalls, leaseCalls{}
+		}
 		for i, l := range competitors {
-			if at < time.Duration(i*apart)*leaseTick {
-				continue
-			}
-			a, ok := l.Next(now)
-			if !ok {
+			stopped := i == 0 && at >= leaseTime
+			if stopped || at < time.Duration(i*apart)*leaseTick {
 				continue
 			}
-			if !a.Write {
-				reads++
-				l.Result(now, a, row, readError(row))
-				continue
-			}
-			writes++
-			if a.Expected != row.Revision {
-				l.Result(now, a, platform.Row{}, platform.ErrConflict)
-				continue
+			if a, ok := l.Next(began.Add(at)); ok {
+				table.call(began.Add(at), l, a)
 			}
-			revision++
-			row = platform.Row{Value: a.Value, Revision: platform.Revision(fmt.Sprint(revision))}
-			l.Result(now, a, row, nil)
 		}
 	}
-	return reads, writes
+	return steady, table.leaseCalls
+}
+
+// leaseTable is a table of one row that counts calls.
+type leaseTable struct {
+	leaseCalls
+	row      platform.Row
+	revision int
+}
+
+func (t *leaseTable) call(now time.Time, l *lease.Lease, a lease.Action) {
+	if !a.Write {
+		t.reads++
+		l.Result(now, a, t.row, readError(t.row))
+		return
+	}
+	t.writes++
+	if a.Expected != t.row.Revision {
+		l.Result(now, a, platform.Row{}, platform.ErrConflict)
+		return
+	}
+	t.revision++
+	t.row = platform.Row{Value: a.Value, Revision: platform.Revision(fmt.Sprint(t.revision))}
+	l.Result(now, a, t.row, nil)
 }
 
 func readError(row platform.Row) error {
