--- a/agent/worker/run.go
+++ b/agent/worker/run.go
@@ -28,7 +28,7 @@
 
 // startReady starts waiting attempts while the concurrency limit allows it.
 func (w *Worker) startReady(now time.Time) {
-	for !w.probation(now) {
+	for w.queue.Len() > 0 && !w.probation(now) {
 		it, ok := w.limiter.Next(now, w.queue, w.runningList())
 		if !ok {
 			return
