--- a/agent/agent.go
+++ b/agent/agent.go
@@ -31,6 +31,7 @@
 	"github.com/pistachiowind/pistachiowind/agent/intake"
 	"github.com/pistachiowind/pistachiowind/agent/queue"
 	"github.com/pistachiowind/pistachiowind/agent/worker"
+	"github.com/pistachiowind/pistachiowind/catalog"
 	"github.com/pistachiowind/pistachiowind/httpserver"
 	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/rpc"
@@ -100,6 +101,8 @@
 	catalog     *catalogView
 	peers       *httpserver.Server
 	admin       *httpserver.Server
+	metrics     *telemetry.Agent
+	peerClient  *http.Client
 	states      *telemetry.StateLog
 	supervisor  *suture.Supervisor
 	drainAsked  *admin.DrainOnce
@@ -114,7 +117,6 @@
 	a := &Agent{
 		opts:        opts,
 		incarnation: opts.Name + "-" + uuid.NewString(),
-		states:      telemetry.NewStateLog(opts.Log),
 	}
 	a.drainAsked = admin.NewDrainOnce(func(operator string) {
 		a.states.Report(telemetry.StateChange{Subject: "drain", State: "asked for", Cause: "operator " + operator})
@@ -123,17 +125,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("start telemetry: %w", err)
 	}
-	instruments, err := telemetry.NewAgent(provider)
-	if err != nil {
+	if a.metrics, err = telemetry.NewAgent(provider); err != nil {
 		return nil, fmt.Errorf("start telemetry: %w", err)
 	}
-	a.catalog = newCatalogView(opts, a.incarnation)
+	a.instrument()
 	peers, operators := http.NewServeMux(), http.NewServeMux()
 	if err := a.listen(peers, operators); err != nil {
 		return nil, err
 	}
-	a.build(instruments)
-	a.registerPeers(peers)
+	a.build(a.metrics)
+	a.registerPeers(peers, a.metrics)
 	if err := a.registerAdmin(operators, provider.Handler()); err != nil {
 		return nil, err
 	}
@@ -141,6 +142,19 @@
 	return a, nil
 }
 
+// instrument makes the parts that report to the metrics.
+func (a *Agent) instrument() {
+	a.states = telemetry.NewStateLog(a.opts.Log, a.metrics.StateChanged)
+	a.opts.Table = a.opts.Table.Observed(a.metrics)
+	if a.opts.Objects != nil {
+		a.opts.Objects = a.opts.Objects.Observed(a.metrics)
+	}
+	a.peerClient = &http.Client{Transport: a.metrics.CountPeerCalls(a.opts.PeerTransport)}
+	a.catalog = newCatalogView(a.opts, a.incarnation, a.peerClient, func(s catalog.Source) {
+		a.metrics.CatalogAdoptions.Add(1, telemetry.ReasonLabels{Reason: s.String()})
+	})
+}
+
 func (a *Agent) telemetryOptions() telemetry.Options {
 	return telemetry.Options{
 		Role:             "agent",
@@ -214,7 +228,7 @@
 
 func (a *Agent) supervise() {
 	a.supervisor = suture.New("agent "+a.opts.Name, suture.Spec{
-		EventHook: func(e suture.Event) { a.opts.Log.Warn().Str("event", e.String()).Msg("supervised service ended") },
+		EventHook: a.metrics.SupervisorHook(a.opts.Log),
 		Timeout:   supervisorTimeout,
 	})
 	a.supervisor.Add(a.worker)
--- a/agent/build.go
+++ b/agent/build.go
@@ -14,7 +14,6 @@
 	"github.com/pistachiowind/pistachiowind/httpserver"
 	"github.com/pistachiowind/pistachiowind/peertls"
 	"github.com/pistachiowind/pistachiowind/quarantine"
-	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
 	"github.com/pistachiowind/pistachiowind/telemetry"
 )
@@ -23,12 +22,12 @@
 // the addresses are known.
 func (a *Agent) build(metrics *telemetry.Agent) {
 	backend := a.backend()
-	a.ledger = newLedger(a.opts, a.incarnation, a.peers.Address())
+	a.ledger = newLedger(a.opts, a.incarnation, a.peers.Address(), a.peerClient)
 	a.worker = worker.New(worker.Options{
 		Backend:   backend,
 		Endpoint:  a.opts.Name,
 		Publisher: &evidencePublisher{exchange: quarantine.NewExchange(a.opts.Table), log: a.opts.Log},
-		Guard:     &worker.LedgerGuard{Ledger: a.ledger},
+		Guard:     &worker.LedgerGuard{Ledger: &countedLedger{Ledger: a.ledger, outcomes: metrics.Claims}},
 		Catalog:   a.catalog,
 		Observer:  &attemptMetrics{metrics: metrics},
 		Queue:     a.opts.Queue,
@@ -40,10 +39,9 @@
 		backend: backend,
 		worker:  a.worker,
 		states:  a.states,
-		up:      metrics.EndpointUp,
-		crashes: metrics.EndpointCrashes,
 		fixed:   a.opts.Models,
 	}
+	a.observe(metrics)
 }
 
 // listen opens the listeners for routers and operators.
@@ -69,53 +67,19 @@
 	return strings.HasSuffix(path, "/ClaimStatus") || strings.HasSuffix(path, "/FetchCatalog")
 }
 
-func (a *Agent) registerPeers(mux *http.ServeMux) {
+func (a *Agent) registerPeers(mux *http.ServeMux, metrics *telemetry.Agent) {
 	intake.NewStreams(a.incarnation, a.worker).Register(mux)
 	unary := rpc.NewAgentServer(&intake.Unary{
 		Identity: a.identity(),
 		Worker:   a.worker,
 		Claims:   a.ledger,
-		Orders:   a.gate,
+		Orders:   &countedOrders{orders: a.gate, outcomes: metrics.Orders},
 		Catalog:  a.catalog,
 		Models:   a.monitor.Models,
 	})
 	mux.Handle(unary.PathPrefix(), unary)
 }
 
-// attemptMetrics counts what happens to attempts.
-type attemptMetrics struct {
-	metrics *telemetry.Agent
-}
-
-// Ended counts an attempt by its result code.
-func (m *attemptMetrics) Ended(req *rpc.RunRequest, result *resultcode.Error) {
-	labels := telemetry.TierCodeLabels{Tier: int(req.GetTier())}
-	if result != nil {
-		labels.Code = result.Code
-	}
-	m.metrics.Attempts.Add(1, labels)
-}
-
-// Waited records the time in the queue.
-func (m *attemptMetrics) Waited(req *rpc.RunRequest, wait time.Duration) {
-	m.metrics.Queue.Record(wait, telemetry.ClassLabels{Class: req.GetClass()})
-}
-
-// FirstToken records the endpoint's time to the first token.
-func (m *attemptMetrics) FirstToken(req *rpc.RunRequest, d time.Duration) {
-	m.metrics.EndpointFirst.Record(d, telemetry.ModelLabels{Model: req.GetChat().GetModel()})
-}
-
-// Displaced counts a displaced attempt.
-func (m *attemptMetrics) Displaced(tier int) {
-	m.metrics.Displaced.Add(1, telemetry.TierLabels{Tier: tier})
-}
-
-// Preempted counts a preempted attempt.
-func (m *attemptMetrics) Preempted(tier int) {
-	m.metrics.Preempted.Add(1, telemetry.TierLabels{Tier: tier})
-}
-
 // evidencePublisher writes evidence of a crash to the table service in the
 // background. Crashes are rare, and one write covers all requests of a crash.
 type evidencePublisher struct {
--- a/agent/catalogview.go
+++ b/agent/catalogview.go
@@ -24,17 +24,18 @@
 	routers     *expirable.LRU[string, struct{}]
 }
 
-func newCatalogView(opts Options, incarnation string) *catalogView {
+func newCatalogView(opts Options, incarnation string, client *http.Client, adopted func(catalog.Source)) *catalogView {
 	v := &catalogView{
 		holder:  catalog.NewHolder(),
 		routers: expirable.NewLRU[string, struct{}](maxKnownRouters, nil, routerMemory),
 	}
 	v.distributor = catalog.NewDistributor(catalog.DistributorOptions{
 		Store:    catalog.NewStore(opts.Table),
-		Peers:    catalog.NewRouterClient(peerURL(opts), &http.Client{Transport: opts.PeerTransport}),
+		Peers:    catalog.NewRouterClient(peerURL(opts), client),
 		Holder:   v.holder,
 		PeerList: v.routers.Keys,
 		Seed:     xxhash.Sum64String(incarnation),
+		Adopted:  adopted,
 	})
 	return v
 }
--- a/agent/claims.go
+++ b/agent/claims.go
@@ -12,11 +12,11 @@
 
 // newLedger returns the at-most-once record; address is where other agents ask
 // this one about its claims.
-func newLedger(opts Options, incarnation, address string) *claim.Ledger {
+func newLedger(opts Options, incarnation, address string, client *http.Client) *claim.Ledger {
 	return claim.New(claim.Options{
 		Table:   opts.Table,
 		Objects: opts.Objects,
-		Owners:  &ownerClient{client: &http.Client{Transport: opts.PeerTransport}, url: peerURL(opts)},
+		Owners:  &ownerClient{client: client, url: peerURL(opts)},
 		Agent:   incarnation,
 		Address: address,
 		Seed:    xxhash.Sum64String(incarnation),
--- a/agent/execution/attempt.go
+++ b/agent/execution/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/resultcode"
@@ -48,10 +49,12 @@
 	reader     *Reader
 	readerLeft time.Time
 	space      chan struct{}
+	// stalls counts the waits for room in all buffers of the table.
+	stalls *atomic.Uint64
 }
 
-func newAttempt(id ID, maxBytes int) *Attempt {
-	return &Attempt{id: id, maxBytes: maxBytes, space: make(chan struct{}, 1), execution: resultcode.NotRun}
+func newAttempt(id ID, maxBytes int, stalls *atomic.Uint64) *Attempt {
+	return &Attempt{id: id, maxBytes: maxBytes, stalls: stalls, space: make(chan struct{}, 1), execution: resultcode.NotRun}
 }
 
 // ID returns the attempt's identity.
@@ -145,10 +148,13 @@
 // reader has taken yet, it waits until there is room or ctx ends.
 func (a *Attempt) Append(ctx context.Context, f *rpc.Frame) error {
 	size := frameSize(f)
-	for {
+	for stalled := false; ; stalled = true {
 		if a.tryAppend(f, size) {
 			return nil
 		}
+		if !stalled {
+			a.stalls.Add(1)
+		}
 		select {
 		case <-a.space:
 		case <-ctx.Done():
--- a/agent/execution/table.go
+++ b/agent/execution/table.go
@@ -6,6 +6,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/resultcode"
@@ -93,6 +94,7 @@
 	endedBytes int
 	tombstones map[ID]struct{}
 	tombOrder  []ID
+	stalls     atomic.Uint64
 	routers    map[string]*routerRecord
 }
 
@@ -123,7 +125,7 @@
 	if err := t.refusal(now, id); err != nil {
 		return nil, err
 	}
-	a := newAttempt(id, t.opts.BufferBytes)
+	a := newAttempt(id, t.opts.BufferBytes, &t.stalls)
 	t.attempts[id] = a
 	t.open++
 	return a, nil
@@ -251,6 +253,9 @@
 	return t.open
 }
 
+// Stalls returns how often a full replay buffer has made Append wait.
+func (t *Table) Stalls() uint64 { return t.stalls.Load() }
+
 func (t *Table) expire(now time.Time) {
 	for len(t.ended) > 0 {
 		oldest := t.ended[0]
--- a/agent/gate/keeper.go
+++ b/agent/gate/keeper.go
@@ -81,6 +81,13 @@
 	return k.response(result.Err), nil
 }
 
+// Highest returns the highest fencing number seen.
+func (k *Keeper) Highest() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.gate.Highest()
+}
+
 func (k *Keeper) execute(ctx context.Context, r *rpc.OrderRequest) *resultcode.Error {
 	ctx, cancel := context.WithTimeout(ctx, k.o.Timeout)
 	defer cancel()
--- a/agent/intake/intake.go
+++ b/agent/intake/intake.go
@@ -34,6 +34,8 @@
 type Worker interface {
 	// Submit accepts an attempt into the queue or refuses it.
 	Submit(now time.Time, req *rpc.RunRequest) (*execution.Attempt, *resultcode.Error)
+	// NoteRefusal counts an attempt that intake itself refused.
+	NoteRefusal(req *rpc.RunRequest, err *resultcode.Error)
 	// Find returns an attempt that was accepted before.
 	Find(id execution.ID) (*execution.Attempt, bool)
 	// Renounce gives an attempt up; see rpc.Agent.
@@ -73,6 +75,7 @@
 		return
 	}
 	if err := s.checkRun(&req); err != nil {
+		s.worker.NoteRefusal(&req, err)
 		out.refuse(err)
 		return
 	}
--- a/agent/monitor.go
+++ b/agent/monitor.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/agent/endpoint"
@@ -29,12 +30,10 @@
 	backend endpoint.Backend
 	worker  *worker.Worker
 	states  *telemetry.StateLog
-	up      *telemetry.Gauge[telemetry.NoLabels]
-	crashes *telemetry.Counter[telemetry.NoLabels]
 	fixed   []string
 
 	failed int
-	wasUp  bool
+	up     atomic.Bool
 	asked  time.Time
 
 	mu     sync.Mutex
@@ -67,23 +66,18 @@
 	m.refreshModels(ctx)
 	// The worker may have seen a crash that fell between two checks.
 	m.worker.SetState(rpc.AgentState_AGENT_STATE_SERVING)
-	if m.wasUp {
+	if m.up.Swap(true) {
 		return
 	}
-	m.wasUp = true
-	m.up.Set(1, telemetry.NoLabels{})
 	m.states.Report(telemetry.StateChange{Subject: "endpoint", State: "up"})
 }
 
 func (m *monitor) down(err error) {
 	m.failed++
-	if m.failed < downAfter || !m.wasUp {
+	if m.failed < downAfter || !m.up.Swap(false) {
 		return
 	}
-	m.wasUp = false
 	m.worker.SetState(rpc.AgentState_AGENT_STATE_DOWN)
-	m.up.Set(0, telemetry.NoLabels{})
-	m.crashes.Add(1, telemetry.NoLabels{})
 	m.states.Report(telemetry.StateChange{Subject: "endpoint", State: "down", Cause: err.Error(), Warn: true})
 }
 
--- a/agent/worker/crash.go
+++ b/agent/worker/crash.go
@@ -68,11 +68,14 @@
 		return
 	}
 	w.crashSeen = true
+	w.opts.Observer.Crashed()
 	if w.state == rpc.AgentState_AGENT_STATE_SERVING {
 		w.state = rpc.AgentState_AGENT_STATE_DOWN
 	}
 	runs := w.suspectRuns()
-	w.quarantine.Crashed(now, w.opts.Endpoint, runs)
+	for range w.quarantine.Crashed(now, w.opts.Endpoint, runs) {
+		w.opts.Observer.SuspectDecided(true)
+	}
 	var records []quarantine.Record
 	for _, run := range runs {
 		if r, ok := w.quarantine.Lookup(now, run.Fingerprint); ok {
@@ -85,10 +88,15 @@
 }
 
 // proved clears a suspect whose request ran to its end.
-func (w *Worker) proved(req *rpc.RunRequest) {
-	if f, ok := quarantine.FingerprintOf(req.GetBodyDigest()); ok {
-		w.quarantine.Completed(f)
+func (w *Worker) proved(now time.Time, req *rpc.RunRequest) {
+	f, ok := quarantine.FingerprintOf(req.GetBodyDigest())
+	if !ok {
+		return
+	}
+	if w.quarantine.Verdict(now, f) == quarantine.Suspect {
+		w.opts.Observer.SuspectDecided(false)
 	}
+	w.quarantine.Completed(f)
 }
 
 // evidence returns what is known against a request that failed.
--- a/agent/worker/run.go
+++ b/agent/worker/run.go
@@ -80,6 +80,7 @@
 	j.item = it
 	j.cancel = cancel
 	j.running = &queue.Running{Item: it, Started: now}
+	j.gaps = w.opts.Observer.Gaps()
 	w.running[it.ID] = j
 	waited := now.Sub(j.waitingSince)
 	w.limiter.Started(now, it.Tier, waited)
@@ -104,9 +105,10 @@
 	}
 	delete(w.running, j.item.ID)
 	if err == nil {
-		w.proved(j.req)
+		w.proved(now, j.req)
 	}
 	used := now.Sub(j.running.Started)
+	w.opts.Observer.Ran(j.req, used, j.gaps)
 	w.queue.Done(j.item, used)
 	w.limiter.Ended(now, outcome(err, cause))
 	if err != nil && errors.Is(cause, errPreempted) {
@@ -239,7 +241,9 @@
 		j.pinned.Store(true)
 	}
 	if p.first && !p.last.IsZero() {
-		w.limiter.Token(now, now.Sub(p.last))
+		gap := now.Sub(p.last)
+		w.limiter.Token(now, gap)
+		j.gaps.Add(gap)
 	}
 	w.observeFirst(now, j)
 	p.last = now
@@ -285,6 +289,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, it := range w.queue.Expire(now) {
+		w.opts.Observer.Expired(it.Tier)
 		w.refuseWaiting(now, it, resultcode.New(resultcode.DeadlineInQueue, "waited %s", now.Sub(it.Arrived).Round(time.Millisecond)))
 	}
 	w.cancelOrphans(now)
@@ -308,13 +313,22 @@
 	j.cancel(errPreempted)
 }
 
+// orphan reports whether no router has read the attempt for OrphanTimeout.
+func (j *job) orphan(now time.Time) bool {
+	since, unread := j.attempt.UnreadSince()
+	return unread && now.Sub(since) >= OrphanTimeout
+}
+
 // cancelOrphans gives up idempotent attempts whose router is gone.
 func (w *Worker) cancelOrphans(now time.Time) {
 	for _, j := range w.jobs {
-		since, unread := j.attempt.UnreadSince()
-		if !unread || now.Sub(since) < OrphanTimeout || !j.req.GetIdempotent() {
+		if !j.req.GetIdempotent() || !j.orphan(now) {
 			continue
 		}
+		if !j.orphaned {
+			j.orphaned = true
+			w.opts.Observer.Orphaned(true)
+		}
 		if j.cancel != nil {
 			j.cancel(errOrphaned)
 			continue
--- a/agent/worker/worker.go
+++ b/agent/worker/worker.go
@@ -42,15 +42,6 @@
 	SeenPeer(address string)
 }
 
-// Observer is told what happens to attempts, for metrics.
-type Observer interface {
-	Ended(req *rpc.RunRequest, result *resultcode.Error)
-	Waited(req *rpc.RunRequest, wait time.Duration)
-	FirstToken(req *rpc.RunRequest, d time.Duration)
-	Displaced(tier int)
-	Preempted(tier int)
-}
-
 // Options configure a Worker. Backend, Catalog and Observer are required; Guard
 // is required where non-idempotent requests arrive.
 type Options struct {
@@ -86,6 +77,10 @@
 	pinned atomic.Bool
 	// unread is set when frames were given up because no router reads them.
 	unread bool
+	// gaps collects the times between tokens of the current run.
+	gaps GapRecorder
+	// orphaned is set when the attempt was cancelled because nobody reads it.
+	orphaned bool
 }
 
 // Worker runs the attempts of one agent incarnation. It is safe for concurrent
@@ -128,6 +123,19 @@
 func (w *Worker) Submit(now time.Time, req *rpc.RunRequest) (*execution.Attempt, *resultcode.Error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	attempt, err := w.submit(now, req)
+	if err != nil {
+		w.opts.Observer.Refused(req, err)
+	}
+	return attempt, err
+}
+
+// NoteRefusal counts an attempt that was refused before Submit.
+func (w *Worker) NoteRefusal(req *rpc.RunRequest, err *resultcode.Error) {
+	w.opts.Observer.Refused(req, err)
+}
+
+func (w *Worker) submit(now time.Time, req *rpc.RunRequest) (*execution.Attempt, *resultcode.Error) {
 	if err := w.refusal(now, req); err != nil {
 		return nil, err
 	}
@@ -253,6 +261,9 @@
 	} else {
 		j.attempt.Resolve(resultcode.Ran)
 	}
+	if !j.req.GetIdempotent() && j.orphan(now) {
+		w.opts.Observer.Orphaned(false)
+	}
 	w.table.End(now, j.attempt)
 	w.opts.Observer.Ended(j.req, err)
 	if len(w.jobs) == 0 && w.idle != nil {
@@ -284,6 +295,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	verdict, _ := w.table.Renounce(now, id)
+	w.opts.Observer.Renounced(verdict)
 	j, ok := w.jobs[itemID(id)]
 	if !ok {
 		return verdict
@@ -346,6 +358,9 @@
 	if s == rpc.AgentState_AGENT_STATE_SERVING {
 		w.crashSeen = false
 	}
+	if s == rpc.AgentState_AGENT_STATE_DOWN && w.state == rpc.AgentState_AGENT_STATE_SERVING {
+		w.opts.Observer.Crashed()
+	}
 	if w.state != rpc.AgentState_AGENT_STATE_LEAVING {
 		w.state = s
 	}
--- a/catalog/distribution.go
+++ b/catalog/distribution.go
@@ -38,6 +38,14 @@
 	FromPeer
 )
 
+// String returns the source as metrics name it.
+func (s Source) String() string {
+	if s == FromStore {
+		return "store"
+	}
+	return "peer"
+}
+
 // Ask is a question to be sent now. Each one ends with one call of Answered.
 type Ask struct {
 	Source Source
--- a/catalog/distributor.go
+++ b/catalog/distributor.go
@@ -35,6 +35,9 @@
 	PeerTimeout time.Duration
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
+	// Adopted, if set, is told the source of each version that takes effect. It
+	// must not block.
+	Adopted func(Source)
 }
 
 const (
@@ -110,8 +113,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	verdict := d.machine.Answered(d.o.Now(), d.have(), Answer{Ask: ask, Version: version, Failed: err != nil})
-	if verdict.Adopt && c != nil {
-		d.o.Holder.Adopt(ask.Sent, c)
+	if verdict.Adopt && c != nil && d.o.Holder.Adopt(ask.Sent, c) && d.o.Adopted != nil {
+		d.o.Adopted(ask.Source)
 	}
 	if verdict.Confirm {
 		d.o.Holder.Confirm(ask.Sent, version)
--- a/catalog/holder.go
+++ b/catalog/holder.go
@@ -74,6 +74,14 @@
 	return h.Current().Version() > 0 && now.Sub(h.confirmed) <= FreshFor
 }
 
+// ConfirmedAt returns when the question was sent whose answer confirmed the
+// version last; zero before the first.
+func (h *Holder) ConfirmedAt() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.confirmed
+}
+
 // Changed returns a channel that is closed at the next adoption. A watcher
 // calls Changed before it reads Current, so that it misses no version.
 func (h *Holder) Changed() <-chan struct{} {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -87,7 +88,12 @@
 		return nil, err
 	}
 	opts.PeerTLS, opts.PeerTransport = security.server, security.transport
-	return router.New(opts)
+	r, err := router.New(opts)
+	if err != nil {
+		return nil, err
+	}
+	security.countReloads(r.CertificateReloaded)
+	return r, nil
 }
 
 // NewAgent builds an agent from settings; log lines go to w.
@@ -100,7 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return agent.New(agent.Options{
+	a, err := agent.New(agent.Options{
 		Name:             s.Name,
 		Region:           s.Region,
 		AvailabilityZone: s.AvailabilityZone,
@@ -120,6 +126,11 @@
 		Log:              log,
 		Version:          telemetry.Version(),
 	})
+	if err != nil {
+		return nil, err
+	}
+	security.countReloads(a.CertificateReloaded)
+	return a, nil
 }
 
 func newLogger(w io.Writer, p settings.Process, role string) (zerolog.Logger, error) {
@@ -135,26 +146,36 @@
 type peerSecurity struct {
 	server    *tls.Config
 	transport *http.Transport
+	// reloaded counts reloads once the process exists.
+	reloaded atomic.Pointer[func(error)]
+}
+
+func (s *peerSecurity) countReloads(count func(error)) { s.reloaded.Store(&count) }
+
+func (s *peerSecurity) report(log zerolog.Logger, err error) {
+	if count := s.reloaded.Load(); count != nil {
+		(*count)(err)
+	}
+	if err != nil {
+		log.Error().Err(err).Msg("new TLS files are not usable; the previous certificate stays in use")
+		return
+	}
+	log.Info().Msg("TLS files reloaded")
 }
 
 // newPeerSecurity loads the certificates, or reports that there are none.
-func newPeerSecurity(s *settings.TLS, log zerolog.Logger) (peerSecurity, error) {
-	transport := dispatch.NewTransport()
+func newPeerSecurity(s *settings.TLS, log zerolog.Logger) (*peerSecurity, error) {
+	security := &peerSecurity{transport: dispatch.NewTransport()}
 	if s == nil {
 		log.Warn().Msg("traffic between processes is not encrypted: settings have no tls section")
-		return peerSecurity{transport: transport}, nil
+		return security, nil
 	}
 	files := peertls.Files{Certificate: s.CertificateFile, Key: s.KeyFile, CA: s.CAFile}
-	identity, err := peertls.Load(files, func(err error) {
-		if err != nil {
-			log.Error().Err(err).Msg("new TLS files are not usable; the previous certificate stays in use")
-			return
-		}
-		log.Info().Msg("TLS files reloaded")
-	})
+	identity, err := peertls.Load(files, func(err error) { security.report(log, err) })
 	if err != nil {
-		return peerSecurity{}, resultcode.Wrap(resultcode.InvalidSettings, err, "field tls")
+		return nil, resultcode.Wrap(resultcode.InvalidSettings, err, "field tls")
 	}
-	transport.TLSClientConfig = identity.ClientConfig()
-	return peerSecurity{server: identity.ServerConfig(), transport: transport}, nil
+	security.transport.TLSClientConfig = identity.ClientConfig()
+	security.server = identity.ServerConfig()
+	return security, nil
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -220,6 +220,17 @@
 	return out
 }
 
+// Condemned returns the number of requests that are refused.
+func (t *Table) Condemned(now time.Time) int {
+	n := 0
+	for _, r := range t.condemned.Values() {
+		if now.Sub(r.Last) < Lifetime {
+			n++
+		}
+	}
+	return n
+}
+
 // Completed clears a suspect that ran to its end. A condemned fingerprint stays
 // until its lifetime ends.
 func (t *Table) Completed(f Fingerprint) {
--- a/router/budget.go
+++ b/router/budget.go
@@ -67,3 +67,14 @@
 	defer b.mu.Unlock()
 	b.hedger.Observe(group, d)
 }
+
+// Left returns the share of the budget that is left in the tier with the least.
+func (b *tierBudgets) Left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	left := 1.0
+	for _, tier := range b.tiers {
+		left = min(left, tier.Left())
+	}
+	return left
+}
--- a/router/budget/budget.go
+++ b/router/budget/budget.go
@@ -132,6 +132,11 @@
 	return true
 }
 
+// Left returns the share of the router's own tokens that is left, 0 to 1.
+func (b *Budget) Left() float64 {
+	return float64(b.total.units) / float64(b.total.burst)
+}
+
 func (b *Budget) account(name string) *bucket {
 	if a, ok := b.accounts.Get(name); ok {
 		return a
--- a/router/catalogview.go
+++ b/router/catalogview.go
@@ -29,13 +29,14 @@
 
 // start makes the distributor; peers lists the agents to ask while the store is
 // down.
-func (v *catalogView) start(peers func() []string) {
+func (v *catalogView) start(peers func() []string, adopted func(catalog.Source)) {
 	v.distributor = catalog.NewDistributor(catalog.DistributorOptions{
 		Store:    v.store,
 		Peers:    catalog.NewAgentClient(v.client.URL, v.client.HTTPClient()),
 		Holder:   v.holder,
 		PeerList: peers,
 		Seed:     v.seed,
+		Adopted:  adopted,
 	})
 }
 
--- a/router/dispatch/client.go
+++ b/router/dispatch/client.go
@@ -32,6 +32,8 @@
 // Client opens attempt streams to agents.
 type Client struct {
 	http *http.Client
+	// unary sends unary calls.
+	unary *http.Client
 	// scheme is http, or https with mutual TLS.
 	scheme string
 }
@@ -43,11 +45,18 @@
 	if transport.TLSClientConfig != nil {
 		scheme = "https"
 	}
-	return &Client{http: &http.Client{Transport: transport}, scheme: scheme}
+	streams := &http.Client{Transport: transport}
+	return &Client{http: streams, unary: streams, scheme: scheme}
+}
+
+// WrapUnary sends unary calls through the transport that wrap returns. It is
+// called before the client is used.
+func (c *Client) WrapUnary(wrap func(http.RoundTripper) http.RoundTripper) {
+	c.unary = &http.Client{Transport: wrap(c.http.Transport)}
 }
 
 // HTTPClient returns the client for unary calls over the same connections.
-func (c *Client) HTTPClient() *http.Client { return c.http }
+func (c *Client) HTTPClient() *http.Client { return c.unary }
 
 // URL returns the base URL of a peer address.
 func (c *Client) URL(address string) string { return c.scheme + "://" + address }
@@ -96,6 +105,8 @@
 	ticket uint64
 	// attached marks an Attach stream.
 	attached bool
+	// answered is set when the observer was told how the Attach went.
+	answered bool
 	events   chan<- streamEvent
 	cancel   context.CancelFunc
 }
--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -25,7 +25,7 @@
 	catalogWait = 2 * time.Second
 )
 
-// Options configure a Dispatcher. All fields are required.
+// Options configure a Dispatcher. Fields without a stated default are required.
 type Options struct {
 	// Router is this router's incarnation.
 	Router string
@@ -36,6 +36,8 @@
 	Budget        Budget
 	Catalog       Catalog
 	Quarantine    Quarantine
+	// Observer is told of attempts; nil means nobody.
+	Observer Observer
 	// MaxAttempts bounds the attempts of one request; zero means 4.
 	MaxAttempts int
 }
@@ -53,12 +55,16 @@
 	if opts.MaxAttempts == 0 {
 		opts.MaxAttempts = defaultMaxAttempts
 	}
+	if opts.Observer == nil {
+		opts.Observer = noObserver{}
+	}
 	return &Dispatcher{opts: opts}
 }
 
 // call is one attempt as the router follows it.
 type call struct {
 	ticket uint64
+	kind   AttemptKind
 	target Target
 	stream *stream
 	head   *rpc.ResponseHead
@@ -66,7 +72,9 @@
 	startedAt time.Time
 	first     bool
 	ended     bool
-	pace      pace
+	// reported is set when the observer was told of the attempt's end.
+	reported bool
+	pace     pace
 }
 
 // flight is one request on its way.
@@ -199,16 +207,16 @@
 	if refused, action := f.mayNotSend(caller); refused {
 		return action
 	}
-	return f.place(a)
+	return f.place(a, f.kind(a))
 }
 
 // place selects an endpoint and opens the stream of a new attempt there.
-func (f *flight) place(a recovery.Action) recovery.Action {
+func (f *flight) place(a recovery.Action, kind AttemptKind) recovery.Action {
 	target, err := f.choose(a)
 	if err != nil {
 		return f.next(recovery.Event{Kind: recovery.NoEndpoint, Error: err})
 	}
-	c := &call{ticket: f.tickets.Add(1), target: target}
+	c := &call{ticket: f.tickets.Add(1), kind: kind, target: target}
 	if action := f.next(recovery.Event{Kind: recovery.AttemptSent, Attempt: c.ticket}); action.Kind == recovery.Drop {
 		f.opts.Fleet.Closed(time.Now(), target)
 		return recovery.Action{}
@@ -364,58 +372,3 @@
 		FromIndex: a.From,
 	})
 }
-
-// renounce asks the agent to give an attempt up and reports its answer.
-func (f *flight) renounce(ticket uint64) {
-	c := f.calls[ticket]
-	answers := f.answers
-	go func() {
-		e := f.askRenounce(context.WithoutCancel(f.ctx), c)
-		select {
-		case answers <- e:
-		default:
-		}
-	}()
-}
-
-func (f *flight) askRenounce(ctx context.Context, c *call) recovery.Event {
-	ctx, cancel := context.WithTimeout(ctx, recovery.RenounceTimeout)
-	defer cancel()
-	agent := rpc.NewAgentProtobufClient(f.opts.Client.URL(c.target.Address), f.opts.Client.HTTPClient())
-	resp, err := agent.Renounce(ctx, &rpc.RenounceRequest{
-		Attempt: &rpc.AttemptID{Router: f.opts.Router, Ticket: c.ticket},
-		Agent:   c.target.Incarnation,
-	})
-	if err != nil {
-		return recovery.Event{Kind: recovery.RenounceFailed, Attempt: c.ticket}
-	}
-	return recovery.Event{
-		Kind:            recovery.RenounceAnswered,
-		Attempt:         c.ticket,
-		SameIncarnation: resp.GetAgent() == c.target.Incarnation,
-		Execution:       resp.GetExecution().Verdict(),
-	}
-}
-
-// close frees what the request still holds: streams, and slots at endpoints of
-// attempts that have not ended.
-func (f *flight) close() {
-	now := time.Now()
-	if f.hedge != nil {
-		f.hedge.Stop()
-	}
-	for _, c := range f.calls {
-		f.opts.Fleet.Closed(now, c.target)
-		f.giveUp(c)
-	}
-}
-
-// giveUp closes an attempt's stream and frees its slot if it has not ended.
-func (f *flight) giveUp(c *call) {
-	c.stream.close()
-	if c.ended {
-		return
-	}
-	c.ended = true
-	go f.askRenounce(context.WithoutCancel(f.ctx), c)
-}
--- a/router/dispatch/frames.go
+++ b/router/dispatch/frames.go
@@ -20,6 +20,7 @@
 		return f.streamEnded(c, e)
 	}
 	f.noteVersion(c, e.frame)
+	f.attachAnswered(e.stream, e.frame.GetRefused() == nil)
 	now := time.Now()
 	switch k := e.frame.GetKind().(type) {
 	case *rpc.Frame_Accepted:
@@ -54,10 +55,19 @@
 	if f.finished {
 		// Every chunk up to the finish reason has arrived; only the usage is lost.
 		c.ended = true
+		f.attemptEnded(c, 0)
 		return f.next(recovery.Event{Kind: recovery.Done, Attempt: c.ticket})
 	}
+	f.attachAnswered(e.stream, false)
+	if e.end == endSilent {
+		f.opts.Observer.Silent()
+	}
 	f.opts.Fleet.Failed(time.Now(), c.target)
-	return f.next(recovery.Event{Kind: endEvent(e), Attempt: c.ticket})
+	action := f.next(recovery.Event{Kind: endEvent(e), Attempt: c.ticket})
+	if action.Kind != recovery.Attach {
+		f.attemptEnded(c, endCode(e.end))
+	}
+	return action
 }
 
 func endEvent(e streamEvent) recovery.EventKind {
@@ -181,6 +191,7 @@
 
 func (f *flight) done(now time.Time, c *call, done *rpc.Done) recovery.Action {
 	c.ended = true
+	f.attemptEnded(c, 0)
 	f.opts.Fleet.Load(now, c.target, done.GetLoad())
 	f.opts.Fleet.Succeeded(now, c.target)
 	action := f.next(recovery.Event{Kind: recovery.Done, Attempt: c.ticket})
@@ -219,6 +230,7 @@
 	}
 	f.opts.Fleet.Load(now, c.target, r.GetLoad())
 	f.opts.Fleet.Refused(now, c.target, err.Code, r.GetAgent())
+	f.attemptEnded(c, err.Code)
 	kind := recovery.Refused
 	if e.stream.attached {
 		kind = recovery.AttachRefused
--- a/router/dispatch/hedge.go
+++ b/router/dispatch/hedge.go
@@ -46,7 +46,7 @@
 	if !f.machine.MayHedge() || !f.opts.Budget.Hedge(f.req.Profile.Tier, f.req.Account.Name, f.group(), waited) {
 		return recovery.Action{}
 	}
-	return f.place(recovery.Action{Kind: recovery.Send})
+	return f.place(recovery.Action{Kind: recovery.Send}, HedgeAttempt)
 }
 
 // lead makes an attempt the one that the caller reads and gives the others up.
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -32,7 +32,9 @@
 	// RouterAddress is where agents fetch the catalog from this router.
 	RouterAddress string
 	Catalog       Catalog
-	Seed          uint64
+	// Observer is told of probes; nil means nobody.
+	Observer Observer
+	Seed     uint64
 }
 
 // Catalog is the part of the catalog that probes carry.
@@ -41,6 +43,11 @@
 	Seen(version uint64, peer string)
 }
 
+// Observer is told of probes, for metrics. Its method must not block.
+type Observer interface {
+	Probed(ok bool)
+}
+
 // Fleet knows the endpoints. It is safe for concurrent use; Serve polls the VM
 // list and sends probes.
 type Fleet struct {
@@ -234,6 +241,55 @@
 	return slices.Sorted(slices.Values(f.view.addresses))
 }
 
+// State is the state of an endpoint as an operator sees it.
+type State string
+
+// States. An ejected endpoint has no other state.
+const (
+	Serving  State = "serving"
+	Starting State = "starting"
+	Leaving  State = "leaving"
+	Down     State = "down"
+	Unknown  State = "unknown"
+	Ejected  State = "ejected"
+)
+
+func stateOf(c *selection.Candidate) State {
+	if c.Health.Ejected {
+		return Ejected
+	}
+	switch c.State {
+	case rpc.AgentState_AGENT_STATE_SERVING:
+		return Serving
+	case rpc.AgentState_AGENT_STATE_STARTING:
+		return Starting
+	case rpc.AgentState_AGENT_STATE_LEAVING:
+		return Leaving
+	case rpc.AgentState_AGENT_STATE_DOWN:
+		return Down
+	}
+	return Unknown
+}
+
+// States counts the known endpoints by state. Every state is present.
+func (f *Fleet) States() map[State]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh(time.Now())
+	counts := map[State]int{Serving: 0, Starting: 0, Leaving: 0, Down: 0, Unknown: 0, Ejected: 0}
+	for i := range f.view.candidates {
+		counts[stateOf(&f.view.candidates[i])]++
+	}
+	return counts
+}
+
+// Ejections counts the endpoints that were ejected.
+func (f *Fleet) Ejections() health.Ejections {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.health.Ejections()
+}
+
 // Serving returns the number of endpoints that accept work.
 func (f *Fleet) Serving() int {
 	f.mu.Lock()
--- a/router/fleet/probe.go
+++ b/router/fleet/probe.go
@@ -112,6 +112,9 @@
 		RouterAddress:  f.opts.RouterAddress,
 	})
 	f.answered(p, resp, err)
+	if f.opts.Observer != nil {
+		f.opts.Observer.Probed(err == nil)
+	}
 	if err == nil {
 		f.opts.Catalog.Seen(resp.GetCatalogVersion(), p.Address)
 	}
--- a/router/health/evaluate.go
+++ b/router/health/evaluate.go
@@ -95,6 +95,11 @@
 		return 1
 	})
 	for _, e := range bad[:min(room, len(bad))] {
+		if e.failing(now, &t.options) {
+			t.ejections.Failing++
+		} else {
+			t.ejections.Slow++
+		}
 		e.eject(now, &t.options)
 	}
 }
--- a/router/health/health.go
+++ b/router/health/health.go
@@ -116,8 +116,18 @@
 	options   Options
 	endpoints *simplelru.LRU[string, *endpoint]
 	groups    map[string]*group
+	ejections Ejections
 }
 
+// Ejections counts the endpoints that were ejected since the start, by cause. A
+// failed trial after an ejection does not count again.
+type Ejections struct {
+	Slow, Failing uint64
+}
+
+// Ejections returns the counts so far.
+func (t *Tracker) Ejections() Ejections { return t.ejections }
+
 // New returns a Tracker without endpoints.
 func New(o Options) *Tracker {
 	t := &Tracker{options: o.withDefaults(), groups: make(map[string]*group)}
--- /dev/null
+++ b/router/metrics.go
@@ -0,0 +1,71 @@
+package router
+
+import (
+	"github.com/pistachiowind/pistachiowind/catalog"
+	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/router/dispatch"
+	"github.com/pistachiowind/pistachiowind/telemetry"
+)
+
+// observe sets what is read at each scrape.
+func (r *Router) observe(requests *requestObserver, budgets *tierBudgets) {
+	m := r.metrics
+	m.WatchCatalog(r.catalog.Version, r.catalog.holder.ConfirmedAt)
+	m.OpenRequests.Observe(func(set func(float64, telemetry.TierLabels)) {
+		for tier := range requests.open {
+			set(float64(requests.open[tier].Load()), telemetry.TierLabels{Tier: tier})
+		}
+	})
+	m.Endpoints.Observe(func(set func(float64, telemetry.StateLabels)) {
+		for state, n := range r.fleet.States() {
+			set(float64(n), telemetry.StateLabels{State: string(state)})
+		}
+	})
+	m.Ejections.Observe(func(set func(int64, telemetry.ReasonLabels)) {
+		e := r.fleet.Ejections()
+		set(int64(e.Slow), telemetry.ReasonLabels{Reason: "slow"})
+		set(int64(e.Failing), telemetry.ReasonLabels{Reason: "failing"})
+	})
+	m.RetryBudget.Observe(func(set func(float64, telemetry.NoLabels)) {
+		set(budgets.Left(), telemetry.NoLabels{})
+	})
+}
+
+func (r *Router) adopted(s catalog.Source) {
+	r.metrics.CatalogAdoptions.Add(1, telemetry.ReasonLabels{Reason: s.String()})
+}
+
+// CertificateReloaded counts a reload of the TLS files; err is nil for a
+// successful one.
+func (r *Router) CertificateReloaded(err error) { r.metrics.CertificateReloaded(err) }
+
+// attemptMetrics counts attempts. It implements dispatch.Observer.
+type attemptMetrics struct {
+	metrics *telemetry.Router
+}
+
+// AttemptEnded counts an attempt by its kind and result code.
+func (m *attemptMetrics) AttemptEnded(kind dispatch.AttemptKind, code resultcode.Code) {
+	m.metrics.Attempts.Add(1, telemetry.AttemptLabels{Kind: string(kind), Code: code})
+}
+
+// Attached counts an attempt that was read again on a new connection.
+func (m *attemptMetrics) Attached(ok bool) {
+	m.metrics.Attaches.Add(1, telemetry.OKLabels(ok))
+}
+
+// Silent counts a silent stream.
+func (m *attemptMetrics) Silent() { m.metrics.SilentStreams.Add(1, telemetry.NoLabels{}) }
+
+// Renounced counts a renounce call.
+func (m *attemptMetrics) Renounced(outcome string) {
+	m.metrics.Renounces.Add(1, telemetry.ResultLabels{Outcome: outcome})
+}
+
+// fleetMetrics counts probes. It implements fleet.Observer.
+type fleetMetrics struct {
+	metrics *telemetry.Router
+}
+
+// Probed counts a probe.
+func (m *fleetMetrics) Probed(ok bool) { m.metrics.Probes.Add(1, telemetry.OKLabels(ok)) }
--- a/router/observe.go
+++ b/router/observe.go
@@ -1,9 +1,11 @@
 package router
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/burn"
+	"github.com/pistachiowind/pistachiowind/catalog"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/router/dispatch"
 	"github.com/pistachiowind/pistachiowind/telemetry"
@@ -14,12 +16,29 @@
 type requestObserver struct {
 	metrics  *telemetry.Router
 	recorder *burn.Recorder
+	// open counts the requests in dispatch by tier.
+	open [catalog.TierCount]atomic.Int64
+}
+
+// openRequest collects the times between tokens of a request in dispatch. The
+// catalog may change the profile meanwhile, so it keeps the tier.
+type openRequest struct {
+	tokens *burn.Tokens
+	gaps   telemetry.Gaps
+	tier   int
+}
+
+// Add implements dispatch.GapRecorder.
+func (o *openRequest) Add(d time.Duration) {
+	o.tokens.Add(d)
+	o.gaps.Add(d)
 }
 
 // Begun prepares the collection of the times between tokens.
 func (o *requestObserver) Begun(req *dispatch.Request) {
 	target := time.Duration(req.Profile.Target.InterTokenMS) * time.Millisecond
-	req.Trace.Gaps = burn.NewTokens(target)
+	o.open[req.Profile.Tier].Add(1)
+	req.Trace.Gaps = &openRequest{tokens: burn.NewTokens(target), tier: req.Profile.Tier}
 }
 
 // Ended records a request that was dispatched.
@@ -27,6 +46,10 @@
 	sample := newSample(time.Now(), req, result)
 	o.recorder.Record(time.Now(), sample)
 	o.count(req, sample)
+	if open, ok := req.Trace.Gaps.(*openRequest); ok {
+		o.open[open.tier].Add(-1)
+		o.metrics.InterToken.Merge(&open.gaps, telemetry.ClassLabels{Class: sample.Class})
+	}
 }
 
 func newSample(now time.Time, req *dispatch.Request, result *resultcode.Error) burn.Sample {
@@ -42,8 +65,8 @@
 		Whole:     now.Sub(req.Received),
 		Endpoint:  t.Endpoint,
 	}
-	if gaps, ok := t.Gaps.(*burn.Tokens); ok {
-		s.Tokens = gaps
+	if open, ok := t.Gaps.(*openRequest); ok {
+		s.Tokens = open.tokens
 	}
 	if !t.FirstToken.IsZero() {
 		s.FirstToken = t.FirstToken.Sub(req.Received)
@@ -73,7 +96,7 @@
 	}
 	m.Tokens.Add(int64(req.Trace.Tokens), class)
 	if req.Trace.WastedTokens > 0 {
-		m.WastedTokens.Add(int64(req.Trace.WastedTokens), telemetry.ReasonLabels{Reason: "abandoned"})
+		m.WastedTokens.Add(int64(req.Trace.WastedTokens), class)
 	}
 	if met, counts := s.TargetMet(); counts {
 		o.countTarget(met, class)
--- a/router/router.go
+++ b/router/router.go
@@ -116,7 +116,6 @@
 	r := &Router{
 		opts:        opts,
 		incarnation: opts.Name + "-" + uuid.NewString(),
-		states:      telemetry.NewStateLog(opts.Log),
 	}
 	r.drainAsked = admin.NewDrainOnce(func(operator string) {
 		r.states.Report(telemetry.StateChange{Subject: "drain", State: "asked for", Cause: "operator " + operator})
@@ -154,6 +153,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("start telemetry: %w", err)
 	}
+	r.states = telemetry.NewStateLog(r.opts.Log, r.metrics.StateChanged)
+	r.opts.Table = r.opts.Table.Observed(r.metrics)
+	if r.opts.VMs != nil {
+		r.opts.VMs = r.opts.VMs.Observed(r.metrics)
+	}
 	return provider, nil
 }
 
@@ -183,6 +187,7 @@
 func (r *Router) build() {
 	seed := xxhash.Sum64String(r.incarnation)
 	r.client = dispatch.NewClient(r.opts.PeerTransport)
+	r.client.WrapUnary(r.metrics.CountPeerCalls)
 	r.recorder = burn.NewRecorder(r.opts.Name, time.Now())
 	r.store = catalog.NewStore(r.opts.Table)
 	r.catalog = newCatalogView(r.store, r.client, seed)
@@ -194,9 +199,13 @@
 		Client:           r.client,
 		RouterAddress:    r.peers.Address(),
 		Catalog:          r.catalog,
+		Observer:         &fleetMetrics{metrics: r.metrics},
 		Seed:             seed,
 	})
-	r.catalog.start(r.fleet.Addresses)
+	r.catalog.start(r.fleet.Addresses, r.adopted)
+	budgets := newTierBudgets()
+	observer := &requestObserver{metrics: r.metrics, recorder: r.recorder}
+	r.observe(observer, budgets)
 	r.quarantine = newQuarantineView(r.opts.Table, seed)
 	dispatcher := dispatch.New(dispatch.Options{
 		Quarantine:    r.quarantine,
@@ -204,14 +213,15 @@
 		RouterAddress: r.peers.Address(),
 		Client:        r.client,
 		Fleet:         r.fleet,
-		Budget:        newTierBudgets(),
+		Budget:        budgets,
 		Catalog:       r.catalog,
+		Observer:      &attemptMetrics{metrics: r.metrics},
 	})
 	r.ingress = ingress.New(ingress.Options{
 		Dispatcher:   dispatcher,
 		Catalog:      r.catalog,
 		Models:       r.fleet,
-		Observer:     &requestObserver{metrics: r.metrics, recorder: r.recorder},
+		Observer:     observer,
 		MaxBodyBytes: r.opts.MaxBodyBytes,
 		BodyTimeout:  r.opts.BodyTimeout,
 		MaxOpen:      r.opts.MaxOpen,
@@ -225,7 +235,7 @@
 
 func (r *Router) supervise() {
 	r.supervisor = suture.New("router "+r.opts.Name, suture.Spec{
-		EventHook: func(e suture.Event) { r.opts.Log.Warn().Str("event", e.String()).Msg("supervised service ended") },
+		EventHook: r.metrics.SupervisorHook(r.opts.Log),
 		Timeout:   supervisorTimeout,
 	})
 	r.supervisor.Add(r.fleet)
--- /dev/null
+++ b/telemetry/gaps.go
@@ -0,0 +1,131 @@
+package telemetry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/sdk/metric/metricdata"
+)
+
+// tokenBounds are the bucket bounds of the time between tokens in seconds.
+// They contain the planned target of 44 ms.
+var tokenBounds = [...]float64{.002, .005, .01, .015, .02, .03, .044, .06, .08, .1, .15, .25, .5, 1, 3, 10}
+
+// Gaps counts the times between the tokens of one response in the buckets of a
+// TokenDuration. Add takes no lock and allocates nothing, because it runs for
+// each token. The zero value is empty. It is not safe for concurrent use.
+type Gaps struct {
+	counts [len(tokenBounds) + 1]uint64
+	count  uint64
+	sum    float64
+}
+
+// Add counts one time between two tokens.
+func (g *Gaps) Add(d time.Duration) {
+	seconds := d.Seconds()
+	i := 0
+	for i < len(tokenBounds) && seconds > tokenBounds[i] {
+		i++
+	}
+	g.counts[i]++
+	g.count++
+	g.sum += seconds
+}
+
+func (g *Gaps) merge(o *Gaps) {
+	for i, n := range o.counts {
+		g.counts[i] += n
+	}
+	g.count += o.count
+	g.sum += o.sum
+}
+
+// TokenDuration is a histogram of times between tokens that takes the counts of
+// a whole response at a time. A nil TokenDuration records nothing.
+type TokenDuration[L Labels] struct {
+	name, help string
+	start      time.Time
+	max        int
+
+	mu       sync.Mutex
+	merged   map[L]*Gaps
+	overflow Gaps
+}
+
+// Merge adds the counts of one response.
+func (h *TokenDuration[L]) Merge(g *Gaps, l L) {
+	if h == nil || g.count == 0 {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	known, ok := h.merged[l]
+	if !ok && len(h.merged) >= h.max {
+		h.overflow.merge(g)
+		return
+	}
+	if !ok {
+		known = &Gaps{}
+		h.merged[l] = known
+	}
+	known.merge(g)
+}
+
+func (h *TokenDuration[L]) collect(now time.Time) metricdata.Metrics {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	data := metricdata.Histogram[float64]{Temporality: metricdata.CumulativeTemporality}
+	for l, g := range h.merged {
+		data.DataPoints = append(data.DataPoints, h.point(now, g, attribute.NewSet(validPairs(l)...)))
+	}
+	if h.overflow.count > 0 {
+		set := attribute.NewSet(attribute.Bool("overflow", true))
+		data.DataPoints = append(data.DataPoints, h.point(now, &h.overflow, set))
+	}
+	return metricdata.Metrics{Name: h.name, Description: h.help, Unit: "s", Data: data}
+}
+
+func (h *TokenDuration[L]) point(now time.Time, g *Gaps, set attribute.Set) metricdata.HistogramDataPoint[float64] {
+	return metricdata.HistogramDataPoint[float64]{
+		Attributes:   set,
+		StartTime:    h.start,
+		Time:         now,
+		Count:        g.count,
+		Bounds:       tokenBounds[:],
+		BucketCounts: append([]uint64(nil), g.counts[:]...),
+		Sum:          g.sum,
+	}
+}
+
+func newTokenDuration[L Labels](p *Provider, name string, max int, help string) *TokenDuration[L] {
+	h := &TokenDuration[L]{name: name, help: help, start: time.Now(), max: max, merged: map[L]*Gaps{}}
+	p.define(KindHistogram, name+"_seconds", max, help, names[L](), nil)
+	p.merged.add(h.collect)
+	return h
+}
+
+// producer passes the merged histograms to the exporter.
+type producer struct {
+	mu       sync.Mutex
+	collects []func(time.Time) metricdata.Metrics
+}
+
+func (p *producer) add(collect func(time.Time) metricdata.Metrics) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.collects = append(p.collects, collect)
+}
+
+// Produce implements the SDK's metric.Producer.
+func (p *producer) Produce(context.Context) ([]metricdata.ScopeMetrics, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	var scope metricdata.ScopeMetrics
+	for _, collect := range p.collects {
+		scope.Metrics = append(scope.Metrics, collect(now))
+	}
+	return []metricdata.ScopeMetrics{scope}, nil
+}
--- a/telemetry/instrument.go
+++ b/telemetry/instrument.go
@@ -104,20 +104,6 @@
 	c.inner.Add(context.Background(), n, c.series.option(l))
 }
 
-// Gauge is a current value. A nil Gauge records nothing.
-type Gauge[L Labels] struct {
-	inner  metric.Float64Gauge
-	series *series[L]
-}
-
-// Set replaces the value.
-func (g *Gauge[L]) Set(value float64, l L) {
-	if g == nil {
-		return
-	}
-	g.inner.Record(context.Background(), value, g.series.option(l))
-}
-
 // Duration is a histogram of durations. A nil Duration records nothing.
 type Duration[L Labels] struct {
 	inner  metric.Float64Histogram
@@ -136,25 +122,12 @@
 // contain the planned first-token target of 1.5 s.
 var requestBounds = []float64{.005, .01, .025, .05, .1, .25, .5, .75, 1, 1.5, 2.5, 5, 10, 30, 60, 120, 300, 600}
 
-// tokenBounds are the bucket bounds of the time between tokens in seconds.
-// They contain the planned target of 44 ms.
-var tokenBounds = []float64{.002, .005, .01, .015, .02, .03, .044, .06, .08, .1, .15, .25, .5, 1, 3, 10}
-
 func newCounter[L Labels](p *Provider, name string, max int, help string) *Counter[L] {
 	inner, err := p.meter.Int64Counter(name, metric.WithDescription(help))
 	p.define(KindCounter, name+"_total", max, help, names[L](), err)
 	return &Counter[L]{inner, newSeries[L](max)}
 }
 
-func newGauge[L Labels](p *Provider, name, unit string, max int, help string) *Gauge[L] {
-	inner, err := p.meter.Float64Gauge(name, metric.WithDescription(help), metric.WithUnit(unit))
-	if unit == "s" {
-		name += "_seconds"
-	}
-	p.define(KindGauge, name, max, help, names[L](), err)
-	return &Gauge[L]{inner, newSeries[L](max)}
-}
-
 func newDuration[L Labels](p *Provider, name string, bounds []float64, max int, help string) *Duration[L] {
 	inner, err := p.meter.Float64Histogram(name,
 		metric.WithDescription(help),
--- a/telemetry/labels.go
+++ b/telemetry/labels.go
@@ -85,30 +85,26 @@
 // AttemptLabels describe an attempt at the router.
 type AttemptLabels struct {
 	// Kind is why the attempt was sent.
-	Kind AttemptKind
+	Kind string
 	// Code is 0 for an attempt that succeeded.
 	Code resultcode.Code
 }
 
 func (l AttemptLabels) pairs() []attribute.KeyValue {
 	return []attribute.KeyValue{
-		attribute.String("kind", string(l.Kind)),
+		attribute.String("kind", l.Kind),
 		attribute.String("code", strconv.Itoa(int(l.Code))),
 	}
 }
 
-// AttemptKind is why a router sent an attempt.
-type AttemptKind string
+// ResultLabels describe how something ended by a fixed word.
+type ResultLabels struct{ Outcome string }
 
-const (
-	AttemptFirst  AttemptKind = "first"
-	AttemptRetry  AttemptKind = "retry"
-	AttemptHedge  AttemptKind = "hedge"
-	AttemptResume AttemptKind = "resume"
-	AttemptAttach AttemptKind = "attach"
-)
+func (l ResultLabels) pairs() []attribute.KeyValue {
+	return []attribute.KeyValue{attribute.String("outcome", l.Outcome)}
+}
 
-// OutcomeLabels describe the result of an internal operation by a fixed word.
+// OutcomeLabels describe the result of one of several operations by fixed words.
 type OutcomeLabels struct {
 	Operation string
 	Outcome   string
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -65,17 +65,22 @@
 // lasting failure does not fill the log; counters show how often it occurs.
 // It is safe for concurrent use.
 type StateLog struct {
-	logger zerolog.Logger
-	states *lru.Cache[string, string]
+	logger  zerolog.Logger
+	states  *lru.Cache[string, string]
+	changed func(StateChange)
 }
 
-// NewStateLog returns a StateLog on logger.
-func NewStateLog(logger zerolog.Logger) *StateLog {
+// NewStateLog returns a StateLog on logger. The function changed, if not nil, is
+// told of each line.
+func NewStateLog(logger zerolog.Logger, changed func(StateChange)) *StateLog {
 	states, err := lru.New[string, string](maxSubjects)
 	if err != nil {
 		panic("telemetry: the bound of a StateLog must be positive")
 	}
-	return &StateLog{logger: logger, states: states}
+	if changed == nil {
+		changed = func(StateChange) {}
+	}
+	return &StateLog{logger: logger, states: states, changed: changed}
 }
 
 // StateChange is a report about the state of a subject.
@@ -108,4 +113,5 @@
 		event = event.Str("cause", c.Cause)
 	}
 	event.Msg("state changed")
+	s.changed(c)
 }
--- /dev/null
+++ b/telemetry/process.go
@@ -0,0 +1,97 @@
+package telemetry
+
+import (
+	"net/http"
+	"path"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+)
+
+// Outcomes of operations in labels.
+const (
+	OutcomeOK     = "ok"
+	OutcomeFailed = "failed"
+)
+
+func outcomeOf(ok bool) string {
+	if ok {
+		return OutcomeOK
+	}
+	return OutcomeFailed
+}
+
+// OKLabels returns the labels of something that went well or failed.
+func OKLabels(ok bool) ResultLabels { return ResultLabels{Outcome: outcomeOf(ok)} }
+
+// Called implements platform.Observer.
+func (p *Process) Called(operation, outcome string, took time.Duration) {
+	labels := OutcomeLabels{Operation: operation, Outcome: outcome}
+	p.PlatformCalls.Add(1, labels)
+	p.PlatformLatency.Record(took, labels)
+}
+
+// WatchCatalog reads the catalog state at each scrape. The result of confirmed is
+// zero before the first confirmation.
+func (p *Process) WatchCatalog(version func() uint64, confirmed func() time.Time) {
+	p.CatalogVersion.Observe(func(set func(float64, NoLabels)) { set(float64(version()), NoLabels{}) })
+	p.CatalogConfirmed.Observe(func(set func(float64, NoLabels)) {
+		if at := confirmed(); !at.IsZero() {
+			set(float64(at.UnixMilli())/1000, NoLabels{})
+		}
+	})
+}
+
+// CertificateReloaded counts a reload of the TLS files.
+func (p *Process) CertificateReloaded(err error) {
+	p.CertificateReloads.Add(1, OKLabels(err == nil))
+}
+
+// StateChanged counts a change that a StateLog has written.
+func (p *Process) StateChanged(c StateChange) {
+	p.StateChanges.Add(1, StateLabels{State: c.State})
+}
+
+// SupervisorHook returns the hook that logs and counts services that ended and
+// are started again.
+func (p *Process) SupervisorHook(log zerolog.Logger) suture.EventHook {
+	return func(e suture.Event) {
+		log.Warn().Str("event", e.String()).Msg("supervised service ended")
+		switch e := e.(type) {
+		case suture.EventServicePanic:
+			if e.Restarting {
+				p.ServiceRestarts.Add(1, ReasonLabels{Reason: e.ServiceName})
+			}
+		case suture.EventServiceTerminate:
+			if e.Restarting {
+				p.ServiceRestarts.Add(1, ReasonLabels{Reason: e.ServiceName})
+			}
+		}
+	}
+}
+
+// unaryPrefix is the path prefix of twirp calls.
+const unaryPrefix = "/twirp/"
+
+// CountPeerCalls returns a transport that counts unary calls of other processes
+// by method. Attempt streams pass uncounted.
+func (p *Process) CountPeerCalls(base http.RoundTripper) http.RoundTripper {
+	return peerTransport{base: base, calls: p.PeerCalls}
+}
+
+type peerTransport struct {
+	base  http.RoundTripper
+	calls *Counter[OutcomeLabels]
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t peerTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.base.RoundTrip(req)
+	if strings.HasPrefix(req.URL.Path, unaryPrefix) {
+		ok := err == nil && resp.StatusCode == http.StatusOK
+		t.calls.Add(1, OutcomeLabels{Operation: path.Base(req.URL.Path), Outcome: outcomeOf(ok)})
+	}
+	return resp, err
+}
--- a/telemetry/provider.go
+++ b/telemetry/provider.go
@@ -45,6 +45,7 @@
 	registry *prometheus.Registry
 	meters   *sdkmetric.MeterProvider
 	meter    metric.Meter
+	merged   *producer
 	defs     []Definition
 	errs     []error
 }
@@ -56,7 +57,9 @@
 		o.Version = Version()
 	}
 	registry := prometheus.NewRegistry()
+	merged := &producer{}
 	exporter, err := otelprom.New(
+		otelprom.WithProducer(merged),
 		otelprom.WithRegisterer(registry),
 		otelprom.WithNamespace(namespace),
 		otelprom.WithoutScopeInfo(),
@@ -70,7 +73,7 @@
 		// The instruments bound their series themselves, see series.
 		sdkmetric.WithCardinalityLimit(0),
 	)
-	p := &Provider{registry: registry, meters: meters, meter: meters.Meter(namespace)}
+	p := &Provider{registry: registry, meters: meters, meter: meters.Meter(namespace), merged: merged}
 	err = errors.Join(
 		registry.Register(collectors.NewGoCollector()),
 		registry.Register(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{})),
@@ -79,7 +82,7 @@
 		return nil, fmt.Errorf("register collectors: %w", err)
 	}
 	build := newGauge[BuildLabels](p, "build_info", "", 1, "Always 1; the labels describe the instance.")
-	build.Set(1, BuildLabels(o))
+	build.Observe(func(set func(float64, BuildLabels)) { set(1, BuildLabels(o)) })
 	return p, errors.Join(p.errs...)
 }
 
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -37,10 +37,17 @@
 			recordAll(t, field.Interface())
 			continue
 		}
-		method := field.MethodByName("Add")
-		if !method.IsValid() {
-			method = field.MethodByName("Set")
+		if observe := field.MethodByName("Observe"); observe.IsValid() {
+			observe.Call([]reflect.Value{reportZero(observe.Type().In(0))})
+			continue
 		}
+		if merge := field.MethodByName("Merge"); merge.IsValid() {
+			gaps := &telemetry.Gaps{}
+			gaps.Add(20 * time.Millisecond)
+			merge.Call([]reflect.Value{reflect.ValueOf(gaps), reflect.Zero(merge.Type().In(1))})
+			continue
+		}
+		method := field.MethodByName("Add")
 		if !method.IsValid() {
 			method = field.MethodByName("Record")
 		}
@@ -49,6 +56,16 @@
 	}
 }
 
+// reportZero returns a function of type t, which an instrument calls at a scrape,
+// that sets the zero value with zero labels.
+func reportZero(t reflect.Type) reflect.Value {
+	return reflect.MakeFunc(t, func(args []reflect.Value) []reflect.Value {
+		set := args[0]
+		set.Call([]reflect.Value{reflect.Zero(set.Type().In(0)), reflect.Zero(set.Type().In(1))})
+		return nil
+	})
+}
+
 // exported returns the names of the metrics of this project that p exposes.
 func exported(t *testing.T, p *telemetry.Provider) []string {
 	t.Helper()
@@ -147,12 +164,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	states := telemetry.NewStateLog(logger)
+	changes := 0
+	states := telemetry.NewStateLog(logger, func(telemetry.StateChange) { changes++ })
 	for range 3 {
 		states.Report(telemetry.StateChange{Subject: "endpoint", State: "down", Cause: "refused", Warn: true})
 	}
 	states.Report(telemetry.StateChange{Subject: "endpoint", State: "serving"})
 	logger.Debug().Msg("hidden")
+	if changes != 2 {
+		t.Errorf("%d changes reported, 2 lines written", changes)
+	}
 	goldie.New(t).Assert(t, "state-log", out.Bytes())
 	if _, err := telemetry.NewLogger(&out, telemetry.LogOptions{Level: "loud"}); err == nil {
 		t.Error("unknown level accepted")
@@ -176,6 +197,48 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		r.InterToken.Record(20*time.Millisecond, telemetry.ClassLabels{Class: "chat"})
+		r.FirstToken.Record(20*time.Millisecond, telemetry.ClassLabels{Class: "chat"})
+	}
+}
+
+// Guards against token-rate work that allocates.
+func BenchmarkGaps(b *testing.B) {
+	var gaps telemetry.Gaps
+	b.ReportAllocs()
+	for b.Loop() {
+		gaps.Add(20 * time.Millisecond)
+	}
+}
+
+// Guards against times between tokens that land in the wrong bucket, are lost at
+// the bound of the series, or allocate for each token.
+func TestTokenDuration(t *testing.T) {
+	p := newProvider(t)
+	r, err := telemetry.NewRouter(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var gaps telemetry.Gaps
+	for _, ms := range []int{44, 45, 20_000} {
+		gaps.Add(time.Duration(ms) * time.Millisecond)
+	}
+	for i := range 70 {
+		r.InterToken.Merge(&gaps, telemetry.ClassLabels{Class: fmt.Sprint("c", i)})
+	}
+	w := httptest.NewRecorder()
+	p.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	for _, want := range []string{
+		`pistachiowind_router_inter_token_seconds_bucket{class="c0",le="0.044"} 1`,
+		`pistachiowind_router_inter_token_seconds_bucket{class="c0",le="0.06"} 2`,
+		`pistachiowind_router_inter_token_seconds_bucket{class="c0",le="10"} 2`,
+		`pistachiowind_router_inter_token_seconds_bucket{class="c0",le="+Inf"} 3`,
+		`pistachiowind_router_inter_token_seconds_count{overflow="true"} 18`,
+	} {
+		if !strings.Contains(w.Body.String(), want) {
+			t.Errorf("missing: %s", want)
+		}
+	}
+	if n := testing.AllocsPerRun(100, func() { gaps.Add(time.Millisecond) }); n != 0 {
+		t.Errorf("%v allocations for a token", n)
 	}
 }
