--- a/agent/endpoint/fuzz_test.go
+++ b/agent/endpoint/fuzz_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"time"
 	"unicode/utf8"
 
 	"google.golang.org/protobuf/proto"
@@ -30,7 +31,7 @@
 	f.Fuzz(func(t *testing.T, body []byte) {
 		var next uint32
 		done, finished := false, false
-		s := engineStream{emit: func(frame *rpc.Frame) error {
+		s := engineStream{silence: time.NewTimer(time.Hour), emit: func(frame *rpc.Frame) error {
 			if done {
 				t.Fatal("frame after Done")
 			}
--- a/capacity/propagation.go
+++ b/capacity/propagation.go
@@ -298,7 +298,7 @@
 	if i < 0 {
 		return 0, nil, errNoPeer
 	}
-	snapshot := catalog.Snapshot(s.light[i].holder, have)
+	snapshot := catalog.SnapshotMessage(s.light[i].holder, have)
 	s.fetches.Add(1)
 	s.fetchedBytes.Add(int64(len(snapshot.GetBody())))
 	return snapshot.GetVersion(), snapshot.GetBody(), nil
--- a/router/catalogview.go
+++ b/router/catalogview.go
@@ -29,13 +29,14 @@
 
 // start makes the distributor; peers lists the agents to ask while the store is
 // down.
-func (v *catalogView) start(peers func() []string) {
+func (v *catalogView) start(peers func() []string, adopted func(catalog.Source)) {
 	v.distributor = catalog.NewDistributor(catalog.DistributorOptions{
 		Store:    v.store,
 		Peers:    catalog.NewAgentClient(v.client.URL, v.client.HTTPClient()),
 		Holder:   v.holder,
 		PeerList: peers,
 		Seed:     v.seed,
+		Adopted:  adopted,
 	})
 }
 
@@ -86,5 +87,5 @@
 
 // FetchCatalog serves other processes; it implements rpc.Router.
 func (v *catalogView) FetchCatalog(_ context.Context, req *rpc.FetchCatalogRequest) (*rpc.CatalogSnapshot, error) {
-	return catalog.Snapshot(v.holder, req.GetHaveVersion()), nil
+	return catalog.SnapshotMessage(v.holder, req.GetHaveVersion()), nil
 }
