--- a/agent/worker/limiter.go
+++ b/agent/worker/limiter.go
@@ -8,8 +8,8 @@
 	"github.com/pistachiowind/pistachiowind/rpc"
 )
 
-// Limiter decides how much runs at the endpoint at a time. The worker
-// serialises the calls.
+// Limiter decides how much runs at the endpoint at a time; concurrency.Scheduler
+// is the one in use. The worker serialises the calls.
 type Limiter interface {
 	// Admit refuses work that cannot meet its target or must yield to other work.
 	Admit(now time.Time, req *rpc.RunRequest, q *queue.Queue) *resultcode.Error
@@ -19,7 +19,7 @@
 	Preempt(now time.Time, q *queue.Queue, running []queue.Running) (string, bool)
 	// Started, FirstToken, Token and Ended observe the endpoint.
 	Started(now time.Time, req *rpc.RunRequest)
-	FirstToken(now time.Time, req *rpc.RunRequest, d time.Duration)
+	FirstToken(now time.Time, req *rpc.RunRequest, took time.Duration)
 	Token(now time.Time, gap time.Duration)
 	Ended(now time.Time, req *rpc.RunRequest, used time.Duration, err *resultcode.Error)
 	// Limit is the current concurrency limit in attempts.
@@ -28,7 +28,9 @@
 	Describe(now time.Time, load *rpc.Load)
 }
 
-// FixedLimiter runs a fixed number of attempts and refuses nothing by itself.
+// FixedLimiter runs a fixed number of attempts, starts urgent work first and
+// refuses nothing by itself. It is the plain variant that measurements compare
+// the learned limit with.
 type FixedLimiter struct {
 	Slots int
 }
--- a/agent/worker/run.go
+++ b/agent/worker/run.go
@@ -21,12 +21,14 @@
 	next  uint32
 	text  []byte
 	first bool
-	last  time.Time
+	// firstAt is the time of the first token of the current run.
+	firstAt time.Time
+	last    time.Time
 }
 
 // startReady starts waiting attempts while the concurrency limit allows it.
 func (w *Worker) startReady(now time.Time) {
-	for {
+	for !w.probation(now) {
 		it, ok := w.limiter.Next(now, w.queue, w.runningList())
 		if !ok {
 			return
@@ -65,9 +67,10 @@
 	j.cancel = cancel
 	j.running = &queue.Running{Item: it, Started: now}
 	w.running[it.ID] = j
+	waited := now.Sub(j.waitingSince)
 	w.limiter.Started(now, j.req)
-	w.opts.Observer.Waited(j.req, now.Sub(it.Arrived))
-	started := &rpc.Started{WaitedMs: uint32(now.Sub(it.Arrived).Milliseconds())}
+	w.opts.Observer.Waited(j.req, waited)
+	started := &rpc.Started{WaitedMs: uint32(waited.Milliseconds())}
 	w.append(j, &rpc.Frame{Kind: &rpc.Frame_Started{Started: started}})
 	w.runs.Go(func() { w.run(ctx, j) })
 }
@@ -78,17 +81,25 @@
 	defer cancel()
 	err := w.pass(ctx, j)
 	cause := context.Cause(ctx)
+	crashed := cause == nil && w.endpointCrashed(err)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
+	if crashed {
+		w.recordCrash(now)
+	}
 	delete(w.running, j.item.ID)
+	if err == nil {
+		w.proved(j.req)
+	}
 	used := now.Sub(j.running.Started)
 	w.queue.Done(j.item, used)
+	err = withCause(err, cause)
 	w.limiter.Ended(now, j.req, used, err)
 	if err != nil && errors.Is(cause, errPreempted) {
 		w.requeue(now, j, used)
 	} else {
-		w.finish(now, j, withCause(err, cause))
+		w.finish(now, j, err)
 	}
 	w.startReady(now)
 }
@@ -142,14 +153,7 @@
 		return err
 	}
 	now := time.Now()
-	switch k := f.GetKind().(type) {
-	case *rpc.Frame_Chunk:
-		w.observeChunk(now, j, k.Chunk)
-	case *rpc.Frame_Head:
-		w.observeFirst(now, j)
-	case *rpc.Frame_Done:
-		k.Done.Load = w.Load(now)
-	}
+	w.observe(now, j, f)
 	f.CatalogVersion = w.opts.Catalog.Version()
 	if j.req.GetIdempotent() {
 		return j.attempt.Append(ctx, f)
@@ -172,11 +176,26 @@
 	return ctx.Err()
 }
 
+// observe learns from the time of a frame.
+func (w *Worker) observe(now time.Time, j *job, f *rpc.Frame) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch k := f.GetKind().(type) {
+	case *rpc.Frame_Chunk:
+		w.observeChunk(now, j, k.Chunk)
+	case *rpc.Frame_Head:
+		w.observeFirst(now, j)
+	case *rpc.Frame_Done:
+		k.Done.Load = w.load(now)
+	}
+}
+
 func (w *Worker) observeFirst(now time.Time, j *job) {
 	if j.progress.first {
 		return
 	}
 	j.progress.first = true
+	j.progress.firstAt = now
 	d := now.Sub(j.running.Started)
 	w.limiter.FirstToken(now, j.req, d)
 	w.opts.Observer.FirstToken(j.req, d)
@@ -206,8 +225,10 @@
 	it.WaitUntil = j.until
 	j.running = nil
 	j.cancel = nil
+	j.waitingSince = now
 	j.progress.last = time.Time{}
 	j.progress.first = false
+	j.progress.firstAt = time.Time{}
 	j.attempt.Requeue()
 	w.opts.Observer.Preempted(it.Tier)
 	displaced, err := w.queue.Push(now, it)
--- a/agent/worker/worker.go
+++ b/agent/worker/worker.go
@@ -14,6 +14,7 @@
 	"github.com/pistachiowind/pistachiowind/agent/execution"
 	"github.com/pistachiowind/pistachiowind/agent/queue"
 	"github.com/pistachiowind/pistachiowind/catalog"
+	"github.com/pistachiowind/pistachiowind/quarantine"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
 )
@@ -53,7 +54,10 @@
 // Options configure a Worker. Backend, Catalog and Observer are required; Guard
 // is required where non-idempotent requests arrive.
 type Options struct {
-	Backend   endpoint.Backend
+	Backend endpoint.Backend
+	// Endpoint names the endpoint in evidence of crashes.
+	Endpoint  string
+	Publisher Publisher
 	Guard     Guard
 	Catalog   CatalogState
 	Observer  Observer
@@ -69,6 +73,8 @@
 	attempt *execution.Attempt
 	// until is when the whole answer must exist.
 	until time.Time
+	// waitingSince is when the attempt entered the queue, or was requeued.
+	waitingSince time.Time
 	// progress is what the attempt has emitted so far.
 	progress progress
 	running  *queue.Running
@@ -92,6 +98,10 @@
 	jobs    map[string]*job
 	running map[string]*job
 	state   rpc.AgentState
+	// quarantine holds the requests that may have crashed endpoints.
+	quarantine *quarantine.Table
+	// crashSeen is set from a crash until the endpoint is up again.
+	crashSeen bool
 	// idle is closed when the last open attempt has ended while draining.
 	idle chan struct{}
 	runs sync.WaitGroup
@@ -100,13 +110,14 @@
 // New returns a Worker in state starting; see SetState.
 func New(opts Options) *Worker {
 	return &Worker{
-		opts:    opts,
-		table:   execution.NewTable(opts.Execution),
-		queue:   queue.New(opts.Queue),
-		limiter: opts.Limiter,
-		jobs:    make(map[string]*job),
-		running: make(map[string]*job),
-		state:   rpc.AgentState_AGENT_STATE_STARTING,
+		opts:       opts,
+		table:      execution.NewTable(opts.Execution),
+		queue:      queue.New(opts.Queue),
+		limiter:    opts.Limiter,
+		jobs:       make(map[string]*job),
+		running:    make(map[string]*job),
+		state:      rpc.AgentState_AGENT_STATE_STARTING,
+		quarantine: quarantine.New(),
 	}
 }
 
@@ -147,17 +158,21 @@
 	if req.GetTier() >= catalog.TierCount {
 		return resultcode.New(resultcode.MalformedBody, "tier %d does not exist", req.GetTier())
 	}
+	if err := w.learn(now, req); err != nil {
+		return err
+	}
 	return w.limiter.Admit(now, req, w.queue)
 }
 
 func newJob(now time.Time, req *rpc.RunRequest, attempt *execution.Attempt) *job {
 	wait := time.Duration(req.GetWaitLimitMs()) * time.Millisecond
 	whole := time.Duration(req.GetTimeLeftMs()) * time.Millisecond
-	return &job{
-		req:      req,
-		attempt:  attempt,
-		until:    now.Add(whole),
-		progress: progress{next: req.GetChat().GetFirstIndex(), text: []byte(req.GetChat().GetTextSoFar())},
+	j := &job{
+		req:          req,
+		attempt:      attempt,
+		until:        now.Add(whole),
+		waitingSince: now,
+		progress:     progress{next: req.GetChat().GetFirstIndex(), text: []byte(req.GetChat().GetTextSoFar())},
 		item: queue.Item{
 			ID:        itemID(attempt.ID()),
 			Tier:      int(req.GetTier()),
@@ -168,6 +183,10 @@
 			WaitUntil: now.Add(min(wait, whole)),
 		},
 	}
+	if left := req.GetFirstTokenLeftMs(); left > 0 {
+		j.item.Deadline = now.Add(time.Duration(left) * time.Millisecond)
+	}
+	return j
 }
 
 func itemID(id execution.ID) string {
@@ -201,12 +220,21 @@
 	w.finish(now, j, err)
 }
 
+// refuseAllWaiting gives up every attempt that is not at the endpoint.
+func (w *Worker) refuseAllWaiting(now time.Time) {
+	for id := range w.jobs {
+		if it, waiting := w.queue.Remove(id); waiting {
+			w.refuseWaiting(now, it, resultcode.New(resultcode.Leaving, "this agent is leaving"))
+		}
+	}
+}
+
 // finish ends an attempt: with its refusal when err is set.
 func (w *Worker) finish(now time.Time, j *job, err *resultcode.Error) {
 	delete(w.jobs, j.item.ID)
 	if err != nil {
 		j.attempt.Resolve(err.Verdict())
-		w.append(j, w.refusedFrame(now, err))
+		w.append(j, w.refusedFrame(now, j.req, err))
 	} else {
 		j.attempt.Resolve(resultcode.Ran)
 	}
@@ -218,13 +246,14 @@
 	}
 }
 
-func (w *Worker) refusedFrame(now time.Time, err *resultcode.Error) *rpc.Frame {
+func (w *Worker) refusedFrame(now time.Time, req *rpc.RunRequest, err *resultcode.Error) *rpc.Frame {
 	return &rpc.Frame{Kind: &rpc.Frame_Refused{Refused: &rpc.Refused{
 		Code:         uint32(err.Code),
 		Message:      err.Detail(),
 		Execution:    rpc.ExecutionOf(err.Verdict()),
 		RetryAfterMs: uint32(err.RetryAfter.Milliseconds()),
 		Load:         w.load(now),
+		Evidence:     w.evidence(now, req),
 	}}}
 }
 
@@ -299,6 +328,9 @@
 func (w *Worker) SetState(s rpc.AgentState) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if s == rpc.AgentState_AGENT_STATE_SERVING {
+		w.crashSeen = false
+	}
 	if w.state != rpc.AgentState_AGENT_STATE_LEAVING {
 		w.state = s
 	}
@@ -311,11 +343,13 @@
 	return w.state
 }
 
-// Drain refuses new attempts and waits until the open ones have ended or ctx
-// ends. It returns how many are still open.
+// Drain refuses new attempts and the waiting ones, which routers then place
+// elsewhere, and waits until the running ones have ended or ctx ends. It returns
+// how many are still open.
 func (w *Worker) Drain(ctx context.Context) int {
 	w.mu.Lock()
 	w.state = rpc.AgentState_AGENT_STATE_LEAVING
+	w.refuseAllWaiting(time.Now())
 	if len(w.jobs) == 0 {
 		w.mu.Unlock()
 		return 0
--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/pistachiowind/pistachiowind/quarantine"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/router/recovery"
 	"github.com/pistachiowind/pistachiowind/rpc"
@@ -34,6 +35,7 @@
 	Fleet         Fleet
 	Budget        Budget
 	Catalog       Catalog
+	Quarantine    Quarantine
 	// MaxAttempts bounds the attempts of one request; zero means 4.
 	MaxAttempts int
 }
@@ -102,6 +104,9 @@
 // means that the whole answer was written. The result's execution verdict is
 // backed by evidence as package recovery requires it.
 func (d *Dispatcher) Dispatch(ctx context.Context, req *Request, sink Sink) *resultcode.Error {
+	if d.opts.Quarantine.Condemned(time.Now(), req.BodyDigest) {
+		return condemned()
+	}
 	deadline, _ := ctx.Deadline()
 	streams, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -127,6 +132,11 @@
 	return f.run(ctx)
 }
 
+func condemned() *resultcode.Error {
+	return resultcode.New(resultcode.RequestCondemned, "the request crashed endpoints and is refused for a while").
+		WithRetryAfter(quarantine.Lifetime)
+}
+
 // run handles events until the machine gives the final answer.
 func (f *flight) run(caller context.Context) *resultcode.Error {
 	action := f.send(caller, recovery.Action{Kind: recovery.Send})
@@ -194,7 +204,7 @@
 
 // place selects an endpoint and opens the stream of a new attempt there.
 func (f *flight) place(a recovery.Action) recovery.Action {
-	target, err := f.opts.Fleet.Select(time.Now(), f.query())
+	target, err := f.choose(a)
 	if err != nil {
 		return f.next(recovery.Event{Kind: recovery.NoEndpoint, Error: err})
 	}
@@ -207,14 +217,28 @@
 	f.redirect = false
 	f.req.Trace.Attempts++
 	f.req.Trace.Endpoint = target.Endpoint
-	if !a.KeepEndpoint {
-		f.tried = append(f.tried, target.Endpoint)
-	}
+	f.tried = append(f.tried, target.Endpoint)
 	c.stream = &stream{ticket: c.ticket, events: f.events}
 	f.opts.Client.open(f.ctx, c.stream, target.Address, rpc.RunPath, f.message(c, a.From))
 	return recovery.Action{}
 }
 
+// choose selects an endpoint that was not tried yet. After a failure, though not
+// after a refusal, it falls back to one that was: the only endpoint of a service
+// may be back.
+func (f *flight) choose(a recovery.Action) (Target, *resultcode.Error) {
+	if a.KeepEndpoint && len(f.tried) > 0 {
+		f.tried = f.tried[:len(f.tried)-1]
+	}
+	now := time.Now()
+	target, err := f.opts.Fleet.Select(now, f.query())
+	if err == nil || len(f.tried) == 0 || f.redirect {
+		return target, err
+	}
+	f.tried = nil
+	return f.opts.Fleet.Select(now, f.query())
+}
+
 // mayNotSend applies the retry budget and waits for a newer catalog.
 func (f *flight) mayNotSend(caller context.Context) (bool, recovery.Action) {
 	tier, account := f.req.Profile.Tier, f.req.Account.Name
@@ -277,21 +301,23 @@
 	p := f.req.Profile
 	left := max(f.deadline.Sub(now), 0)
 	m := &rpc.RunRequest{
-		Attempt:        &rpc.AttemptID{Router: f.opts.Router, Ticket: c.ticket},
-		Agent:          c.target.Incarnation,
-		CatalogVersion: f.req.CatalogVersion,
-		RequestId:      f.req.ID,
-		ClientAccount:  f.req.Account.Name,
-		Profile:        p.Name,
-		Class:          p.ClassName(),
-		Tier:           uint32(p.Tier),
-		Weight:         uint32(f.req.Account.Share()),
-		TimeLeftMs:     uint32(left.Milliseconds()),
-		WaitLimitMs:    uint32(f.waitLeft(now).Milliseconds()),
-		Idempotent:     p.Idempotent,
-		IdempotencyKey: f.req.IdempotencyKey,
-		BodyDigest:     f.req.BodyDigest,
-		RouterAddress:  f.opts.RouterAddress,
+		Attempt:          &rpc.AttemptID{Router: f.opts.Router, Ticket: c.ticket},
+		Agent:            c.target.Incarnation,
+		CatalogVersion:   f.req.CatalogVersion,
+		RequestId:        f.req.ID,
+		ClientAccount:    f.req.Account.Name,
+		Profile:          p.Name,
+		Class:            p.ClassName(),
+		Tier:             uint32(p.Tier),
+		Weight:           uint32(f.req.Account.Share()),
+		TimeLeftMs:       uint32(left.Milliseconds()),
+		WaitLimitMs:      uint32(f.waitLeft(now).Milliseconds()),
+		FirstTokenLeftMs: f.firstTokenLeft(now),
+		Idempotent:       p.Idempotent,
+		IdempotencyKey:   f.req.IdempotencyKey,
+		BodyDigest:       f.req.BodyDigest,
+		RouterAddress:    f.opts.RouterAddress,
+		Evidence:         f.opts.Quarantine.Evidence(now, f.req.BodyDigest),
 	}
 	if f.req.Service != nil {
 		m.Work = &rpc.RunRequest_Service{Service: f.req.Service}
@@ -306,6 +332,17 @@
 	return m
 }
 
+// firstTokenLeft is what is left of the target for the first token, at least 1,
+// or 0 without a target.
+func (f *flight) firstTokenLeft(now time.Time) uint32 {
+	target := f.req.Profile.Target.FirstTokenMS
+	if target == 0 || len(f.text) > 0 {
+		return 0
+	}
+	left := f.req.Received.Add(time.Duration(target) * time.Millisecond).Sub(now)
+	return uint32(max(left.Milliseconds(), 1))
+}
+
 // waitLeft is how long the next attempt may wait. A stream that has begun to
 // reach the caller may wait until the deadline, because refusing it would waste
 // what was generated.
--- a/router/router.go
+++ b/router/router.go
@@ -7,6 +7,7 @@
 //	├── peers server
 //	├── admin server
 //	├── fleet (membership, health, selection)
+//	├── quarantine reader
 //	└── catalog distributor
 package router
 
@@ -87,6 +88,7 @@
 	client      *dispatch.Client
 	fleet       *fleet.Fleet
 	catalog     *catalogView
+	quarantine  *quarantineView
 	store       *catalog.Store
 	ingress     *ingress.Server
 	recorder    *burn.Recorder
@@ -170,8 +172,12 @@
 	if err != nil {
 		_ = r.callers.Close()
 		_ = r.peers.Close()
+		return err
+	}
+	for _, s := range []*httpserver.Server{r.callers, r.peers, r.admin} {
+		s.LogTo(r.opts.Log)
 	}
-	return err
+	return nil
 }
 
 func (r *Router) build() {
@@ -191,7 +197,9 @@
 		Seed:             seed,
 	})
 	r.catalog.start(r.fleet.Addresses)
+	r.quarantine = newQuarantineView(r.opts.Table, seed)
 	dispatcher := dispatch.New(dispatch.Options{
+		Quarantine:    r.quarantine,
 		Router:        r.incarnation,
 		RouterAddress: r.peers.Address(),
 		Client:        r.client,
@@ -222,6 +230,7 @@
 	})
 	r.supervisor.Add(r.fleet)
 	r.supervisor.Add(r.catalog.distributor)
+	r.supervisor.Add(r.quarantine)
 	r.supervisor.Add(r.callers)
 	r.supervisor.Add(r.peers)
 	r.supervisor.Add(r.admin)
