Make the burn report readable on a phone

Legends of the plots lay over their own colour boxes, because the page replaced the font by whose widths the library had placed them; the newest point and its label were cut at the edge. PISTACHIOWIND_ADMIN took several routers only separated by newlines, and the demo printed one router of two, whose report then lacked half of the requests without a word.

PISTACHIOWIND_ADMIN may separate URLs by commas, and the demo names both routers.

--- a/burn/plot.go
+++ b/burn/plot.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"html/template"
 	"image/color"
 	"math"
 	"time"
@@ -10,6 +11,7 @@
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/text"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
@@ -28,7 +30,7 @@
 // attainmentPlot shows attainment by class over 6 h. Steps without a request
 // that counts are gaps, not zero.
 func (r *Report) attainmentPlot() ([]byte, error) {
-	p := plot.New()
+	p := newPlot()
 	p.Title.Text = "Attainment in %"
 	p.X.Label.Text = "hours ago"
 	p.Y.Min, p.Y.Max = 0, 100
@@ -41,10 +43,8 @@
 	objective.Color = objectiveColour
 	objective.Dashes = plotutil.Dashes(1)
 	p.Add(objective)
-	p.Legend.Add("objective", objective)
-	p.Legend.Left = true
-	p.Legend.YOffs = vg.Points(4)
-	p.X.Min, p.X.Max = -6, 0
+	// Room after 0 keeps the newest point and its label inside the plot.
+	p.X.Min, p.X.Max = -6, 0.2
 	p.X.Tick.Marker = plot.ConstantTicks(hourTicks())
 	// Room above 100 keeps a line at full attainment off the frame.
 	p.Y.Min, p.Y.Max = 0, 105
@@ -61,7 +61,7 @@
 
 func addAttainment(p *plot.Plot, i int, c ClassSeries, stepSeconds int64) error {
 	segments := segments(c, stepSeconds)
-	for n, points := range segments {
+	for _, points := range segments {
 		line, dots, err := plotter.NewLinePoints(points)
 		if err != nil {
 			return fmt.Errorf("plot class %s: %w", c.Class, err)
@@ -70,11 +70,8 @@
 		line.Width = vg.Points(1.5)
 		dots.Color = plotutil.Color(i)
 		dots.Shape = plotutil.Shape(i)
-		dots.Radius = vg.Points(1.5)
+		dots.Radius = vg.Points(2.5)
 		p.Add(line, dots)
-		if n == 0 {
-			p.Legend.Add(c.Class, line, dots)
-		}
 	}
 	return nil
 }
@@ -118,7 +115,7 @@
 // logarithm, because tokens take milliseconds and whole responses minutes;
 // times below 1 ms are drawn as 1 ms.
 func (s *Section) phasePlot() ([]byte, error) {
-	p := plot.New()
+	p := newPlot()
 	p.Title.Text = fmt.Sprintf("p95 by phase in ms, last %s", period(s.Seconds))
 	lines := s.Classes[:min(len(s.Classes), maxPlotted)]
 	highest := 1.0
@@ -136,17 +133,14 @@
 		bars.LineStyle.Width = 0
 		bars.Offset = barWidth * vg.Length(float64(i)-float64(len(phases)-1)/2)
 		p.Add(bars)
-		p.Legend.Add(ph.name, bars)
 	}
 	var names []string
 	for _, l := range lines {
 		names = append(names, l.Class)
 	}
 	p.NominalX(names...)
-	p.Legend.Top = true
 	p.Y.Tick.Marker = plot.ConstantTicks(decadeTicks())
-	// Room above the bars for the legend.
-	p.Y.Min, p.Y.Max = 0, highest*legendRoom
+	p.Y.Min, p.Y.Max = 0, highest*headRoom
 	p.X.Min, p.X.Max = -0.5, float64(len(lines))-0.5
 	return svg(p)
 }
@@ -155,9 +149,8 @@
 	barWidth = vg.Length(6)
 	// maxDecade is above the longest duration of a Histogram, 3.6 million ms.
 	maxDecade = 7
-	// legendRoom is the height of the plot relative to the highest bar; the
-	// legend with one line per phase takes about two fifths of it.
-	legendRoom = 1.75
+	// headRoom is the height of the plot relative to the highest bar.
+	headRoom = 1.1
 )
 
 func decadeTicks() []plot.Tick {
@@ -168,6 +161,47 @@
 	return ticks
 }
 
+// legendItem explains a colour of a plot. Legends are text of the page: it wraps
+// there, while the library places text by the widths of its own font.
+type legendItem struct {
+	Name   string
+	Colour template.CSS
+}
+
+func newLegendItem(i int, name string) legendItem {
+	r, g, b, _ := plotutil.Color(i).RGBA()
+	const byteShift = 8
+	return legendItem{name, template.CSS(fmt.Sprintf("#%02x%02x%02x", r>>byteShift, g>>byteShift, b>>byteShift))}
+}
+
+func (r *Report) attainmentLegend() []legendItem {
+	var items []legendItem
+	for i, c := range r.Series[:min(len(r.Series), maxPlotted)] {
+		items = append(items, newLegendItem(i, c.Class))
+	}
+	return items
+}
+
+func phaseLegend() []legendItem {
+	var items []legendItem
+	for i, ph := range phases {
+		items = append(items, newLegendItem(i, ph.name))
+	}
+	return items
+}
+
+// newPlot returns a plot with a sans-serif font, whose widths are those of the
+// fonts that the page asks for.
+func newPlot() *plot.Plot {
+	p := plot.New()
+	for _, style := range []*text.Style{
+		&p.Title.TextStyle, &p.X.Label.TextStyle, &p.Y.Label.TextStyle, &p.X.Tick.Label, &p.Y.Tick.Label,
+	} {
+		style.Font.Variant = "Sans"
+	}
+	return p
+}
+
 // svg renders p without the XML header, for use inside HTML.
 func svg(p *plot.Plot) ([]byte, error) {
 	c := vgsvg.New(plotWidth, plotHeight)
@@ -176,10 +210,10 @@
 	if _, err := c.WriteTo(&out); err != nil {
 		return nil, fmt.Errorf("render plot: %w", err)
 	}
-	text := out.Bytes()
-	start := bytes.Index(text, []byte("<svg"))
+	rendered := out.Bytes()
+	start := bytes.Index(rendered, []byte("<svg"))
 	if start < 0 {
 		return nil, fmt.Errorf("render plot: no svg element")
 	}
-	return text[start:], nil
+	return rendered[start:], nil
 }
--- a/cmd/pistachiowind/demo.go
+++ b/cmd/pistachiowind/demo.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -60,8 +61,12 @@
 	fmt.Fprintf(w, "A charge; send it twice, it runs once:\n  curl -i %s/services/%s/charges -H 'Authorization: Bearer %s' \\\n"+
 		"    -H 'Idempotency-Key: instalment-2026-12' -d '{\"plan\":\"A-17\",\"amount\":45}'\n",
 		url, demo.LedgerService, demo.InsuranceKey)
-	fmt.Fprintf(w, "Operators:\n  export PISTACHIOWIND_ADMIN=http://%s PISTACHIOWIND_OPERATOR_KEY=%s\n",
-		site.Routers[0].AdminAddress(), demo.OperatorKey)
+	var admins []string
+	for _, r := range site.Routers {
+		admins = append(admins, "http://"+r.AdminAddress())
+	}
+	fmt.Fprintf(w, "Operators:\n  export PISTACHIOWIND_ADMIN=%s PISTACHIOWIND_OPERATOR_KEY=%s\n",
+		strings.Join(admins, ","), demo.OperatorKey)
 	fmt.Fprintln(w, "  pistachiowind profile list; pistachiowind report burn")
 	fmt.Fprintln(w, "Press Ctrl-C to stop.")
 }
--- a/cmd/pistachiowind/operator.go
+++ b/cmd/pistachiowind/operator.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"strings"
+
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/pistachiowind/pistachiowind/admin"
@@ -14,7 +16,7 @@
 
 func addOperatorFlags(cmd *kingpin.CmdClause) *operatorFlags {
 	f := &operatorFlags{}
-	cmd.Flag("admin", "Admin URL of a router, such as http://10.0.0.7:8082; repeat it for several routers.").
+	cmd.Flag("admin", "Admin URL of a router, such as http://10.0.0.7:8082; repeat it or separate them by commas for several routers.").
 		Envar("PISTACHIOWIND_ADMIN").Required().StringsVar(&f.urls)
 	cmd.Flag("key", "The operator's key.").Envar("PISTACHIOWIND_OPERATOR_KEY").Required().StringVar(&f.key)
 	return f
@@ -22,14 +24,16 @@
 
 // client returns a client of the first router.
 func (f *operatorFlags) client() (*admin.Client, error) {
-	return admin.NewClient(admin.ClientOptions{URL: f.urls[0], Key: f.key})
+	return admin.NewClient(f.all()[0])
 }
 
 // all returns the options of clients of every router.
 func (f *operatorFlags) all() []admin.ClientOptions {
 	list := make([]admin.ClientOptions, 0, len(f.urls))
-	for _, url := range f.urls {
-		list = append(list, admin.ClientOptions{URL: url, Key: f.key})
+	for _, urls := range f.urls {
+		for url := range strings.SplitSeq(urls, ",") {
+			list = append(list, admin.ClientOptions{URL: url, Key: f.key})
+		}
 	}
 	return list
 }
