Share start, drain and stop between router and agent

Cause: both roles had the same sequence around their supervisor. Change: package lifecycle; each role supplies its drain.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -33,6 +33,7 @@
 	"github.com/pistachiowind/pistachiowind/agent/worker"
 	"github.com/pistachiowind/pistachiowind/catalog"
 	"github.com/pistachiowind/pistachiowind/httpserver"
+	"github.com/pistachiowind/pistachiowind/lifecycle"
 	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/rpc"
 	"github.com/pistachiowind/pistachiowind/settings"
@@ -193,26 +194,17 @@
 // Serve runs the agent until ctx ends, drains it, and stops. The second context
 // forces the end of the drain.
 func (a *Agent) Serve(ctx, force context.Context) error {
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	ended := a.supervisor.ServeBackground(running)
-	a.states.Report(telemetry.StateChange{Subject: "agent", State: "started"})
-	select {
-	case err := <-ended:
-		return err
-	case <-ctx.Done():
-	case <-a.drainAsked.Asked():
-	}
-	a.drain(force)
-	stop()
-	<-ended
-	a.states.Report(telemetry.StateChange{Subject: "agent", State: "stopped"})
-	return nil
+	return lifecycle.Process{
+		Role:       "agent",
+		Supervisor: a.supervisor,
+		States:     a.states,
+		DrainAsked: a.drainAsked.Asked(),
+		Drain:      a.drain,
+	}.Serve(ctx, force)
 }
 
 func (a *Agent) drain(force context.Context) {
 	a.draining.Store(true)
-	a.states.Report(telemetry.StateChange{Subject: "agent", State: "draining"})
 	bound, cancel := context.WithTimeout(force, a.opts.DrainTimeout)
 	defer cancel()
 	if open := a.worker.Drain(bound); open > 0 {
--- a/router/router.go
+++ b/router/router.go
@@ -28,6 +28,7 @@
 	"github.com/pistachiowind/pistachiowind/burn"
 	"github.com/pistachiowind/pistachiowind/catalog"
 	"github.com/pistachiowind/pistachiowind/httpserver"
+	"github.com/pistachiowind/pistachiowind/lifecycle"
 	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/router/dispatch"
 	"github.com/pistachiowind/pistachiowind/router/fleet"
@@ -267,28 +268,19 @@
 // Serve runs the router until ctx ends or a drain is asked for, drains it, and
 // stops. The second context forces the end of the drain.
 func (r *Router) Serve(ctx, force context.Context) error {
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	ended := r.supervisor.ServeBackground(running)
-	r.states.Report(telemetry.StateChange{Subject: "router", State: "started"})
-	select {
-	case err := <-ended:
-		return err
-	case <-ctx.Done():
-	case <-r.drainAsked.Asked():
-	}
-	r.drain(force)
-	stop()
-	<-ended
-	r.states.Report(telemetry.StateChange{Subject: "router", State: "stopped"})
-	return nil
+	return lifecycle.Process{
+		Role:       "router",
+		Supervisor: r.supervisor,
+		States:     r.states,
+		DrainAsked: r.drainAsked.Asked(),
+		Drain:      r.drain,
+	}.Serve(ctx, force)
 }
 
 // drain stops being ready, still accepts requests until the balancer has noticed,
 // then refuses new ones and waits for the open ones.
 func (r *Router) drain(force context.Context) {
 	r.draining.Store(true)
-	r.states.Report(telemetry.StateChange{Subject: "router", State: "draining"})
 	pause(force, r.opts.ReadyGrace)
 	bound, cancel := context.WithTimeout(force, r.opts.DrainTimeout)
 	defer cancel()
