Continue the caller's own prefix and count real tokens

Cause: a continued stream lost one token of its limit for each chunk without text (engines send the role first), and got a second assistant message when the caller itself continues its last message. Such chunks also counted as first tokens. Change: token limits are reduced by the chunks with text; the caller's own prefix is extended; chunks without a token count for no latency.

--- a/agent/endpoint/engine.go
+++ b/agent/endpoint/engine.go
@@ -121,7 +121,7 @@
 	if err := continueFrom(fields, chat.GetTextSoFar()); err != nil {
 		return nil, err
 	}
-	reduceLimits(fields, int(chat.GetFirstIndex()))
+	reduceLimits(fields, int(chat.GetTokensSoFar()))
 	return json.Marshal(fields)
 }
 
@@ -139,23 +139,53 @@
 	}
 }
 
-// continueFrom appends the text that the caller already has as an assistant
-// message, which the engine continues instead of starting a new one.
+// continueFrom makes the engine continue the text that the caller already has: as
+// an assistant message of its own, or, when the caller itself asked to continue
+// its last message, as more of that message.
 func continueFrom(fields map[string]json.RawMessage, text string) error {
 	var messages []json.RawMessage
 	if err := json.Unmarshal(fields["messages"], &messages); err != nil {
 		return err
 	}
-	last, err := json.Marshal(map[string]string{"role": "assistant", "content": text})
+	own := string(bytes.TrimSpace(fields["continue_final_message"])) == "true"
+	last, err := continuedMessage(messages, text, own)
 	if err != nil {
 		return err
 	}
+	if own {
+		messages = messages[:len(messages)-1]
+	}
 	fields["messages"], err = json.Marshal(append(messages, last))
 	fields["continue_final_message"] = json.RawMessage(`true`)
 	fields["add_generation_prompt"] = json.RawMessage(`false`)
 	return err
 }
 
+// continuedMessage returns the message that ends with the text so far.
+func continuedMessage(messages []json.RawMessage, text string, own bool) (json.RawMessage, error) {
+	message := map[string]json.RawMessage{"role": json.RawMessage(`"assistant"`)}
+	if own {
+		if len(messages) == 0 {
+			return nil, errors.New("no message to continue")
+		}
+		var content string
+		err := json.Unmarshal(messages[len(messages)-1], &message)
+		if err == nil {
+			err = json.Unmarshal(message["content"], &content)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("the message to continue is not text: %w", err)
+		}
+		text = content + text
+	}
+	content, err := json.Marshal(text)
+	if err != nil {
+		return nil, err
+	}
+	message["content"] = content
+	return json.Marshal(message)
+}
+
 // engineRefusal interprets an answer other than 200. Engines check a request
 // before they run it, so a client error proves that it did not run.
 func engineRefusal(resp *http.Response) *resultcode.Error {
--- a/agent/worker/run.go
+++ b/agent/worker/run.go
@@ -18,14 +18,24 @@
 
 // progress is what a running attempt has emitted.
 type progress struct {
-	next  uint32
-	text  []byte
-	first bool
+	next uint32
+	text []byte
+	// tokens counts the chunks with text.
+	tokens uint32
+	first  bool
 	// firstAt is the time of the first token of the current run.
 	firstAt time.Time
 	last    time.Time
 }
 
+func (p *progress) add(text string) {
+	if text == "" {
+		return
+	}
+	p.text = append(p.text, text...)
+	p.tokens++
+}
+
 // startReady starts waiting attempts while the concurrency limit allows it.
 func (w *Worker) startReady(now time.Time) {
 	for w.queue.Len() > 0 && !w.probation(now) {
@@ -141,10 +151,11 @@
 		Idempotent:    j.req.GetIdempotent(),
 		BodyDigest:    j.req.GetBodyDigest(),
 		Work: &rpc.RunRequest_Chat{Chat: &rpc.ChatWork{
-			Model:      chat.GetModel(),
-			Body:       chat.GetBody(),
-			FirstIndex: j.progress.next,
-			TextSoFar:  string(j.progress.text),
+			Model:       chat.GetModel(),
+			Body:        chat.GetBody(),
+			FirstIndex:  j.progress.next,
+			TextSoFar:   string(j.progress.text),
+			TokensSoFar: j.progress.tokens,
 		}},
 	}
 }
@@ -204,15 +215,20 @@
 }
 
 func (w *Worker) observeChunk(now time.Time, j *job, c *rpc.Chunk) {
-	p := &j.progress
-	if j.req.GetChat() != nil {
-		p.next = c.GetIndex() + 1
-		p.text = append(p.text, c.GetText()...)
+	if j.req.GetChat() == nil {
+		w.observeFirst(now, j)
+		return
 	}
+	p := &j.progress
+	p.next = c.GetIndex() + 1
+	p.add(c.GetText())
 	if c.GetOpaque() {
 		j.pinned.Store(true)
 	}
-	if p.first && !p.last.IsZero() {
+	if !c.HasToken() {
+		return
+	}
+	if p.first {
 		gap := now.Sub(p.last)
 		w.limiter.Token(now, gap)
 		j.gaps.Add(gap)
--- a/agent/worker/worker.go
+++ b/agent/worker/worker.go
@@ -180,7 +180,11 @@
 		attempt:      attempt,
 		until:        now.Add(whole),
 		waitingSince: now,
-		progress:     progress{next: req.GetChat().GetFirstIndex(), text: []byte(req.GetChat().GetTextSoFar())},
+		progress: progress{
+			next:   req.GetChat().GetFirstIndex(),
+			text:   []byte(req.GetChat().GetTextSoFar()),
+			tokens: req.GetChat().GetTokensSoFar(),
+		},
 		item: queue.Item{
 			ID:        itemID(attempt.ID()),
 			Tier:      int(req.GetTier()),
--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -84,6 +84,8 @@
 	tried   []string
 	// text is what the caller has, for continuing a stream elsewhere.
 	text []byte
+	// tokens counts the chunks with text in it.
+	tokens uint32
 	// finished is set when a chunk with a finish reason was forwarded.
 	finished bool
 	headSent bool
--- a/router/dispatch/frames.go
+++ b/router/dispatch/frames.go
@@ -103,8 +103,11 @@
 
 // chunk forwards a chunk if the machine allows it.
 func (f *flight) chunk(now time.Time, c *call, chunk *rpc.Chunk) recovery.Action {
-	f.observeFirst(now, c)
-	f.observePace(now, c)
+	token := f.req.Chat == nil || chunk.HasToken()
+	if token {
+		f.observeFirst(now, c)
+		f.observePace(now, c)
+	}
 	action := f.next(recovery.Event{
 		Kind:     recovery.Chunk,
 		Attempt:  c.ticket,
@@ -116,7 +119,9 @@
 		return action
 	}
 	f.lead(c)
-	f.traceToken(now)
+	if token {
+		f.traceToken(now)
+	}
 	if err := f.forward(c, chunk); err != nil {
 		return f.sinkFailed(err)
 	}
@@ -134,6 +139,9 @@
 }
 
 func (f *flight) observePace(now time.Time, c *call) {
+	if f.req.Chat == nil {
+		return
+	}
 	p := &c.pace
 	if p.last.IsZero() {
 		p.since = now
@@ -166,7 +174,10 @@
 	if err := f.sendHead(c); err != nil {
 		return err
 	}
-	f.text = append(f.text, chunk.GetText()...)
+	if chunk.GetText() != "" {
+		f.text = append(f.text, chunk.GetText()...)
+		f.tokens++
+	}
 	f.finished = f.finished || chunk.GetFinished()
 	return f.sink.Chunk(chunk)
 }
@@ -241,7 +252,7 @@
 // restart discards a buffered answer that another attempt produces again.
 func (f *flight) restart() {
 	f.req.Trace.WastedTokens += f.req.Trace.Tokens
-	f.text = nil
+	f.text, f.tokens = nil, 0
 	f.finished = false
 	f.sink.Restart()
 }
--- a/router/dispatch/message.go
+++ b/router/dispatch/message.go
@@ -60,10 +60,11 @@
 		return m
 	}
 	m.Work = &rpc.RunRequest_Chat{Chat: &rpc.ChatWork{
-		Model:      f.req.Chat.GetModel(),
-		Body:       f.req.Chat.GetBody(),
-		FirstIndex: from,
-		TextSoFar:  string(f.text),
+		Model:       f.req.Chat.GetModel(),
+		Body:        f.req.Chat.GetBody(),
+		FirstIndex:  from,
+		TextSoFar:   string(f.text),
+		TokensSoFar: f.tokens,
 	}}
 	return m
 }
