Make three fuzz targets find faults that they missed

Cause: FuzzReader, FuzzDecodeRecord and FuzzServicePath passed when the code was broken on purpose: no bound on a frame, a cut frame taken for the end, a claim that is done without an outcome, and calls without lengths in their digest. Change: FuzzReader compares each end with the bytes that are left and the frame bound; the others have a seed for the case.

--- a/agent/claim/fuzz_test.go
+++ b/agent/claim/fuzz_test.go
@@ -18,7 +18,7 @@
 		`{"format":1,"client_account":"a","service":"s","idempotency_key":"k","digest":"AQ==","agent":"x","address":"127.0.0.1:1","nonce":"n","state":"started","claimed_at":"2026-12-04T00:00:00Z"}`,
 		`{"format":1,"digest":"AQ==","state":"done","outcome":{"execution":"ran","status":201,"headers":[{"name":"A","value":"b"}],"body":"e30="}}`,
 		`{"format":1,"digest":"AQ==","state":"done","outcome":{"execution":"ran","object":"claim/x"}}`,
-		`{"format":1,"state":"done"}`, `{"format":1,"digest":"AQ==","state":"unknown"}`, `{"format":2,"state":"started"}`, `{}`, `null`, `[`,
+		`{"format":1,"state":"done"}`, `{"format":1,"digest":"AQ==","state":"done"}`, `{"format":1,"digest":"AQ==","state":"unknown"}`, `{"format":2,"state":"started"}`, `{}`, `null`, `[`,
 	} {
 		f.Add([]byte(seed))
 	}
--- a/router/ingress/fuzz_test.go
+++ b/router/ingress/fuzz_test.go
@@ -96,7 +96,7 @@
 		"/services/ledger/charges", "/services/ledger", "/services/ledger/", "/services/ledger//evil/x",
 		"/services/ledger/a%2fb", "/services/ledger/../x", "/services/led%67er/@host/", "/services//x", "", "x",
 	} {
-		f.Add(seed, []byte("body"))
+		f.Add(seed, []byte("xbody"))
 	}
 	f.Fuzz(func(t *testing.T, escaped string, body []byte) {
 		path := servicePath(escaped)
--- a/rpc/fuzz_test.go
+++ b/rpc/fuzz_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"io"
 	"testing"
 
+	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiowind/pistachiowind/rpc"
@@ -31,20 +33,31 @@
 	f.Add(bytes.Repeat([]byte{0xff}, 11))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		r := rpc.NewReader(bytes.NewReader(data))
-		for {
+		for rest := data; ; {
 			var frame rpc.Frame
 			err := r.Read(&frame)
 			if err != nil {
-				if errors.Is(err, io.ErrUnexpectedEOF) && errors.Is(err, io.EOF) {
-					t.Fatalf("a cut frame is reported as the end: %v", err)
-				}
+				checkEnd(t, rest, err)
 				return
 			}
 			checkWrite(t, &frame)
+			size, n := binary.Uvarint(rest)
+			rest = rest[n+int(size):]
 		}
 	})
 }
 
+// checkEnd compares the error with the bytes after the last whole frame.
+func checkEnd(t *testing.T, rest []byte, err error) {
+	if clean := errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF); clean != (len(rest) == 0) {
+		t.Fatalf("%v with %d bytes left", err, len(rest))
+	}
+	var tooLarge *protodelim.SizeTooLargeError
+	if size, n := binary.Uvarint(rest); n > 0 && size > rpc.MaxFrameBytes && !errors.As(err, &tooLarge) {
+		t.Fatalf("frame of %d bytes: %v", size, err)
+	}
+}
+
 func checkWrite(t *testing.T, frame *rpc.Frame) {
 	var out bytes.Buffer
 	if err := rpc.WriteMessage(&out, frame); err != nil {
