Let the demo's site be started with options

Cause: tests of whole sessions need a site with fewer engines, other limits, and the calls that reach its endpoints. Change: demo.StartSite takes the number of engines and routers, the pace of the engines, the routers' limits, the log output and a wrapper around each endpoint. Start and the demo are as before.

--- a/demo/site.go
+++ b/demo/site.go
@@ -5,6 +5,7 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -48,6 +49,7 @@
 	tableURL   string
 	objectsURL string
 	vmsURL     string
+	opts       SiteOptions
 	log        io.Writer
 	running    context.Context
 	stop       context.CancelFunc
@@ -55,9 +57,41 @@
 	closers    []func()
 }
 
+// SiteOptions vary a site. The zero value is the demo's site.
+type SiteOptions struct {
+	// Engines and Routers are their numbers; zero means 4 and 2.
+	Engines, Routers int
+	// EngineModel is the pace of the engines; Slots zero means 16.
+	EngineModel standin.EngineModelOptions
+	// Limits bound each router.
+	Limits settings.Limits
+	// Log is the log output of each process; empty means warnings as text.
+	Log settings.Log
+	// Wrap is put around the handler of each endpoint; nil means nothing.
+	Wrap func(name string, endpoint http.Handler) http.Handler
+}
+
+func (o *SiteOptions) setDefaults() {
+	o.Engines = cmp.Or(o.Engines, engineCount)
+	o.Routers = cmp.Or(o.Routers, routerCount)
+	o.EngineModel.Slots = cmp.Or(o.EngineModel.Slots, engineSlots)
+	if o.Log == (settings.Log{}) {
+		o.Log = settings.Log{Level: "warn", Format: "console"}
+	}
+	if o.Wrap == nil {
+		o.Wrap = func(_ string, endpoint http.Handler) http.Handler { return endpoint }
+	}
+}
+
 // Start starts a site with the catalog of Catalog. Log lines go to log.
 func Start(ctx context.Context, log io.Writer) (*Site, error) {
-	s := &Site{log: log}
+	return StartSite(ctx, log, SiteOptions{})
+}
+
+// StartSite starts a site with the catalog of Catalog and the given options.
+func StartSite(ctx context.Context, log io.Writer, opts SiteOptions) (*Site, error) {
+	opts.setDefaults()
+	s := &Site{opts: opts, log: log}
 	s.running, s.stop = context.WithCancel(context.WithoutCancel(ctx))
 	if err := s.start(ctx); err != nil {
 		s.Close()
@@ -114,8 +148,8 @@
 }
 
 func (s *Site) startEndpoints() error {
-	for i := range engineCount {
-		engine := standin.NewEngine(standin.EngineOptions{Model: standin.EngineModelOptions{Slots: engineSlots}})
+	for i := range s.opts.Engines {
+		engine := standin.NewEngine(standin.EngineOptions{Model: s.opts.EngineModel})
 		s.Engines = append(s.Engines, engine)
 		s.closers = append(s.closers, engine.Close)
 		endpoint := settings.Endpoint{Kind: settings.KindEngine, Models: []string{standin.DefaultModel}}
@@ -135,7 +169,7 @@
 }
 
 func (s *Site) startAgent(name string, zone int, handler http.Handler, endpoint settings.Endpoint) error {
-	url, err := s.serve(name, handler)
+	url, err := s.serve(name, s.opts.Wrap(name, handler))
 	if err != nil {
 		return err
 	}
@@ -156,11 +190,12 @@
 }
 
 func (s *Site) startRouters() error {
-	for i := range routerCount {
+	for i := range s.opts.Routers {
 		r, err := daemon.NewRouter(settings.Router{
 			Role:    settings.RoleRouter,
 			Process: s.process(fmt.Sprintf("router-%d", i+1), i),
 			Listen:  settings.RouterListen{Callers: loopback, Peers: loopback, Admin: loopback},
+			Limits:  s.opts.Limits,
 		}, s.log)
 		if err != nil {
 			return err
@@ -176,7 +211,7 @@
 		Name:             name,
 		Region:           region,
 		AvailabilityZone: zoneName(zone),
-		Log:              settings.Log{Level: "warn", Format: "console"},
+		Log:              s.opts.Log,
 		Platform: settings.Platform{
 			TableURL:   s.tableURL,
 			ObjectsURL: s.objectsURL,
