--- /dev/null
+++ b/sessions/lease_test.go
@@ -0,0 +1,130 @@
+package sessions
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/pistachiowind/pistachiowind/agent"
+	"github.com/pistachiowind/pistachiowind/agent/endpoint"
+	"github.com/pistachiowind/pistachiowind/agent/gate"
+	"github.com/pistachiowind/pistachiowind/lease"
+	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/rpc"
+	"github.com/pistachiowind/pistachiowind/standin"
+)
+
+// leaseSession has two processes that compete for the placement lease, and the
+// gate before an engine that ignores fencing numbers. The time is a parameter.
+type leaseSession struct {
+	t      *testing.T
+	began  time.Time
+	now    time.Time
+	table  *platform.Table
+	keeper *gate.Keeper
+	engine *standin.Engine
+	out    bytes.Buffer
+}
+
+func newLeaseSession(t *testing.T) *leaseSession {
+	rows := standin.NewTable(standin.TableOptions{})
+	engine := standin.NewEngine(standin.EngineOptions{OrderDuration: time.Millisecond})
+	t.Cleanup(engine.Close)
+	tableServer, engineServer := httptest.NewServer(rows), httptest.NewServer(engine)
+	t.Cleanup(tableServer.Close)
+	t.Cleanup(engineServer.Close)
+	table := platform.NewTable(platform.Options{URL: tableServer.URL})
+	began := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	return &leaseSession{
+		t: t, began: began, now: began, table: table, engine: engine,
+		keeper: gate.NewKeeper(gate.Options{Table: table, Executor: endpoint.NewEngine(engineServer.URL), Lease: agent.PlacementLease}),
+	}
+}
+
+func (s *leaseSession) print(format string, args ...any) {
+	fmt.Fprintf(&s.out, "%5s  %s\n", s.now.Sub(s.began), fmt.Sprintf(format, args...))
+}
+
+// step makes the calls that a lease wants now.
+func (s *leaseSession) step(name string, l *lease.Lease) {
+	s.t.Helper()
+	for {
+		a, ok := l.Next(s.now)
+		if !ok {
+			return
+		}
+		var row platform.Row
+		var err error
+		key := lease.RowKey(agent.PlacementLease)
+		if a.Write {
+			row, err = s.table.Put(s.t.Context(), key, a.Value, a.Expected)
+			s.print("%s writes %s: %s", name, a.Value, result(err))
+		} else {
+			row, err = s.table.Get(s.t.Context(), key)
+			s.print("%s reads %s: %s", name, row.Value, result(err))
+		}
+		l.Result(s.now, a, row, err)
+	}
+}
+
+func result(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, platform.ErrNotFound):
+		return "no row"
+	case errors.Is(err, platform.ErrConflict):
+		return "another revision"
+	}
+	return err.Error()
+}
+
+func (s *leaseSession) held(name string, l *lease.Lease) uint64 {
+	number, ok := l.Held(s.now)
+	s.print("%s holds the lease: %v, number %d", name, ok, number)
+	return number
+}
+
+func (s *leaseSession) order(name, model string, number uint64) {
+	s.t.Helper()
+	resp, err := s.keeper.Order(s.t.Context(), &rpc.OrderRequest{
+		Lease: agent.PlacementLease, FencingNumber: number, OrderId: name + "-" + model,
+		Order: &rpc.OrderRequest_LoadModel{LoadModel: &rpc.LoadModel{Model: model}},
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.print("order of %s, number %d, load %s: done %v, code %d", name, number, model, resp.GetDone(), resp.GetCode())
+}
+
+func TestLeaseLapsesWhilePaused(t *testing.T) {
+	s := newLeaseSession(t)
+	s.out.WriteString("Guards against orders of a paused process whose lease lapsed, at an engine that ignores fencing numbers.\n\n")
+	a, b := lease.New("router-a"), lease.New("router-b")
+	s.step("router-a", a)
+	s.step("router-b", b)
+	s.order("router-a", "first", s.held("router-a", a))
+	late := s.held("router-a", a)
+	s.print("router-a is paused before it sends its next order")
+	for s.now.Sub(s.began) < lease.TTL+lease.Margin {
+		s.now = s.now.Add(time.Second)
+		s.step("router-b", b)
+	}
+	s.order("router-b", "second", s.held("router-b", b))
+	s.print("router-a goes on; its order arrives late")
+	s.order("router-a", "third", late)
+	s.held("router-a", a)
+	s.step("router-a", a)
+	s.held("router-a", a)
+	s.out.WriteString("\n== orders that the engine executed\n")
+	for _, o := range s.engine.Orders() {
+		fmt.Fprintf(&s.out, "%s %s, fencing number %d\n", o.Path, o.Body, o.FencingNumber)
+	}
+	fmt.Fprintf(&s.out, "models: %v\n", s.engine.Models())
+	goldie.New(t).Assert(t, "leaselapseswhilepaused", s.out.Bytes())
+}
