--- a/router/dispatch/dispatch_test.go
+++ b/router/dispatch/dispatch_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -126,10 +128,15 @@
 func (s *textSink) Restart()                     {}
 
 func dispatchChat(t *testing.T, agent *httptest.Server) (*textSink, *oneEndpoint, *resultcode.Error) {
+	return dispatchObserved(t, agent, nil)
+}
+
+func dispatchObserved(t *testing.T, agent *httptest.Server, observer dispatch.Observer) (*textSink, *oneEndpoint, *resultcode.Error) {
 	fleet := &oneEndpoint{address: strings.TrimPrefix(agent.URL, "http://")}
 	d := dispatch.New(dispatch.Options{
 		Router: "r", Client: dispatch.NewClient(dispatch.NewTransport()),
 		Fleet: fleet, Budget: freeBudget{}, Catalog: &newerCatalog{version: 1}, Quarantine: noQuarantine{},
+		Observer: observer,
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
@@ -182,6 +189,59 @@
 	}
 }
 
+// countingObserver keeps what it is told in words.
+type countingObserver struct {
+	mu     sync.Mutex
+	events []string
+}
+
+func (o *countingObserver) add(format string, args ...any) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.events = append(o.events, fmt.Sprintf(format, args...))
+}
+
+func (o *countingObserver) AttemptEnded(kind dispatch.AttemptKind, code resultcode.Code) {
+	o.add("%s %d", kind, int(code))
+}
+func (o *countingObserver) Attached(ok bool)         { o.add("attached %t", ok) }
+func (o *countingObserver) Silent()                  { o.add("silent") }
+func (o *countingObserver) Renounced(outcome string) { o.add("renounced %s", outcome) }
+
+// Guards against attempts that are counted twice, under the wrong kind, or not at
+// all when a stream is attached again or a refusal leads to another attempt.
+func TestObserverSeesAttempts(t *testing.T) {
+	broken := &countingObserver{}
+	agent := fakeAgent(t, func(n int, w *frameWriter, _ *rpc.RunRequest) {
+		w.chunk(0, "a")
+		panic(http.ErrAbortHandler)
+	}, func(w *frameWriter, from uint32) {
+		w.chunk(1, "b")
+		w.done()
+	})
+	if _, _, err := dispatchObserved(t, agent, broken); err != nil {
+		t.Fatal(err)
+	}
+	if want := []string{"attached true", "first 0"}; !slices.Equal(broken.events, want) {
+		t.Errorf("broken stream: %v, want %v", broken.events, want)
+	}
+	refused := &countingObserver{}
+	agent = fakeAgent(t, func(n int, w *frameWriter, req *rpc.RunRequest) {
+		if req.GetCatalogVersion() < 2 {
+			w.refuse(resultcode.StaleCatalog, 2)
+			return
+		}
+		w.chunk(0, "whole")
+		w.done()
+	}, nil)
+	if _, _, err := dispatchObserved(t, agent, refused); err != nil {
+		t.Fatal(err)
+	}
+	if want := []string{"first 4002", "redirect 0"}; !slices.Equal(refused.events, want) {
+		t.Errorf("refused attempt: %v, want %v", refused.events, want)
+	}
+}
+
 // Guards against a stream that ends as if it were whole although its end never
 // came.
 func TestUnfinishedStreamIsAnError(t *testing.T) {
--- a/router/dispatch/frames.go
+++ b/router/dispatch/frames.go
@@ -52,6 +52,11 @@
 }
 
 func (f *flight) streamEnded(c *call, e streamEvent) recovery.Action {
+	if c.ended {
+		// The agent closes a stream after its last frame, and the router closes the
+		// one of an attempt that it gave up. Neither is a failure of the endpoint.
+		return recovery.Action{}
+	}
 	if f.finished {
 		// Every chunk up to the finish reason has arrived; only the usage is lost.
 		c.ended = true
--- a/telemetry/pages_test.go
+++ b/telemetry/pages_test.go
@@ -1,10 +1,12 @@
 package telemetry_test
 
 import (
+	"io/fs"
 	"os"
 	"path/filepath"
 	"regexp"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/pistachiowind/pistachiowind/telemetry"
@@ -64,3 +66,62 @@
 		}
 	}
 }
+
+// stateLine matches a log line of a state change as the pages write it.
+var stateLine = regexp.MustCompile(`subject="([a-z ]+)" state="([a-z ]+)"`)
+
+// sources returns the text of all Go files of the project but tests.
+func sources(t *testing.T) string {
+	t.Helper()
+	var all strings.Builder
+	err := fs.WalkDir(os.DirFS(".."), ".", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(filepath.Join("..", path))
+		all.Write(text)
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return all.String()
+}
+
+func readPage(t *testing.T, path string) string {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// Guards against a failure of the design that the faults page lacks, and against
+// log lines on that page that no process writes.
+func TestFaultsPage(t *testing.T) {
+	page := readPage(t, "../docs/operations/faults.md")
+	design := readPage(t, "../docs/design.md")
+	_, failures, _ := strings.Cut(design, "## 7. Failures")
+	failures, _, _ = strings.Cut(failures, "\n## ")
+	rows := regexp.MustCompile(`(?m)^\| ([^|-][^|]*) \|`).FindAllStringSubmatch(failures, -1)
+	if len(rows) < 2 {
+		t.Fatalf("%d rows in section 7 of the design", len(rows))
+	}
+	for _, row := range rows[1:] {
+		heading := "## " + strings.ToUpper(row[1][:1]) + row[1][1:] + "\n"
+		if !strings.Contains(page, heading) {
+			t.Errorf("no section %q", heading)
+		}
+	}
+	lines := stateLine.FindAllStringSubmatch(page, -1)
+	if len(lines) == 0 {
+		t.Error("no log line found")
+	}
+	source := sources(t)
+	for _, line := range lines {
+		if want := `Subject: "` + line[1] + `", State: "` + line[2] + `"`; !strings.Contains(source, want) {
+			t.Errorf("no code reports %s", line[0])
+		}
+	}
+}
