--- a/agent/catalogview.go
+++ b/agent/catalogview.go
@@ -64,5 +64,5 @@
 
 // Snapshot returns the catalog as a message for a process that has a version.
 func (v *catalogView) Snapshot(have uint64) *rpc.CatalogSnapshot {
-	return catalog.Snapshot(v.holder, have)
+	return catalog.SnapshotMessage(v.holder, have)
 }
--- a/agent/endpoint/engine.go
+++ b/agent/endpoint/engine.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
@@ -19,6 +20,13 @@
 	// maxEventBytes bounds one server-sent event of an engine.
 	maxEventBytes = 1 << 20
 
+	// firstTokenSilence and tokenSilence bound the time without an event before
+	// and after the first token. A stream that is silent for longer is taken as
+	// broken: engines produce a token in a fraction of a second, and a connection
+	// can go silent for good.
+	firstTokenSilence = time.Minute
+	tokenSilence      = 10 * time.Second
+
 	maxErrorBodyBytes  = 64 << 10
 	maxModelsBodyBytes = 1 << 20
 )
@@ -72,6 +80,10 @@
 	if err != nil {
 		return resultcode.Wrap(resultcode.MalformedBody, err, "the body cannot be passed on")
 	}
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	silence := time.AfterFunc(firstTokenSilence, func() { stop(errSilent) })
+	defer silence.Stop()
 	var sent sendState
 	httpReq, err := http.NewRequestWithContext(sent.trace(ctx), http.MethodPost, e.url+"/v1/chat/completions", bytes.NewReader(body))
 	if err != nil {
@@ -87,10 +99,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return engineRefusal(resp)
 	}
-	s := engineStream{emit: emit, index: req.GetChat().GetFirstIndex()}
+	s := engineStream{emit: emit, index: req.GetChat().GetFirstIndex(), silence: silence}
 	return s.copy(resp.Body)
 }
 
+var errSilent = errors.New("endpoint: the engine sent nothing for too long")
+
 // engineBody sets the fields that belong to the router in the caller's body.
 func engineBody(req *rpc.RunRequest) ([]byte, error) {
 	chat := req.GetChat()
@@ -107,7 +121,7 @@
 	if err := continueFrom(fields, chat.GetTextSoFar()); err != nil {
 		return nil, err
 	}
-	reduceLimits(fields, int(chat.GetFirstIndex()))
+	reduceLimits(fields, int(chat.GetTokensSoFar()))
 	return json.Marshal(fields)
 }
 
@@ -125,23 +139,53 @@
 	}
 }
 
-// continueFrom appends the text that the caller already has as an assistant
-// message, which the engine continues instead of starting a new one.
+// continueFrom makes the engine continue the text that the caller already has: as
+// an assistant message of its own, or, when the caller itself asked to continue
+// its last message, as more of that message.
 func continueFrom(fields map[string]json.RawMessage, text string) error {
 	var messages []json.RawMessage
 	if err := json.Unmarshal(fields["messages"], &messages); err != nil {
 		return err
 	}
-	last, err := json.Marshal(map[string]string{"role": "assistant", "content": text})
+	own := string(bytes.TrimSpace(fields["continue_final_message"])) == "true"
+	last, err := continuedMessage(messages, text, own)
 	if err != nil {
 		return err
 	}
+	if own {
+		messages = messages[:len(messages)-1]
+	}
 	fields["messages"], err = json.Marshal(append(messages, last))
 	fields["continue_final_message"] = json.RawMessage(`true`)
 	fields["add_generation_prompt"] = json.RawMessage(`false`)
 	return err
 }
 
+// continuedMessage returns the message that ends with the text so far.
+func continuedMessage(messages []json.RawMessage, text string, own bool) (json.RawMessage, error) {
+	message := map[string]json.RawMessage{"role": json.RawMessage(`"assistant"`)}
+	if own {
+		if len(messages) == 0 {
+			return nil, errors.New("no message to continue")
+		}
+		var content string
+		err := json.Unmarshal(messages[len(messages)-1], &message)
+		if err == nil {
+			err = json.Unmarshal(message["content"], &content)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("the message to continue is not text: %w", err)
+		}
+		text = content + text
+	}
+	content, err := json.Marshal(text)
+	if err != nil {
+		return nil, err
+	}
+	message["content"] = content
+	return json.Marshal(message)
+}
+
 // engineRefusal interprets an answer other than 200. Engines check a request
 // before they run it, so a client error proves that it did not run.
 func engineRefusal(resp *http.Response) *resultcode.Error {
@@ -176,6 +220,8 @@
 	emit  Emit
 	index uint32
 	usage []byte
+	// silence ends the run; each event puts it off.
+	silence *time.Timer
 	// finished is set when a choice carried a finish reason.
 	finished bool
 }
@@ -226,6 +272,7 @@
 			continue
 		}
 		data = bytes.TrimSpace(data)
+		s.silence.Reset(tokenSilence)
 		if bytes.Equal(data, doneMarker) {
 			return s.finish()
 		}
@@ -245,7 +292,7 @@
 		return interrupted(errors.New(chunk.Error.Message), "the engine reported an error in its stream")
 	}
 	if len(chunk.Usage) > 0 && !bytes.Equal(chunk.Usage, jsonNull) {
-		s.usage = bytes.Clone(chunk.Usage)
+		s.usage = oneLine(chunk.Usage)
 	}
 	for _, raw := range chunk.Choices {
 		if err := s.choice(raw); err != nil {
@@ -263,7 +310,7 @@
 	s.finished = s.finished || choice.FinishReason != nil
 	chunk := &rpc.Chunk{
 		Index:    s.index,
-		Data:     bytes.Clone(raw),
+		Data:     oneLine(raw),
 		Text:     choice.Delta.Content,
 		Opaque:   choice.opaque(),
 		Finished: choice.FinishReason != nil,
@@ -275,6 +322,17 @@
 	return nil
 }
 
+// oneLine copies valid JSON without the space between its parts. A carriage
+// return there would end the caller's event, because it is a line break of
+// server-sent events.
+func oneLine(raw json.RawMessage) []byte {
+	var out bytes.Buffer
+	out.Grow(len(raw))
+	// Only invalid JSON is an error, and raw has been decoded.
+	_ = json.Compact(&out, raw)
+	return out.Bytes()
+}
+
 func (s *engineStream) finish() *resultcode.Error {
 	if !s.finished {
 		return interrupted(nil, "the engine's stream ended without a finish reason")
--- a/agent/worker/observer.go
+++ b/agent/worker/observer.go
@@ -40,7 +40,14 @@
 func (w *Worker) Occupancy() concurrency.Occupancy {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.occupancy()
+	var o concurrency.Occupancy
+	for _, j := range w.running {
+		o.Running[j.item.Tier]++
+	}
+	for tier := range o.Waiting {
+		o.Waiting[tier] = w.queue.TierLen(tier)
+	}
+	return o
 }
 
 // Condemned returns the number of requests that are refused as crashing endpoints.
--- a/agent/worker/run.go
+++ b/agent/worker/run.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/agent/concurrency"
 	"github.com/pistachiowind/pistachiowind/agent/queue"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
@@ -19,18 +18,28 @@
 
 // progress is what a running attempt has emitted.
 type progress struct {
-	next  uint32
-	text  []byte
-	first bool
+	next uint32
+	text []byte
+	// tokens counts the chunks with text.
+	tokens uint32
+	first  bool
 	// firstAt is the time of the first token of the current run.
 	firstAt time.Time
 	last    time.Time
 }
 
+func (p *progress) add(text string) {
+	if text == "" {
+		return
+	}
+	p.text = append(p.text, text...)
+	p.tokens++
+}
+
 // startReady starts waiting attempts while the concurrency limit allows it.
 func (w *Worker) startReady(now time.Time) {
-	for !w.probation(now) {
-		it, ok := w.limiter.Next(now, w.queue, w.occupancy())
+	for w.queue.Len() > 0 && !w.probation(now) {
+		it, ok := w.limiter.Next(now, w.queue, w.runningList())
 		if !ok {
 			return
 		}
@@ -40,19 +49,6 @@
 	}
 }
 
-// occupancy counts what runs and waits, by tier. A stream that is being
-// cancelled still uses its slot.
-func (w *Worker) occupancy() concurrency.Occupancy {
-	var o concurrency.Occupancy
-	for _, j := range w.running {
-		o.Running[j.item.Tier]++
-	}
-	for tier := range o.Waiting {
-		o.Waiting[tier] = w.queue.TierLen(tier)
-	}
-	return o
-}
-
 func (w *Worker) runningList() []queue.Running {
 	list := make([]queue.Running, 0, len(w.running))
 	for _, j := range w.running {
@@ -83,7 +79,7 @@
 	j.gaps = w.opts.Observer.Gaps()
 	w.running[it.ID] = j
 	waited := now.Sub(j.waitingSince)
-	w.limiter.Started(now, it.Tier, waited)
+	w.limiter.Started(now, j.req)
 	w.opts.Observer.Waited(j.req, waited)
 	started := &rpc.Started{WaitedMs: uint32(waited.Milliseconds())}
 	w.append(j, &rpc.Frame{Kind: &rpc.Frame_Started{Started: started}})
@@ -110,30 +106,16 @@
 	used := now.Sub(j.running.Started)
 	w.opts.Observer.Ran(j.req, used, j.gaps)
 	w.queue.Done(j.item, used)
-	w.limiter.Ended(now, outcome(err, cause))
+	err = withCause(err, cause)
+	w.limiter.Ended(now, j.req, used, err)
 	if err != nil && errors.Is(cause, errPreempted) {
 		w.requeue(now, j, used)
 	} else {
-		w.finish(now, j, withCause(err, cause))
+		w.finish(now, j, err)
 	}
 	w.startReady(now)
 }
 
-// outcome tells the limiter how a run ended.
-func outcome(err *resultcode.Error, cause error) concurrency.Outcome {
-	switch {
-	case err == nil:
-		return concurrency.Completed
-	case cause != nil:
-		return concurrency.Cancelled
-	case err.Code == resultcode.EndpointOverloaded:
-		return concurrency.Overloaded
-	case err.Code == resultcode.EndpointFailed || err.Code == resultcode.EndpointDown:
-		return concurrency.Failed
-	}
-	return concurrency.Completed
-}
-
 // withCause names why the worker itself stopped a run.
 func withCause(err *resultcode.Error, cause error) *resultcode.Error {
 	if err == nil || cause == nil || errors.Is(cause, context.DeadlineExceeded) {
@@ -169,10 +151,11 @@
 		Idempotent:    j.req.GetIdempotent(),
 		BodyDigest:    j.req.GetBodyDigest(),
 		Work: &rpc.RunRequest_Chat{Chat: &rpc.ChatWork{
-			Model:      chat.GetModel(),
-			Body:       chat.GetBody(),
-			FirstIndex: j.progress.next,
-			TextSoFar:  string(j.progress.text),
+			Model:       chat.GetModel(),
+			Body:        chat.GetBody(),
+			FirstIndex:  j.progress.next,
+			TextSoFar:   string(j.progress.text),
+			TokensSoFar: j.progress.tokens,
 		}},
 	}
 }
@@ -227,20 +210,25 @@
 	j.progress.first = true
 	j.progress.firstAt = now
 	d := now.Sub(j.running.Started)
-	w.limiter.FirstToken(now, d, j.firstTokenTarget())
+	w.limiter.FirstToken(now, j.req, d)
 	w.opts.Observer.FirstToken(j.req, d)
 }
 
 func (w *Worker) observeChunk(now time.Time, j *job, c *rpc.Chunk) {
-	p := &j.progress
-	if j.req.GetChat() != nil {
-		p.next = c.GetIndex() + 1
-		p.text = append(p.text, c.GetText()...)
+	if j.req.GetChat() == nil {
+		w.observeFirst(now, j)
+		return
 	}
+	p := &j.progress
+	p.next = c.GetIndex() + 1
+	p.add(c.GetText())
 	if c.GetOpaque() {
 		j.pinned.Store(true)
 	}
-	if p.first && !p.last.IsZero() {
+	if !c.HasToken() {
+		return
+	}
+	if p.first {
 		gap := now.Sub(p.last)
 		w.limiter.Token(now, gap)
 		j.gaps.Add(gap)
@@ -301,7 +289,7 @@
 	if w.queue.Len() == 0 {
 		return
 	}
-	id, ok := w.limiter.Preempt(now, w.queue, w.occupancy(), w.runningList())
+	id, ok := w.limiter.Preempt(now, w.queue, w.runningList())
 	if !ok {
 		return
 	}
--- a/agent/worker/worker.go
+++ b/agent/worker/worker.go
@@ -66,8 +66,6 @@
 	until time.Time
 	// waitingSince is when the attempt entered the queue, or was requeued.
 	waitingSince time.Time
-	// firstBy is when the first token should exist; zero means no target.
-	firstBy time.Time
 	// progress is what the attempt has emitted so far.
 	progress progress
 	running  *queue.Running
@@ -171,19 +169,7 @@
 	if err := w.learn(now, req); err != nil {
 		return err
 	}
-	return w.limiter.Admit(now, w.admission(now, req))
-}
-
-// admission collects what the limiter judges a new attempt by.
-func (w *Worker) admission(now time.Time, req *rpc.RunRequest) Admission {
-	return Admission{
-		Tier:      int(req.GetTier()),
-		Class:     req.GetClass(),
-		WaitLimit: time.Duration(req.GetWaitLimitMs()) * time.Millisecond,
-		Queue:     w.queue,
-		Occupancy: w.occupancy(),
-		Running:   w.runningList(),
-	}
+	return w.limiter.Admit(now, req, w.queue)
 }
 
 func newJob(now time.Time, req *rpc.RunRequest, attempt *execution.Attempt) *job {
@@ -194,7 +180,11 @@
 		attempt:      attempt,
 		until:        now.Add(whole),
 		waitingSince: now,
-		progress:     progress{next: req.GetChat().GetFirstIndex(), text: []byte(req.GetChat().GetTextSoFar())},
+		progress: progress{
+			next:   req.GetChat().GetFirstIndex(),
+			text:   []byte(req.GetChat().GetTextSoFar()),
+			tokens: req.GetChat().GetTokensSoFar(),
+		},
 		item: queue.Item{
 			ID:        itemID(attempt.ID()),
 			Tier:      int(req.GetTier()),
@@ -206,21 +196,11 @@
 		},
 	}
 	if left := req.GetFirstTokenLeftMs(); left > 0 {
-		j.firstBy = now.Add(time.Duration(left) * time.Millisecond)
-		j.item.Deadline = j.firstBy
+		j.item.Deadline = now.Add(time.Duration(left) * time.Millisecond)
 	}
 	return j
 }
 
-// firstTokenTarget is what the wait left of the target for the first token; zero
-// means that the time is not judged.
-func (j *job) firstTokenTarget() time.Duration {
-	if j.firstBy.IsZero() || j.item.Preemptions > 0 {
-		return 0
-	}
-	return max(j.firstBy.Sub(j.running.Started), 0)
-}
-
 func itemID(id execution.ID) string {
 	return id.Router + "/" + strconv.FormatUint(id.Ticket, 10)
 }
@@ -252,6 +232,15 @@
 	w.finish(now, j, err)
 }
 
+// refuseAllWaiting gives up every attempt that is not at the endpoint.
+func (w *Worker) refuseAllWaiting(now time.Time) {
+	for id := range w.jobs {
+		if it, waiting := w.queue.Remove(id); waiting {
+			w.refuseWaiting(now, it, resultcode.New(resultcode.Leaving, "this agent is leaving"))
+		}
+	}
+}
+
 // finish ends an attempt: with its refusal when err is set.
 func (w *Worker) finish(now time.Time, j *job, err *resultcode.Error) {
 	delete(w.jobs, j.item.ID)
@@ -345,7 +334,7 @@
 }
 
 func (w *Worker) tierDelay(now time.Time, tier int) uint32 {
-	if w.queue.Len() == 0 && w.limiter.HasSlot(now, tier, w.occupancy()) {
+	if w.queue.Len() == 0 && len(w.running) < w.limiter.Limit(now) {
 		return 0
 	}
 	return uint32(w.queue.ExpectedDelay(now, tier).Milliseconds())
@@ -373,11 +362,13 @@
 	return w.state
 }
 
-// Drain refuses new attempts and waits until the open ones have ended or ctx
-// ends. It returns how many are still open.
+// Drain refuses new attempts and the waiting ones, which routers then place
+// elsewhere, and waits until the running ones have ended or ctx ends. It returns
+// how many are still open.
 func (w *Worker) Drain(ctx context.Context) int {
 	w.mu.Lock()
 	w.state = rpc.AgentState_AGENT_STATE_LEAVING
+	w.refuseAllWaiting(time.Now())
 	if len(w.jobs) == 0 {
 		w.mu.Unlock()
 		return 0
--- a/catalog/peer.go
+++ b/catalog/peer.go
@@ -7,22 +7,15 @@
 	"github.com/pistachiowind/pistachiowind/rpc"
 )
 
-// Snapshot returns the catalog in force at a holder as a message, without its
-// body when the asking process has the same version or a newer one.
-func Snapshot(holder *Holder, have uint64) *rpc.CatalogSnapshot {
-	current := holder.Current()
-	snapshot := &rpc.CatalogSnapshot{Version: current.Version()}
-	if current.Version() <= have {
-		return snapshot
-	}
-	body, err := Encode(current.Catalog())
+// SnapshotMessage is Holder.Snapshot as a message for other processes.
+func SnapshotMessage(holder *Holder, have uint64) *rpc.CatalogSnapshot {
+	version, body, err := holder.Snapshot(have)
 	if err != nil {
-		// A catalog in force was decoded from JSON, so it can be encoded; without
-		// a body the asking process would adopt nothing.
+		// A catalog in force was decoded from JSON, so it can be encoded; a message
+		// without a version makes the asking process adopt nothing.
 		return &rpc.CatalogSnapshot{}
 	}
-	snapshot.Body = body
-	return snapshot
+	return &rpc.CatalogSnapshot{Version: version, Body: body}
 }
 
 // catalogClient is the part that the clients of routers and agents share.
--- a/router/catalogview.go
+++ b/router/catalogview.go
@@ -87,5 +87,5 @@
 
 // FetchCatalog serves other processes; it implements rpc.Router.
 func (v *catalogView) FetchCatalog(_ context.Context, req *rpc.FetchCatalogRequest) (*rpc.CatalogSnapshot, error) {
-	return catalog.Snapshot(v.holder, req.GetHaveVersion()), nil
+	return catalog.SnapshotMessage(v.holder, req.GetHaveVersion()), nil
 }
