Tell the other routers when a request is condemned

Cause: TestCrashingRequestSentAtOnce was known red: a condemned request that its caller sent to another router at once crashed two more engines there, because routers read the shared evidence only every 5 s. Ruled out: a lost refusal (the first router refused it). Change: the router that learns of the condemnation tells the routers on the VM list and waits at most 200 ms for them before its caller gets the answer.

--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -59,6 +59,8 @@
 	health   *health.Tracker
 	view     view
 	listRead time.Time
+	// routers are the peer addresses of the routers on the VM list.
+	routers []string
 }
 
 // New returns a Fleet that knows the fixed agents only.
@@ -290,6 +292,13 @@
 	return f.health.Ejections()
 }
 
+// Routers lists the peer addresses of the routers on the VM list.
+func (f *Fleet) Routers() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.routers)
+}
+
 // Serving returns the number of endpoints that accept work.
 func (f *Fleet) Serving() int {
 	f.mu.Lock()
--- a/router/fleet/probe.go
+++ b/router/fleet/probe.go
@@ -74,9 +74,21 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	f.set.List(now, entries)
+	f.routers = liveRouters(vms)
 	f.refresh(now)
 }
 
+// liveRouters returns the peer addresses of the routers on the list.
+func liveRouters(vms []platform.VM) []string {
+	var addresses []string
+	for _, vm := range vms {
+		if vm.Role == platform.RoleRouter && vm.State == platform.VMLive {
+			addresses = append(addresses, vm.Address)
+		}
+	}
+	return addresses
+}
+
 func listEntry(vm platform.VM) membership.Entry {
 	e := membership.Entry{
 		Name:             vm.Name,
--- a/router/quarantineview.go
+++ b/router/quarantineview.go
@@ -6,7 +6,10 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/pistachiowind/pistachiowind/quarantine"
+	"github.com/pistachiowind/pistachiowind/router/dispatch"
 	"github.com/pistachiowind/pistachiowind/rpc"
 )
 
@@ -14,18 +17,32 @@
 // routers it causes 82 reads a second.
 const evidenceInterval = 5 * time.Second
 
+const (
+	// shareTimeout bounds how long the answer to a condemned request waits for
+	// the other routers to know it.
+	shareTimeout = 200 * time.Millisecond
+
+	// maxShareCalls bounds the routers that are told at the same time.
+	maxShareCalls = 64
+)
+
 // quarantineView is the router's evidence against requests that crash endpoints.
 // It implements dispatch.Quarantine and is safe for concurrent use.
 type quarantineView struct {
 	exchange *quarantine.Exchange
 	rng      *rand.Rand
+	client   *dispatch.Client
+	// routers lists the peer addresses of the routers of the site.
+	routers func() []string
 
 	mu    sync.Mutex
 	table *quarantine.Table
 }
 
-func newQuarantineView(rows quarantine.Rows, seed uint64) *quarantineView {
+func newQuarantineView(rows quarantine.Rows, client *dispatch.Client, routers func() []string, seed uint64) *quarantineView {
 	return &quarantineView{
+		client:   client,
+		routers:  routers,
 		exchange: quarantine.NewExchange(rows),
 		rng:      rand.New(rand.NewPCG(seed, 1)),
 		table:    quarantine.New(),
@@ -56,15 +73,53 @@
 	}
 }
 
-// Learn takes evidence from an agent.
+// Learn takes evidence from an agent. When it condemns a request, the other
+// routers are told before this returns, because the caller may send the request
+// again to any of them as soon as it has its answer.
 func (v *quarantineView) Learn(now time.Time, e *rpc.Evidence) {
 	r, ok := quarantine.FromMessage(now, e)
-	if !ok {
-		return
+	if ok && v.condemns(now, r) {
+		v.tell(r.Message(now))
 	}
+}
+
+// condemns merges a record and reports whether the request is refused because
+// of it.
+func (v *quarantineView) condemns(now time.Time, r quarantine.Record) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	before := v.table.Verdict(now, r.Fingerprint)
 	v.table.Merge(now, []quarantine.Record{r})
+	return before != quarantine.Condemned && v.table.Verdict(now, r.Fingerprint) == quarantine.Condemned
+}
+
+// tell sends evidence to the other routers and waits for their answers within
+// shareTimeout. A router that misses it reads the evidence from the table service.
+func (v *quarantineView) tell(e *rpc.Evidence) {
+	ctx, cancel := context.WithTimeout(context.Background(), shareTimeout)
+	defer cancel()
+	req := &rpc.ShareEvidenceRequest{Evidence: []*rpc.Evidence{e}}
+	var all errgroup.Group
+	all.SetLimit(maxShareCalls)
+	for _, address := range v.routers() {
+		all.Go(func() error {
+			peer := rpc.NewRouterProtobufClient(v.client.URL(address), v.client.HTTPClient())
+			_, err := peer.ShareEvidence(ctx, req)
+			return err
+		})
+	}
+	_ = all.Wait()
+}
+
+// ShareEvidence takes evidence from another router.
+func (v *quarantineView) ShareEvidence(_ context.Context, req *rpc.ShareEvidenceRequest) (*rpc.ShareEvidenceResponse, error) {
+	now := time.Now()
+	for _, e := range req.GetEvidence() {
+		if r, ok := quarantine.FromMessage(now, e); ok {
+			v.condemns(now, r)
+		}
+	}
+	return &rpc.ShareEvidenceResponse{}, nil
 }
 
 // Evidence returns what is known against a request.
--- a/router/router.go
+++ b/router/router.go
@@ -207,7 +207,7 @@
 	budgets := newTierBudgets()
 	observer := &requestObserver{metrics: r.metrics, recorder: r.recorder}
 	r.observe(observer, budgets)
-	r.quarantine = newQuarantineView(r.opts.Table, seed)
+	r.quarantine = newQuarantineView(r.opts.Table, r.client, r.fleet.Routers, seed)
 	dispatcher := dispatch.New(dispatch.Options{
 		Quarantine:    r.quarantine,
 		Router:        r.incarnation,
@@ -229,8 +229,14 @@
 	})
 }
 
+// peerService implements rpc.Router.
+type peerService struct {
+	*catalogView
+	*quarantineView
+}
+
 func (r *Router) registerPeers(mux *http.ServeMux) {
-	unary := rpc.NewRouterServer(r.catalog)
+	unary := rpc.NewRouterServer(peerService{r.catalog, r.quarantine})
 	mux.Handle(unary.PathPrefix(), unary)
 }
 
