--- /dev/null
+++ b/e2e/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package e2e_test
+
+var buildFlags []string
