Take process states in the faults page from the shared life cycle

Cause: the merge of the shared life cycle moved the states started, draining and stopped out of the literals that the test of the faults page reads.

Change: the test runs that life cycle for both roles and adds what it reports.

Result: go test -race ./telemetry passes.

--- a/telemetry/pages_test.go
+++ b/telemetry/pages_test.go
@@ -1,6 +1,8 @@
 package telemetry_test
 
 import (
+	"context"
+	"fmt"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -9,6 +11,10 @@
 	"strings"
 	"testing"
 
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/pistachiowind/pistachiowind/lifecycle"
 	"github.com/pistachiowind/pistachiowind/telemetry"
 )
 
@@ -88,6 +94,27 @@
 	return all.String()
 }
 
+// processStates runs a router's and an agent's life and returns its state changes
+// as they would stand in the code.
+func processStates(t *testing.T) string {
+	t.Helper()
+	var all strings.Builder
+	states := telemetry.NewStateLog(zerolog.Nop(), func(c telemetry.StateChange) {
+		fmt.Fprintf(&all, "Subject: %q, State: %q\n", c.Subject, c.State)
+	})
+	asked := make(chan struct{})
+	close(asked)
+	for _, role := range []string{"router", "agent"} {
+		p := lifecycle.Process{
+			Role: role, Supervisor: suture.NewSimple(role), States: states, DrainAsked: asked, Drain: func(context.Context) {},
+		}
+		if err := p.Serve(t.Context(), t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return all.String()
+}
+
 func readPage(t *testing.T, path string) string {
 	t.Helper()
 	text, err := os.ReadFile(path)
@@ -118,7 +145,7 @@
 	if len(lines) == 0 {
 		t.Error("no log line found")
 	}
-	source := sources(t)
+	source := sources(t) + processStates(t)
 	for _, line := range lines {
 		if want := `Subject: "` + line[1] + `", State: "` + line[2] + `"`; !strings.Contains(source, want) {
 			t.Errorf("no code reports %s", line[0])
