Measure the cost of a new connection with mutual TLS

Cause: at the planned size a router asks each endpoint once in 120 s, longer than its connections may be idle, so that each probe opens a new one. Change: step static measures bytes and processor time of such connections.

--- a/capacity/report.go
+++ b/capacity/report.go
@@ -29,7 +29,7 @@
 func Steps() []Step {
 	return []Step{
 		{"static", seriesOf(func(io.Writer) ([]*Series, error) {
-			return joined(Accounts, VMListReads, Selections, Claims, func() ([]*Series, error) { return Leases(), nil })
+			return joined(Accounts, VMListReads, Selections, Handshakes, Claims, func() ([]*Series, error) { return Leases(), nil })
 		})},
 		{"idle-router", seriesOf(IdleRouter)},
 		{"probed-agent", seriesOf(ProbedAgent)},
