Report first tokens on time and pass the target at a site

Cause: a missed request did not show whether its first token or its pace was late, and the simulated routers left out the target that the real ones send.

--- a/measure/site/endpoint.go
+++ b/measure/site/endpoint.go
@@ -91,8 +91,9 @@
 	id := jobID(a.ticket)
 	wait := max(c.WaitLimit-now.Sub(a.flight.arrived), 0)
 	deadline := a.flight.arrived.Add(c.FirstToken)
+	firstLeft := uint32(max(deadline.Sub(now).Milliseconds(), 1))
 	if a.flight.forwarded > 0 {
-		wait, deadline = drainLimit, time.Time{}
+		wait, deadline, firstLeft = drainLimit, time.Time{}, 0
 	}
 	account := a.flight.account()
 	return &job{
@@ -100,6 +101,7 @@
 		wire: &rpc.RunRequest{
 			RequestId: id, ClientAccount: account, Class: c.Name, Tier: uint32(c.Tier),
 			WaitLimitMs: uint32(wait.Milliseconds()), Idempotent: !c.Once,
+			FirstTokenLeftMs: firstLeft,
 		},
 		item: queue.Item{
 			ID: id, Tier: c.Tier, Class: c.Name, Account: account, Arrived: now, WaitUntil: now.Add(wait),
--- a/measure/site/result.go
+++ b/measure/site/result.go
@@ -12,8 +12,10 @@
 	Name    string `json:"name"`
 	Tier    int    `json:"tier"`
 	Arrived int    `json:"arrived"`
-	// Completed counts whole answers, Met those that met all targets.
+	// Completed counts whole answers, OnTime those with the first token within
+	// its target, Met those that met all targets.
 	Completed int `json:"completed"`
+	OnTime    int `json:"on_time"`
 	Met       int `json:"met"`
 	// Refused counts other ends by result code.
 	Refused map[int]int `json:"refused,omitempty"`
@@ -137,6 +139,9 @@
 	if at >= 20*time.Second && at < 40*time.Second && f.class.Short {
 		r.window = append(r.window, wait)
 	}
+	if wait <= f.class.FirstToken {
+		c.OnTime++
+	}
 	if f.met() {
 		c.Met++
 		s.met++
