Refuse work that is expected to miss its first-token target

Cause: the agent admitted a request by its wait limit only (10 s for supply and ledger), so in a burst the queue held work that had already missed its target of 1.5 s, and served it before work that could still meet it: 45.9% of the ledger calls of the burst completed, 28.6% had their first token on time. Ruled out: the pace of tokens (on time equals met within 1 point here) and redirects (wasted tokens are 0.0%).

Change: Scheduler.Admit takes the lesser of the wait limit and what is left of the first-token target.

--- a/agent/concurrency/scheduler.go
+++ b/agent/concurrency/scheduler.go
@@ -44,6 +44,9 @@
 func (s *Scheduler) Admit(now time.Time, req *rpc.RunRequest, q *queue.Queue) *resultcode.Error {
 	tier := int(req.GetTier())
 	waitLimit := time.Duration(req.GetWaitLimitMs()) * time.Millisecond
+	if left := req.GetFirstTokenLeftMs(); left > 0 {
+		waitLimit = min(waitLimit, time.Duration(left)*time.Millisecond)
+	}
 	facts := Facts{
 		HasSlot:      s.limiter.HasSlot(now, tier, Occupancy{Running: s.running}),
 		ClassWaiting: q.ClassLen(tier, req.GetClass()),
