Grow the limit slowly when the pace is near its target

Change: the limit grows by a factor only while 95 in 100 tokens keep 0.6 of the target; above that it grows by the rising addition.

--- a/agent/concurrency/learn.go
+++ b/agent/concurrency/learn.go
@@ -18,6 +18,11 @@
 	// what ends the growth without a swing around the target.
 	growMargin = 0.9
 
+	// fastMargin is the part of the target that 95 in 100 tokens must keep for
+	// fast growth. A step of fastGrowth from a slower pace can pass the target at
+	// once, and all streams then miss it until the limit has fallen.
+	fastMargin = 0.6
+
 	// firstTokenSamples is the number of first tokens that are judged together.
 	firstTokenSamples = 20
 	// firstTokenMisses of them above the target mean that it is missed: more
@@ -71,9 +76,10 @@
 type window struct {
 	start  time.Time
 	tokens int
-	// near counts gaps above growMargin of the target, over those above it.
-	near, over int
-	sum        time.Duration
+	// far counts gaps above fastMargin of the target, near those above growMargin
+	// of it, over those above it.
+	far, near, over int
+	sum             time.Duration
 	// peak is the highest number in flight.
 	peak int
 }
@@ -129,6 +135,9 @@
 	if gap.Seconds() > target {
 		l.window.over++
 	}
+	if gap.Seconds() > fastMargin*target {
+		l.window.far++
+	}
 	if gap.Seconds() > growMargin*target {
 		l.window.near++
 	}
@@ -201,7 +210,7 @@
 		l.goodWindows = 0
 		l.restart(now)
 	default:
-		l.grow()
+		l.grow(float64(l.window.far) <= allowed)
 		l.restart(now)
 	}
 }
@@ -223,15 +232,16 @@
 	return l.window.sum.Seconds() / float64(l.window.tokens)
 }
 
-// grow raises the limit if the requests in flight have used it.
-func (l *Limiter) grow() {
+// grow raises the limit if the requests in flight have used it, by a factor
+// only when the pace is far from the target.
+func (l *Limiter) grow(far bool) {
 	if l.window.peak < int(l.limit)-l.Headroom() {
 		return
 	}
 	l.growing = true
-	if l.ceiling == 0 {
+	if far && l.ceiling == 0 {
 		l.limit *= fastGrowth
-	} else if fast := ceilingShare * l.ceiling; l.limit < fast {
+	} else if fast := ceilingShare * l.ceiling; far && l.limit < fast {
 		l.limit = min(l.limit*fastGrowth, fast)
 	} else {
 		l.limit += slowGrowth * float64(1+l.goodWindows/slowGrowthRun)
