Bound the expected wait from below by the run time

Cause: the queue estimates the wait from the interval between starts. While the limit grows in a burst, starts need no earlier request to end, so the estimate is too short: at 1 s into the burst of charbon 23 requests waited at an endpoint with 15 slots, about 4.8 s at 3.1 s a run, and all were admitted for a target of 1.5 s. Ruled out: admission of a class with nothing waiting (one request per endpoint and class).

Change: the scheduler takes the greater of the queue's estimate and the time that the limit's slots need for the waiting requests at the mean run time.

--- a/agent/concurrency/scheduler.go
+++ b/agent/concurrency/scheduler.go
@@ -30,8 +30,13 @@
 	running    [catalog.TierCount]int
 	// preemptible is the count at the last call of Next.
 	preemptible int
+	// runTime is the mean time of whole answers at the endpoint.
+	runTime smoothed
 }
 
+// runTimeWeight is the weight of one answer in the mean run time.
+const runTimeWeight = 0.05
+
 // NewScheduler returns a Scheduler for an idle endpoint.
 func NewScheduler(opts SchedulerOptions) *Scheduler {
 	for tier := range opts.FirstToken {
@@ -52,13 +57,22 @@
 		ClassWaiting: q.ClassLen(tier, req.GetClass()),
 		Preemptible:  s.preemptible,
 	}
+	ahead := 1
 	for t := range facts.Waiting {
 		facts.Waiting[t] = q.TierLen(t)
-		facts.ExpectedDelay[t] = q.ExpectedDelay(now, t)
+		ahead += q.TierLen(t)
+		facts.ExpectedDelay[t] = max(q.ExpectedDelay(now, t), s.drainTime(now, ahead))
 	}
 	return s.limiter.Admit(now, tier, waitLimit, facts)
 }
 
+// drainTime is how long the slots need for a number of requests of mean length.
+// The interval between starts alone is too short while the limit grows, because
+// such starts do not need an earlier request to end.
+func (s *Scheduler) drainTime(now time.Time, requests int) time.Duration {
+	return s.runTime.duration() * time.Duration(requests) / time.Duration(s.limiter.Limit(now))
+}
+
 // Next takes the item to start now from q, if a slot is free for it.
 func (s *Scheduler) Next(now time.Time, q *queue.Queue, running []queue.Running) (queue.Item, bool) {
 	s.preemptible = queue.Preemptible(now, s.limiter.Keep(), running)
@@ -116,7 +130,10 @@
 }
 
 // Ended records that req left the endpoint.
-func (s *Scheduler) Ended(now time.Time, req *rpc.RunRequest, _ time.Duration, err *resultcode.Error) {
+func (s *Scheduler) Ended(now time.Time, req *rpc.RunRequest, used time.Duration, err *resultcode.Error) {
+	if err == nil {
+		s.runTime.add(used, runTimeWeight)
+	}
 	s.running[req.GetTier()] = max(0, s.running[req.GetTier()]-1)
 	s.limiter.ObserveEnd(now, outcomeOf(err))
 }
