Make a starting router know its endpoints before it is ready

Cause: a router was ready as soon as one endpoint served; work for others was refused with 2005 until they were probed, at 5 probes a second up to two minutes with 600 endpoints. Change: 50 probes a second for 15 s after the first VM list; ready when every endpoint has answered or failed once, or after those 15 s. Measured: TestJoinAtThePlannedSize: 600 endpoints known within 14 s, 5 probes a second afterwards; it fails when the rate stays at 50.

--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -299,6 +299,13 @@
 	return slices.Clone(f.routers)
 }
 
+// Known reports whether the endpoints are known well enough to place work.
+func (f *Fleet) Known() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.set.Known(time.Now())
+}
+
 // Serving returns the number of endpoints that accept work.
 func (f *Fleet) Serving() int {
 	f.mu.Lock()
--- a/router/membership/membership.go
+++ b/router/membership/membership.go
@@ -46,6 +46,10 @@
 	RampJitter time.Duration
 	// ProbeRate is the number of probes per second; 5 by default.
 	ProbeRate float64
+	// JoinRate replaces it for JoinTime after the first list, so that a router
+	// that starts knows 600 endpoints within seconds; 50 for 15 s by default.
+	JoinRate float64
+	JoinTime time.Duration
 	// ProbeTimeout is when an unanswered probe may be repeated; 1 s by default.
 	ProbeTimeout time.Duration
 	// ProbeBackoff is the longest time between probes of a member that does not
@@ -79,6 +83,10 @@
 	if o.ProbeRate <= 0 {
 		o.ProbeRate = 5
 	}
+	if o.JoinRate <= 0 {
+		o.JoinRate = 50
+	}
+	set(&o.JoinTime, 15*time.Second)
 	return o
 }
 
@@ -154,6 +162,8 @@
 	rng     *rand.Rand
 	members map[string]*member
 	probes  *rate.Limiter
+	// firstList is when the first member was listed; zero before.
+	firstList time.Time
 	// staleTurn alternates between members with old load and the others.
 	staleTurn bool
 	version   uint64
@@ -166,7 +176,7 @@
 		options: o,
 		rng:     rng,
 		members: make(map[string]*member),
-		probes:  rate.NewLimiter(rate.Limit(o.ProbeRate), 1),
+		probes:  rate.NewLimiter(rate.Limit(o.JoinRate), 1),
 	}
 }
 
@@ -202,6 +212,9 @@
 		}
 		// Members that join together are probed in a random order, so that routers
 		// that start together do not all know the same few endpoints first.
+		if s.firstList.IsZero() {
+			s.firstList = now
+		}
 		m = &member{joined: now, nextProbe: now.Add(-s.jitter(s.options.ProbeTimeout))}
 		s.members[e.Name] = m
 		s.version++
--- a/router/membership/membership_test.go
+++ b/router/membership/membership_test.go
@@ -297,3 +297,40 @@
 		w.set.NextProbe(w.now)
 	}
 }
+
+// Guards against a router that is ready before it knows the endpoints, one that
+// is never ready because some do not answer, and probes above the control budget
+// after the start.
+func TestJoinAtThePlannedSize(t *testing.T) {
+	w := newWorld(600)
+	start := w.now
+	if w.set.Known(w.now) {
+		t.Error("known before any probe")
+	}
+	index := map[string]int{}
+	for i, e := range w.entries {
+		index[e.Name] = i
+	}
+	probe := func(until time.Time) int {
+		n := 0
+		for ; w.now.Before(until); w.now = w.now.Add(10 * time.Millisecond) {
+			for p, ok := w.set.NextProbe(w.now); ok; p, ok = w.set.NextProbe(w.now) {
+				n++
+				if i := index[p.Name]; i%50 == 0 {
+					w.set.Unreachable(w.now, p.Name)
+				} else {
+					w.hear(i, "a", serving)
+				}
+			}
+		}
+		return n
+	}
+	probe(start.Add(14 * time.Second))
+	if !w.set.Known(w.now) {
+		t.Error("not known after 14 s")
+	}
+	probe(start.Add(15 * time.Second))
+	if n := probe(start.Add(75 * time.Second)); n > 5*60+1 {
+		t.Errorf("%d probes in a minute after the start", n)
+	}
+}
--- a/router/membership/probe.go
+++ b/router/membership/probe.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/pistachiowind/pistachiowind/rpc"
 )
 
@@ -24,6 +26,9 @@
 // cut does not stop the refresh of the rest. The caller reports Heard or
 // Unreachable.
 func (s *Set) NextProbe(now time.Time) (Probe, bool) {
+	if !s.joining(now) {
+		s.probes.SetLimitAt(now, rate.Limit(s.options.ProbeRate))
+	}
 	if s.probes.TokensAt(now) < 1 {
 		return Probe{}, false
 	}
@@ -40,6 +45,28 @@
 	return Probe{Name: name, Address: m.entry.Address, Incarnation: m.incarnation}, true
 }
 
+// joining reports whether JoinRate applies.
+func (s *Set) joining(now time.Time) bool {
+	return s.firstList.IsZero() || now.Sub(s.firstList) < s.options.JoinTime
+}
+
+// Known reports whether the set is good enough to place work: every member has
+// answered or failed a probe once, or JoinTime has passed since the first list.
+func (s *Set) Known(now time.Time) bool {
+	if s.firstList.IsZero() {
+		return false
+	}
+	if !s.joining(now) {
+		return true
+	}
+	for _, m := range s.members {
+		if m.heard.IsZero() && m.failures == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // due returns the most urgent member of one kind.
 func (s *Set) due(now time.Time, stale bool) (string, *member) {
 	var bestName string
--- a/router/operate.go
+++ b/router/operate.go
@@ -35,6 +35,7 @@
 var (
 	errDraining   = errors.New("the router is draining")
 	errNoCatalog  = errors.New("no catalog is confirmed yet")
+	errJoining    = errors.New("the endpoints are not known yet")
 	errNoEndpoint = errors.New("no endpoint accepts work")
 )
 
@@ -46,6 +47,8 @@
 		return errDraining
 	case !r.catalog.distributor.Ready():
 		return errNoCatalog
+	case !r.fleet.Known():
+		return errJoining
 	case r.fleet.Serving() == 0:
 		return errNoEndpoint
 	}
