Probe unknown endpoints first while they join

Change: while members join, those of unknown state are probed first. Measured: the test passes; it fails with 3,000 probes in the minute after when the rate is not lowered.

--- a/router/membership/probe.go
+++ b/router/membership/probe.go
@@ -23,8 +23,8 @@
 // NextProbe returns the member to probe next, if one is due and ProbeRate allows
 // it. Turns alternate between members whose state is unknown, failed or missing
 // from the list, and serving members with the oldest load value, so that a large
-// cut does not stop the refresh of the rest. The caller reports Heard or
-// Unreachable.
+// cut does not stop the refresh of the rest. While the members join, those of
+// unknown state come first. The caller reports Heard or Unreachable.
 func (s *Set) NextProbe(now time.Time) (Probe, bool) {
 	if !s.joining(now) {
 		s.probes.SetLimitAt(now, rate.Limit(s.options.ProbeRate))
@@ -32,9 +32,10 @@
 	if s.probes.TokensAt(now) < 1 {
 		return Probe{}, false
 	}
-	name, m := s.due(now, s.staleTurn)
+	stale := s.staleTurn && !s.joining(now)
+	name, m := s.due(now, stale)
 	if m == nil {
-		name, m = s.due(now, !s.staleTurn)
+		name, m = s.due(now, !stale)
 	}
 	if m == nil {
 		return Probe{}, false
