Keep one series for classes above the bound

Cause: with more than 64 classes, the series of the burn report depended on the order of a map: the class (other) could come twice, or a series less was made because (other) took the place of a named class. TestRowsAreBounded failed now and then.

Change: (other) does not count towards the bound and is found wherever it stands. The test also checks that no class has two series.

--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -236,6 +236,13 @@
 	if len(w.Rows) != 65 || len(w.Endpoints) != 1025 || len(snapshot.Series) != 65 {
 		t.Errorf("%d rows, %d endpoints, %d series", len(w.Rows), len(w.Endpoints), len(snapshot.Series))
 	}
+	names := map[string]bool{}
+	for _, c := range snapshot.Series {
+		if names[c.Class] {
+			t.Errorf("two series of class %s", c.Class)
+		}
+		names[c.Class] = true
+	}
 	var requests int64
 	for _, row := range w.Rows {
 		requests += row.Requests
--- a/burn/snapshot.go
+++ b/burn/snapshot.go
@@ -63,17 +63,18 @@
 }
 
 func (s *seriesSet) class(name string, tier int) *ClassSeries {
+	named := 0
 	for _, c := range s.classes {
 		if c.Class == name {
 			return c
 		}
-	}
-	if len(s.classes) >= maxRows {
-		name = Other
-		if last := s.classes[len(s.classes)-1]; last.Class == Other {
-			return last
+		if c.Class != Other {
+			named++
 		}
 	}
+	if name != Other && named >= maxRows {
+		return s.class(Other, tier)
+	}
 	c := &ClassSeries{Class: name, Tier: tier, Met: []int64{}, Missed: []int64{}}
 	s.classes = append(s.classes, c)
 	return c
