Add models to the catalog

The routers place models from what operators decide, and the catalog had no place for it.

The optional section "models" has a name, an optional version, the floor min_endpoints and the tier of the most urgent use. Catalogs without the section decode as before and encode without it.

Measured: go test -race ./catalog passes. Broken on purpose: without the validation of models TestValidateNamesTheFault fails; without the comparison of models TestDecodeIsStrict fails.

--- a/catalog/diff.go
+++ b/catalog/diff.go
@@ -41,6 +41,7 @@
 	diffNamed(&d, "profiles", from.Profiles, to.Profiles, func(p Profile) string { return p.Name })
 	diffNamed(&d, "client_accounts", from.ClientAccounts, to.ClientAccounts, func(a ClientAccount) string { return a.Name })
 	diffNamed(&d, "services", from.Services, to.Services, func(s Service) string { return s.Name })
+	diffNamed(&d, "models", from.Models, to.Models, Model.ID)
 	return d[:min(len(d), maxDifferences)]
 }
 
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -31,6 +31,28 @@
 	Profiles       []Profile       `json:"profiles"`
 	ClientAccounts []ClientAccount `json:"client_accounts"`
 	Services       []Service       `json:"services,omitempty"`
+	// Models are placed by the routers; empty means that no model is placed.
+	Models []Model `json:"models,omitempty"`
+}
+
+// Model is a model that the routers load at endpoints by order.
+type Model struct {
+	Name string `json:"name"`
+	// Version is part of the name under which engines serve it; empty means none.
+	Version string `json:"version,omitempty"`
+	// MinEndpoints is the number of endpoints that always serve it, at least 1.
+	MinEndpoints int `json:"min_endpoints"`
+	// Tier is the priority of its most urgent use.
+	Tier int `json:"tier"`
+}
+
+// ID returns the name under which engines serve the model: "name" or
+// "name:version".
+func (m Model) ID() string {
+	if m.Version == "" {
+		return m.Name
+	}
+	return m.Name + ":" + m.Version
 }
 
 // Profile is a named class of service that callers choose.
--- a/catalog/validate.go
+++ b/catalog/validate.go
@@ -18,6 +18,8 @@
 
 	maxProfiles       = 256
 	maxServices       = 256
+	maxModels         = 64
+	maxMinEndpoints   = 1024
 	maxClientAccounts = 4096
 	maxKeyHashes      = 16
 	maxWeight         = 1000
@@ -101,10 +103,12 @@
 		checkRange("number of profiles", len(c.Profiles), 1, maxProfiles),
 		checkRange("number of client_accounts", len(c.ClientAccounts), 0, maxClientAccounts),
 		checkRange("number of services", len(c.Services), 0, maxServices),
+		checkRange("number of models", len(c.Models), 0, maxModels),
 		checkAuthor(c),
 		v.eachProfile(c.Profiles),
 		v.eachAccount(c.ClientAccounts),
 		v.eachService(c.Services),
+		eachModel(c.Models),
 	)
 	if err != nil {
 		return err
@@ -264,3 +268,30 @@
 	}
 	return nil
 }
+
+func eachModel(models []Model) error {
+	ids := map[string]bool{}
+	for _, m := range models {
+		field := "models[" + m.ID() + "]"
+		if err := checkName("models[].name", m.Name); err != nil {
+			return err
+		}
+		if m.Version != "" {
+			if err := checkName(field+".version", m.Version); err != nil {
+				return err
+			}
+		}
+		if ids[m.ID()] {
+			return refuse(field, m.ID(), "a name and version that no other model has")
+		}
+		ids[m.ID()] = true
+		err := firstError(
+			checkRange(field+".min_endpoints", m.MinEndpoints, 1, maxMinEndpoints),
+			checkRange(field+".tier", m.Tier, TierUrgent, TierCount-1),
+		)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/catalog/validate_test.go
+++ b/catalog/validate_test.go
@@ -18,6 +18,7 @@
 		},
 		ClientAccounts: []ClientAccount{{Name: "a", KeyHashes: []string{HashKey("k")}, DefaultProfile: "urgent"}},
 		Services:       []Service{{Name: "ledger", DefaultProfile: "booking"}},
+		Models:         []Model{{Name: "chat", Version: "2", MinEndpoints: 1}},
 	}
 }
 
@@ -45,6 +46,11 @@
 			c.ClientAccounts = append(c.ClientAccounts, ClientAccount{Name: "b", DefaultProfile: "urgent", KeyHashes: []string{HashKey("k")}})
 		}},
 		{"services[ledger].default_profile", func(c *Catalog) { c.Services[0].DefaultProfile = "none" }},
+		{"models[].name", func(c *Catalog) { c.Models[0].Name = "a:b" }},
+		{"models[chat:2 3].version", func(c *Catalog) { c.Models[0].Version = "2 3" }},
+		{"models[chat:2]", func(c *Catalog) { c.Models = append(c.Models, c.Models[0]) }},
+		{"models[chat:2].min_endpoints", func(c *Catalog) { c.Models[0].MinEndpoints = 0 }},
+		{"models[chat:2].tier", func(c *Catalog) { c.Models[0].Tier = TierCount }},
 	}
 	if err := Validate(sample()); err != nil {
 		t.Fatal(err)
@@ -87,6 +93,18 @@
 	if _, err := Decode(body); err != nil {
 		t.Fatal(err)
 	}
+	older := sample()
+	older.Models = nil
+	without, err := Encode(older)
+	if err != nil || strings.Contains(string(without), "models") {
+		t.Fatalf("catalog without models: %s, %v", without, err)
+	}
+	if _, err := Decode(without); err != nil {
+		t.Fatal(err)
+	}
+	if d := Diff(older, sample()); len(d) != 1 || d[0].Field != "models[chat:2]" {
+		t.Errorf("differences %v after models were added", d)
+	}
 	misspelt := strings.Replace(string(body), `"idempotent"`, `"idempotant"`, 1)
 	for _, bad := range []string{misspelt, string(body) + "{}", "", "null", string(body[:40])} {
 		if _, err := Decode([]byte(bad)); err == nil {
