Probe busy endpoints for their models every 10 s

Frames of requests carry the load of an endpoint but not its models, and each frame delayed the next probe. A router with steady traffic to an endpoint never probed it again, so a model that was loaded by order stayed unknown there.

A member is now asked at least every 10 s, within the same budget of 5 probes per second.

--- a/router/membership/membership.go
+++ b/router/membership/membership.go
@@ -53,6 +53,10 @@
 	ProbeBackoff time.Duration
 	// StaleAfter is the age of a load value that is worth a probe; 2 s by default.
 	StaleAfter time.Duration
+	// OffersAfter is the time after which a member is asked again what it offers,
+	// also when its load value is fresh; 10 s by default. Frames of requests carry
+	// the load but not the offers.
+	OffersAfter time.Duration
 }
 
 func (o Options) withDefaults() Options {
@@ -70,6 +74,7 @@
 	set(&o.ProbeTimeout, time.Second)
 	set(&o.ProbeBackoff, 30*time.Second)
 	set(&o.StaleAfter, 2*time.Second)
+	set(&o.OffersAfter, 10*time.Second)
 	if o.Role == "" {
 		o.Role = "agent"
 	}
@@ -141,6 +146,8 @@
 	// failures counts failures to reach it since it was last heard.
 	failures  int
 	nextProbe time.Time
+	// asked is when the last probe was sent.
+	asked     time.Time
 	rampStart time.Time
 }
 
--- a/router/membership/membership_test.go
+++ b/router/membership/membership_test.go
@@ -244,6 +244,26 @@
 	}
 }
 
+// Guards against a model that was loaded by order and stays unknown, because
+// frames of requests keep the load value of the endpoint fresh.
+func TestOffersOfBusyMembersAreProbed(t *testing.T) {
+	w := newWorld(3)
+	w.hearAll(serving)
+	probes := 0
+	for range 600 {
+		w.wait(100 * time.Millisecond)
+		for _, e := range w.entries {
+			w.set.Heard(w.now, membership.Report{Name: e.Name, State: serving, Load: selection.Load{At: w.now}})
+		}
+		if _, ok := w.set.NextProbe(w.now); ok {
+			probes++
+		}
+	}
+	if probes < 15 || probes > 18 {
+		t.Errorf("%d probes of 3 busy members in 60 s, want one each 10 s", probes)
+	}
+}
+
 // Guards against many probes of an endpoint that is gone for good.
 func TestProbeBackoff(t *testing.T) {
 	w := newWorld(1)
--- a/router/membership/probe.go
+++ b/router/membership/probe.go
@@ -37,6 +37,7 @@
 	s.staleTurn = !s.staleTurn
 	s.probes.AllowN(now, 1)
 	m.nextProbe = now.Add(s.jitter(s.options.ProbeTimeout))
+	m.asked = now
 	return Probe{Name: name, Address: m.entry.Address, Incarnation: m.incarnation}, true
 }
 
@@ -83,7 +84,10 @@
 		age = now.Sub(m.heard)
 	}
 	if age < s.options.StaleAfter {
-		return 0
+		if now.Sub(m.asked) < s.options.OffersAfter {
+			return 0
+		}
+		age = s.options.StaleAfter
 	}
 	if s.options.Region != "" && m.entry.Region != s.options.Region {
 		return age.Seconds() * otherRegionAge
--- a/router/membership/word.go
+++ b/router/membership/word.go
@@ -41,6 +41,9 @@
 	m.state = state
 	m.heard, m.failures = now, 0
 	m.nextProbe = now.Add(s.jitter(s.options.StaleAfter))
+	if limit := m.asked.Add(s.options.OffersAfter); limit.Before(m.nextProbe) {
+		m.nextProbe = limit
+	}
 	if r.Load.At.After(m.load.At) {
 		m.load = r.Load
 	}
