Place models by orders of the lease holder

The lease, the gate of the agents and the engines' orders existed, but no router took the lease, and loads were not limited for the fleet.

router/planner has the decision (Planner, time is a parameter) and the service (Service) that competes for the lease, checks it directly before each send and repeats a send without an answer under the same id. The first three live routers of the VM list compete; without models in the catalog nobody does. lease.Competitor gets Left, so that a draining router waits until the row is free.

Broken on purpose, each seen to fail: - TestPlanKeepsItsLimits: unload at the floor; unload of the last endpoint; no limit of loads; half the time between changes; no wait after a takeover; two changes per model and zone; change of an endpoint that does not serve; unload above the demand (never settles); executed order forgotten before it is seen; id without sequence; floor not loaded; no growth. - TestPlan: tiers not ordered; zones not compared. - TestDemandIsSmoothedAndDivided: no smoothing; load not divided. - TestFailedOrderIsRetried: no backoff. - TestOpenUnloadsCountAgainstTheFloor: open unloads counted as serving. The fuzzing alone did not find this one. - TestOrderIsRepeatedOnlyWhileTheLeaseIsHeld: no check before the send; new id for each send. TestOrderInExecutionIsAwaited: taken for failed. - TestWhoCompetes: all compete; compete without models. - TestLeaveGivesTheLeaseUp: no release at a drain or in a later list. - TestPlacementFollowsDemandAndFailsOver: no growth; gate without comparison of numbers; drain without release; models of busy endpoints not probed.

--- a/demo/telemetry_test.go
+++ b/demo/telemetry_test.go
@@ -33,6 +33,7 @@
 	"pistachiowind_agent_orphaned_attempts_total": "needs a router that is lost for 10 s",
 	"pistachiowind_agent_replay_full_total":       "needs a router that reads more slowly than the engine generates",
 	"pistachiowind_router_wasted_tokens_total":    "needs two attempts of one request that both generate",
+	"pistachiowind_router_placement_orders_total": "needs a catalog with models; router/planner has a test",
 }
 
 // metricsOf reads the metrics of a process: for each name the sum over its
--- a/lease/competitor.go
+++ b/lease/competitor.go
@@ -64,6 +64,14 @@
 	}
 }
 
+// Left reports whether the lease has been given up after Leave, so that Serve
+// has nothing more to do.
+func (c *Competitor) Left() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.Left()
+}
+
 // Serve competes until ctx ends, with one call of the table at a time.
 func (c *Competitor) Serve(ctx context.Context) error {
 	for {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -119,6 +119,12 @@
 	l.next = now
 }
 
+// Left reports whether this process has left and the row names another holder
+// or none.
+func (l *Lease) Left() bool {
+	return l.leaving && !l.open && l.known && l.unclear == nil && l.record.Holder != l.self
+}
+
 // Wake returns when Next is to be called at the latest.
 func (l *Lease) Wake() time.Time { return l.next }
 
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -59,6 +59,10 @@
 	health   *health.Tracker
 	view     view
 	listRead time.Time
+	// routers are the live routers of the VM list, nil before the first read.
+	routers []string
+	// chosen counts the selections by model.
+	chosen map[string]uint64
 }
 
 // New returns a Fleet that knows the fixed agents only.
@@ -108,6 +112,7 @@
 	}
 	f.view.candidates[pick.Index].Unreported++
 	f.health.Sent(now, pick.Endpoint)
+	f.countChosen(q.Model)
 	return dispatch.Target{
 		Endpoint:    pick.Endpoint,
 		Address:     f.view.addresses[pick.Index],
--- a/router/fleet/probe.go
+++ b/router/fleet/probe.go
@@ -73,6 +73,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	f.routers = liveRouters(vms)
 	f.set.List(now, entries)
 	f.refresh(now)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -8,6 +8,7 @@
 //	├── admin server
 //	├── fleet (membership, health, selection)
 //	├── quarantine reader
+//	├── placement (planner)
 //	└── catalog distributor
 package router
 
@@ -32,6 +33,7 @@
 	"github.com/pistachiowind/pistachiowind/router/dispatch"
 	"github.com/pistachiowind/pistachiowind/router/fleet"
 	"github.com/pistachiowind/pistachiowind/router/ingress"
+	"github.com/pistachiowind/pistachiowind/router/planner"
 	"github.com/pistachiowind/pistachiowind/rpc"
 	"github.com/pistachiowind/pistachiowind/settings"
 	"github.com/pistachiowind/pistachiowind/telemetry"
@@ -71,6 +73,9 @@
 	// ReadyGrace zero means DefaultReadyGrace; below zero means none.
 	ReadyGrace time.Duration
 
+	// Placement adjusts the placement of models.
+	Placement planner.Tuning
+
 	// PeerTLS configures mutual TLS between processes; nil means none.
 	PeerTLS *tls.Config
 	// PeerTransport reaches agents; nil means dispatch.NewTransport.
@@ -89,6 +94,7 @@
 	fleet       *fleet.Fleet
 	catalog     *catalogView
 	quarantine  *quarantineView
+	placement   *planner.Service
 	store       *catalog.Store
 	ingress     *ingress.Server
 	recorder    *burn.Recorder
@@ -207,6 +213,7 @@
 	observer := &requestObserver{metrics: r.metrics, recorder: r.recorder}
 	r.observe(observer, budgets)
 	r.quarantine = newQuarantineView(r.opts.Table, seed)
+	r.placement = r.newPlacement()
 	dispatcher := dispatch.New(dispatch.Options{
 		Quarantine:    r.quarantine,
 		Router:        r.incarnation,
@@ -241,6 +248,7 @@
 	r.supervisor.Add(r.fleet)
 	r.supervisor.Add(r.catalog.distributor)
 	r.supervisor.Add(r.quarantine)
+	r.supervisor.Add(r.placement)
 	r.supervisor.Add(r.callers)
 	r.supervisor.Add(r.peers)
 	r.supervisor.Add(r.admin)
@@ -289,6 +297,12 @@
 func (r *Router) drain(force context.Context) {
 	r.draining.Store(true)
 	r.states.Report(telemetry.StateChange{Subject: "router", State: "draining"})
+	left := make(chan struct{})
+	go func() {
+		r.placement.Leave(force)
+		close(left)
+	}()
+	defer func() { <-left }()
 	pause(force, r.opts.ReadyGrace)
 	bound, cancel := context.WithTimeout(force, r.opts.DrainTimeout)
 	defer cancel()
--- a/telemetry/router.go
+++ b/telemetry/router.go
@@ -63,6 +63,8 @@
 	Endpoints       *Gauge[StateLabels]
 	Ejections       *ObservedCounter[ReasonLabels]
 	RetryBudget     *Gauge[NoLabels]
+	LeaseHeld       *Gauge[NoLabels]
+	PlacementOrders *Counter[ResultLabels]
 }
 
 // NewRouter creates the instruments of a router on p, once per Provider.
@@ -89,6 +91,8 @@
 		Endpoints:       newGauge[StateLabels](p, "router_endpoints", "", maxOutcomes, "Known endpoints by state: serving, starting, leaving, down, unknown, ejected. An ejected endpoint counts as ejected only."),
 		Ejections:       newObservedCounter[ReasonLabels](p, "router_ejections", maxOutcomes, "Endpoints ejected, by reason: slow, failing. A failed trial afterwards is not counted again."),
 		RetryBudget:     newGauge[NoLabels](p, "router_retry_budget_ratio", "", 1, "Share of the retry budget that is left in the tier with the least, 0 to 1."),
+		LeaseHeld:       newGauge[NoLabels](p, "router_lease_held", "", 1, "1 while this router holds the lease for the placement of models, otherwise 0."),
+		PlacementOrders: newCounter[ResultLabels](p, "router_placement_orders", maxOutcomes, "Orders to endpoints that ended. Outcomes: done, failed, unknown, not_held."),
 	}
 	return r, errors.Join(p.errs...)
 }
