--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -59,8 +59,10 @@
 	health   *health.Tracker
 	view     view
 	listRead time.Time
-	// routers are the peer addresses of the routers on the VM list.
-	routers []string
+	// routers are the live routers of the VM list, nil before the first read.
+	routers []platform.VM
+	// chosen counts the selections by model.
+	chosen map[string]uint64
 }
 
 // New returns a Fleet that knows the fixed agents only.
@@ -110,6 +112,7 @@
 	}
 	f.view.candidates[pick.Index].Unreported++
 	f.health.Sent(now, pick.Endpoint)
+	f.countChosen(q.Model)
 	return dispatch.Target{
 		Endpoint:    pick.Endpoint,
 		Address:     f.view.addresses[pick.Index],
@@ -292,13 +295,6 @@
 	return f.health.Ejections()
 }
 
-// Routers lists the peer addresses of the routers on the VM list.
-func (f *Fleet) Routers() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return slices.Clone(f.routers)
-}
-
 // Known reports whether the endpoints are known well enough to place work.
 func (f *Fleet) Known() bool {
 	f.mu.Lock()
