Keep frames that a new reader has not read; flush once a batch

Cause: read-through: when a router attached again, frames that its broken connection had taken could be dropped from a full replay buffer before the new reader took them; the agent then panicked with an index out of range. Change: only the current reader's progress allows frames to be dropped. Agent and router flush when no further frame waits; no token waits for a later one. Measured: TestNewReaderKeepsWhatItHasNotRead panics without the change and passes with it.

--- a/agent/execution/execution_test.go
+++ b/agent/execution/execution_test.go
@@ -166,3 +166,37 @@
 		}
 	})
 }
+
+// Guards against frames that are dropped because an earlier reader took them,
+// although the reader that replaced it still needs them.
+func TestNewReaderKeepsWhatItHasNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := execution.NewTable(execution.Options{BufferBytes: 2000})
+		a, _ := table.Accept(time.Unix(0, 0), execution.ID{Router: "r", Ticket: 1})
+		first, _ := a.Attach(0)
+		for i := range uint32(8) {
+			if err := a.Append(t.Context(), chunk(i, 100)); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := first.Next(t.Context(), time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+		second, refusal := a.Attach(2)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		full, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		appended := uint32(8)
+		for a.Append(full, chunk(appended, 100)) == nil {
+			appended++
+		}
+		for want := uint32(2); want < appended; want++ {
+			f, err := second.Next(t.Context(), time.Second)
+			if err != nil || f.GetChunk().GetIndex() != want {
+				t.Fatalf("chunk %d: got %v, %v", want, f, err)
+			}
+		}
+	})
+}
--- a/agent/execution/reader.go
+++ b/agent/execution/reader.go
@@ -38,6 +38,9 @@
 	r := &Reader{attempt: a, next: a.first, wake: make(chan struct{}, 1), skipBelow: fromChunk}
 	old := a.reader
 	a.reader = r
+	// What an earlier reader took may not have arrived, so only this reader's
+	// progress allows frames to be dropped.
+	a.read = r.next
 	a.readerLeft = time.Time{}
 	if old != nil {
 		close(old.wake)
@@ -79,6 +82,28 @@
 	}
 }
 
+// Ready reports whether Next has a frame to return without waiting.
+func (r *Reader) Ready() bool {
+	a := r.attempt
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.reader != r {
+		return false
+	}
+	for _, f := range a.frames[r.next-a.first:] {
+		if !r.skips(f) {
+			return true
+		}
+	}
+	return false
+}
+
+// skips reports whether the router already has a frame.
+func (r *Reader) skips(f *rpc.Frame) bool {
+	c := f.GetChunk()
+	return c != nil && c.GetIndex() < r.skipBelow
+}
+
 // take returns the next frame that the reader needs, or nil when there is none yet.
 func (r *Reader) take() (*rpc.Frame, error) {
 	a := r.attempt
@@ -92,7 +117,7 @@
 		r.next++
 		a.read = max(a.read, r.next)
 		a.signalSpace()
-		if c := f.GetChunk(); c != nil && c.GetIndex() < r.skipBelow {
+		if r.skips(f) {
 			continue
 		}
 		return f, nil
--- a/agent/intake/intake.go
+++ b/agent/intake/intake.go
@@ -149,12 +149,12 @@
 		}
 		if errors.Is(err, io.EOF) && a.Renounced() {
 			f = out.refusedFrame(resultcode.New(resultcode.AttemptRenounced, "the attempt was renounced"))
-			_ = out.write(f)
+			_ = out.write(f, false)
 		}
 		if err != nil {
 			return
 		}
-		if out.write(f) != nil {
+		if out.write(f, reader.Ready()) != nil {
 			return
 		}
 	}
--- a/agent/intake/writer.go
+++ b/agent/intake/writer.go
@@ -8,8 +8,8 @@
 	"github.com/pistachiowind/pistachiowind/rpc"
 )
 
-// streamWriter writes frames to one router connection and flushes each, so that
-// no token waits in a buffer.
+// streamWriter writes frames to one router connection. A frame is flushed unless
+// the next one is already there, so that no token waits for a later one.
 type streamWriter struct {
 	streams *Streams
 	w       http.ResponseWriter
@@ -21,11 +21,11 @@
 	return &streamWriter{streams: s, w: w, rc: http.NewResponseController(w)}
 }
 
-func (o *streamWriter) write(f *rpc.Frame) error {
+func (o *streamWriter) write(f *rpc.Frame, more bool) error {
 	if err := o.rc.SetWriteDeadline(time.Now().Add(frameWriteTimeout)); err != nil {
 		return err
 	}
-	if err := rpc.WriteMessage(o.w, f); err != nil {
+	if err := rpc.WriteMessage(o.w, f); err != nil || more {
 		return err
 	}
 	return o.rc.Flush()
@@ -34,7 +34,7 @@
 // refuse ends the stream with a refusal. A write error is of no use here: the
 // router treats a stream without an end as broken.
 func (o *streamWriter) refuse(err *resultcode.Error) {
-	_ = o.write(o.refusedFrame(err))
+	_ = o.write(o.refusedFrame(err), false)
 }
 
 func (o *streamWriter) refusedFrame(err *resultcode.Error) *rpc.Frame {
--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -149,6 +149,9 @@
 		if done {
 			return err
 		}
+		if len(f.events) == 0 {
+			f.sink.Flush()
+		}
 		select {
 		case e := <-f.events:
 			action = f.handle(e)
--- a/router/dispatch/dispatch_test.go
+++ b/router/dispatch/dispatch_test.go
@@ -125,6 +125,7 @@
 func (s *textSink) Chunk(c *rpc.Chunk) error     { s.text.WriteString(c.GetText()); return nil }
 func (s *textSink) Done(*rpc.Done) error         { s.done = true; return nil }
 func (s *textSink) Buffered() bool               { return false }
+func (s *textSink) Flush()                       {}
 func (s *textSink) Restart()                     {}
 
 func dispatchChat(t *testing.T, agent *httptest.Server) (*textSink, *oneEndpoint, *resultcode.Error) {
--- a/router/dispatch/request.go
+++ b/router/dispatch/request.go
@@ -62,6 +62,9 @@
 	Head(*rpc.ResponseHead) error
 	Chunk(*rpc.Chunk) error
 	Done(*rpc.Done) error
+	// Flush sends what Head and Chunk have written. It is called whenever no
+	// further frame waits; a failed connection is reported by the next Chunk.
+	Flush()
 	// Buffered reports whether the caller receives nothing before Done.
 	Buffered() bool
 	// Restart discards what a buffered sink has received.
--- a/router/ingress/events.go
+++ b/router/ingress/events.go
@@ -12,8 +12,7 @@
 	"github.com/pistachiowind/pistachiowind/rpc"
 )
 
-// eventSink writes a streamed chat completion as server-sent events and flushes
-// each chunk.
+// eventSink writes a streamed chat completion as server-sent events.
 type eventSink struct {
 	c            echo.Context
 	requestID    string
@@ -22,6 +21,8 @@
 	prefix []byte
 	line   []byte
 	opened bool
+	// unflushed is set while written chunks may wait in the server's buffer.
+	unflushed bool
 }
 
 func newEventSink(c echo.Context, req *dispatch.Request, p *chatParameters) *eventSink {
@@ -81,10 +82,18 @@
 }
 
 func (s *eventSink) send() error {
-	if _, err := s.c.Response().Write(s.line); err != nil {
-		return err
+	_, err := s.c.Response().Write(s.line)
+	s.unflushed = true
+	return err
+}
+
+// Flush sends the chunks written since the last flush.
+func (s *eventSink) Flush() {
+	if !s.unflushed {
+		return
 	}
-	return http.NewResponseController(s.c.Response().Writer).Flush()
+	s.unflushed = false
+	_ = http.NewResponseController(s.c.Response().Writer).Flush()
 }
 
 // fail ends the answer with an error: as a plain HTTP answer before the first
--- a/router/ingress/service.go
+++ b/router/ingress/service.go
@@ -105,6 +105,8 @@
 type serviceSink struct {
 	c      echo.Context
 	opened bool
+	// unflushed is set while written parts may wait in the server's buffer.
+	unflushed bool
 }
 
 // Head writes the status and headers.
@@ -122,12 +124,20 @@
 	return nil
 }
 
-// Chunk writes a part of the body and flushes it.
+// Chunk writes a part of the body.
 func (s *serviceSink) Chunk(chunk *rpc.Chunk) error {
-	if _, err := s.c.Response().Write(chunk.GetData()); err != nil {
-		return err
+	_, err := s.c.Response().Write(chunk.GetData())
+	s.unflushed = true
+	return err
+}
+
+// Flush sends what was written since the last flush.
+func (s *serviceSink) Flush() {
+	if !s.unflushed {
+		return
 	}
-	return http.NewResponseController(s.c.Response().Writer).Flush()
+	s.unflushed = false
+	_ = http.NewResponseController(s.c.Response().Writer).Flush()
 }
 
 // Done does nothing: the server ends the body.
--- a/router/ingress/whole.go
+++ b/router/ingress/whole.go
@@ -172,6 +172,9 @@
 	return list
 }
 
+// Flush does nothing: the answer goes out as a whole.
+func (s *wholeSink) Flush() {}
+
 // Buffered is true: the caller receives nothing before the answer is whole.
 func (s *wholeSink) Buffered() bool { return true }
 
