Treat an answer as whole once its finish reason was sent

Cause: read-through: a run that failed or was preempted after the finish reason was continued by another run, which would add text to a whole answer; a chunk that did not fit into the replay buffer when its run was stopped counted as sent. Change: such a run ends whole; it is not preempted; progress counts what is in the buffer.

--- a/agent/worker/run.go
+++ b/agent/worker/run.go
@@ -23,16 +23,21 @@
 	// tokens counts the chunks with text.
 	tokens uint32
 	first  bool
+	// finished is set when the finish reason was emitted.
+	finished bool
 	// firstAt is the time of the first token of the current run.
 	firstAt time.Time
 	last    time.Time
 }
 
-func (p *progress) add(text string) {
-	if text == "" {
+// add counts a chunk that is in the attempt's buffer.
+func (p *progress) add(c *rpc.Chunk) {
+	p.next = c.GetIndex() + 1
+	p.finished = p.finished || c.GetFinished()
+	if c.GetText() == "" {
 		return
 	}
-	p.text = append(p.text, text...)
+	p.text = append(p.text, c.GetText()...)
 	p.tokens++
 }
 
@@ -70,7 +75,7 @@
 	ctx, cancel := context.WithCancelCause(context.Background())
 	if !j.attempt.Start(func() { cancel(errRenounced) }) {
 		cancel(errRenounced)
-		delete(w.jobs, it.ID)
+		w.finish(now, j, resultcode.New(resultcode.AttemptRenounced, "the router gave the attempt up"))
 		return
 	}
 	j.item = it
@@ -91,6 +96,12 @@
 	ctx, cancel := context.WithDeadline(ctx, j.until)
 	defer cancel()
 	err := w.pass(ctx, j)
+	if err != nil && j.progress.finished {
+		// The caller has everything up to the finish reason; only the usage is lost.
+		// Another run would add text behind it.
+		w.append(j, &rpc.Frame{Kind: &rpc.Frame_Done{Done: &rpc.Done{}}})
+		err = nil
+	}
 	cause := context.Cause(ctx)
 	crashed := cause == nil && w.endpointCrashed(err)
 	w.mu.Lock()
@@ -168,10 +179,16 @@
 	now := time.Now()
 	w.observe(now, j, f)
 	f.CatalogVersion = w.opts.Catalog.Version()
-	if j.req.GetIdempotent() {
-		return j.attempt.Append(ctx, f)
+	if !j.req.GetIdempotent() {
+		return w.emitRecorded(ctx, j, f)
+	}
+	if err := j.attempt.Append(ctx, f); err != nil {
+		return err
+	}
+	if c := f.GetChunk(); c != nil && j.req.GetChat() != nil {
+		j.progress.add(c)
 	}
-	return w.emitRecorded(ctx, j, f)
+	return nil
 }
 
 // emitRecorded passes on a frame of a request whose answer is recorded. When no
@@ -220,9 +237,7 @@
 		return
 	}
 	p := &j.progress
-	p.next = c.GetIndex() + 1
-	p.add(c.GetText())
-	if c.GetOpaque() {
+	if c.GetOpaque() || c.GetFinished() {
 		j.pinned.Store(true)
 	}
 	if !c.HasToken() {
--- a/agent/worker/worker.go
+++ b/agent/worker/worker.go
@@ -70,8 +70,8 @@
 	progress progress
 	running  *queue.Running
 	cancel   context.CancelCauseFunc
-	// pinned is set when the answer holds more than text, so that another run
-	// could not continue it. Such an attempt is not preempted.
+	// pinned is set when the answer holds more than text or is whole, so that
+	// another run could not continue it. Such an attempt is not preempted.
 	pinned atomic.Bool
 	// unread is set when frames were given up because no router reads them.
 	unread bool
--- a/agent/worker/worker_test.go
+++ b/agent/worker/worker_test.go
@@ -226,3 +226,23 @@
 		}
 	})
 }
+
+// brokenEndBackend sends the finish reason and then fails.
+type brokenEndBackend struct{ pacedBackend }
+
+func (b *brokenEndBackend) Run(_ context.Context, _ *rpc.RunRequest, emit endpoint.Emit) *resultcode.Error {
+	_ = emit(&rpc.Frame{Kind: &rpc.Frame_Chunk{Chunk: &rpc.Chunk{Text: "x", Finished: true}}})
+	return resultcode.New(resultcode.EndpointFailed, "broke").WithExecution(resultcode.Unknown)
+}
+
+// Guards against a whole answer that is reported as broken, or continued by
+// another run, because the engine's connection failed after the finish reason.
+func TestFailureAfterFinishReasonIsWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorker(t, &brokenEndBackend{}, 1)
+		a := submit(t, w, request(1, 0))
+		if got, refused := read(t, a); len(got) != 1 || refused != nil {
+			t.Errorf("%d chunks, %v", len(got), refused)
+		}
+	})
+}
