Let a joining router reach its probe rate

Cause: the capacity run did not see 600 endpoints known within 60 s: the fleet asks for probes every 50 ms, and the limiter gave one at a time, so 20 a second instead of 50. The test asked every 10 ms and did not show it. Change: a burst of 4 while joining; the test asks every 50 ms. The capacity run takes the interval of the VM list from the fleet. Measured: TestJoinAtThePlannedSize with 50 ms fails without the burst (not known after 14 s) and passes with it.

--- a/capacity/idle.go
+++ b/capacity/idle.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/pistachiowind/pistachiowind/router/dispatch"
+	"github.com/pistachiowind/pistachiowind/router/fleet"
 	"github.com/pistachiowind/pistachiowind/rpc"
 	"github.com/pistachiowind/pistachiowind/settings"
 	"github.com/pistachiowind/pistachiowind/standin"
@@ -96,18 +97,16 @@
 	}
 	wall := to.Usage.At.Sub(from.Usage.ResumeAt).Seconds()
 	probes := float64(to.Peers.Minus(from.Peers).Bytes()) / wall
-	vms := perCall(to.VMs) / vmInterval.Seconds()
+	vms := perCall(to.VMs) / fleet.ListInterval(endpoints).Seconds()
 	polls := float64(to.Table.Minus(from.Table).Bytes()) / wall
 	set.add(float64(endpoints), Cores(from.Usage, to.Usage), probes+vms+polls, probes, vms, polls,
 		float64(to.Usage.Heap), float64(to.Usage.Goroutines), float64(to.Usage.MaxRSS), float64(scrape))
 	return nil
 }
 
-// vmInterval is the mean time between a router's reads of the VM list. A window
-// holds two or three of them; their bytes per second are worked out from the
-// bytes of one read, so that the number in the window does not matter.
-const vmInterval = 5 * time.Second
-
+// perCall is the size of one call. A window holds two or three reads of the VM
+// list; their bytes per second are worked out from the bytes of one read and the
+// interval at that size, so that the number in the window does not matter.
 func perCall(t Traffic) float64 {
 	return float64(t.Bytes()) / float64(max(t.Calls, 1))
 }
--- a/router/fleet/probe.go
+++ b/router/fleet/probe.go
@@ -56,15 +56,15 @@
 	if f.opts.VMs == nil || now.Before(f.listRead) {
 		return false
 	}
-	interval := listInterval(len(f.view.candidates))
+	interval := ListInterval(len(f.view.candidates))
 	jitter := time.Duration(f.rng.Int64N(int64(interval / 2)))
 	f.listRead = now.Add(interval*3/4 + jitter)
 	return true
 }
 
-// listInterval returns the mean time between reads of a VM list with so many
+// ListInterval returns the mean time between reads of a VM list with so many
 // endpoints.
-func listInterval(members int) time.Duration {
+func ListInterval(members int) time.Duration {
 	if members == 0 {
 		return emptyListInterval
 	}
--- a/router/membership/membership.go
+++ b/router/membership/membership.go
@@ -159,6 +159,9 @@
 	rampStart time.Time
 }
 
+// joinBurst lets a caller that asks every 50 ms reach the default JoinRate.
+const joinBurst = 4
+
 // maxReplaced is the number of earlier incarnations that are remembered.
 const maxReplaced = 4
 
@@ -183,7 +186,7 @@
 		options: o,
 		rng:     rng,
 		members: make(map[string]*member),
-		probes:  rate.NewLimiter(rate.Limit(o.JoinRate), 1),
+		probes:  rate.NewLimiter(rate.Limit(o.JoinRate), joinBurst),
 	}
 }
 
--- a/router/membership/membership_test.go
+++ b/router/membership/membership_test.go
@@ -333,7 +333,7 @@
 	}
 	probe := func(until time.Time) int {
 		n := 0
-		for ; w.now.Before(until); w.now = w.now.Add(10 * time.Millisecond) {
+		for ; w.now.Before(until); w.now = w.now.Add(50 * time.Millisecond) {
 			for p, ok := w.set.NextProbe(w.now); ok; p, ok = w.set.NextProbe(w.now) {
 				n++
 				if i := index[p.Name]; i%50 == 0 {
--- a/router/membership/probe.go
+++ b/router/membership/probe.go
@@ -28,6 +28,7 @@
 func (s *Set) NextProbe(now time.Time) (Probe, bool) {
 	if !s.joining(now) {
 		s.probes.SetLimitAt(now, rate.Limit(s.options.ProbeRate))
+		s.probes.SetBurstAt(now, 1)
 	}
 	if s.probes.TokensAt(now) < 1 {
 		return Probe{}, false
