--- a/router/ingress/refusal.go
+++ b/router/ingress/refusal.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 
 	"github.com/pistachiowind/pistachiowind/resultcode"
@@ -76,6 +77,7 @@
 	if c.Response().Committed {
 		return
 	}
+	c.Response().Header().Set(RequestIDHeader, uuid.NewString())
 	var httpErr *echo.HTTPError
 	refusal := resultcode.Wrap(resultcode.Internal, err, "the request could not be handled")
 	if errors.As(err, &httpErr) && httpErr.Code < http.StatusInternalServerError {
