Judge urgent admission by what is running now

Cause: read-through: the number of streams that urgent work can preempt was the one at the last start, so urgent requests could be refused while streams of lower tiers could still be preempted for them. Change: Admit gets the running streams; an urgent request with no other urgent one waiting is always admitted.

--- a/agent/concurrency/admit.go
+++ b/agent/concurrency/admit.go
@@ -102,15 +102,15 @@
 // the execution not_run and a Retry-After: TargetOutOfReach if it is not
 // expected to start within waitLimit, QueueDelayTooHigh if its tier is refused
 // for the queue delay. An urgent request is refused only for urgent requests
-// ahead of it: streams that could be preempted count as free slots. Below
-// urgent a request is always admitted while no other of its class waits, so
+// ahead of it: streams that could be preempted count as free slots, and the first
+// one that waits is always admitted. Below urgent a request is always admitted while no other of its class waits, so
 // that every class progresses.
 func (l *Limiter) Admit(now time.Time, tier int, waitLimit time.Duration, f Facts) *resultcode.Error {
 	l.observeStall(now, f)
 	if f.HasSlot {
 		return nil
 	}
-	if tier == catalog.TierUrgent && f.Waiting[tier] < f.Preemptible {
+	if tier == catalog.TierUrgent && f.Waiting[tier] < max(f.Preemptible, 1) {
 		return nil
 	}
 	if tier != catalog.TierUrgent && f.ClassWaiting == 0 {
--- a/agent/concurrency/scheduler.go
+++ b/agent/concurrency/scheduler.go
@@ -28,8 +28,6 @@
 	limiter    *Limiter
 	firstToken [catalog.TierCount]time.Duration
 	running    [catalog.TierCount]int
-	// preemptible is the count at the last call of Next.
-	preemptible int
 	// runTime is the mean time of whole answers at the endpoint.
 	runTime smoothed
 }
@@ -46,7 +44,7 @@
 }
 
 // Admit returns the refusal of a request that should not enter q.
-func (s *Scheduler) Admit(now time.Time, req *rpc.RunRequest, q *queue.Queue) *resultcode.Error {
+func (s *Scheduler) Admit(now time.Time, req *rpc.RunRequest, q *queue.Queue, running []queue.Running) *resultcode.Error {
 	tier := int(req.GetTier())
 	waitLimit := time.Duration(req.GetWaitLimitMs()) * time.Millisecond
 	if left := req.GetFirstTokenLeftMs(); left > 0 {
@@ -55,7 +53,7 @@
 	facts := Facts{
 		HasSlot:      s.limiter.HasSlot(now, tier, Occupancy{Running: s.running}),
 		ClassWaiting: q.ClassLen(tier, req.GetClass()),
-		Preemptible:  s.preemptible,
+		Preemptible:  queue.Preemptible(now, s.limiter.Keep(), running),
 	}
 	ahead := 1
 	for t := range facts.Waiting {
@@ -75,7 +73,6 @@
 
 // Next takes the item to start now from q, if a slot is free for it.
 func (s *Scheduler) Next(now time.Time, q *queue.Queue, running []queue.Running) (queue.Item, bool) {
-	s.preemptible = queue.Preemptible(now, s.limiter.Keep(), running)
 	it, ok := s.pop(now, q, occupancy(q, running))
 	if ok && it.Preemptions == 0 {
 		s.limiter.ObserveWait(now, it.Tier, now.Sub(it.Arrived))
--- a/agent/worker/limiter.go
+++ b/agent/worker/limiter.go
@@ -12,7 +12,7 @@
 // is the one in use. The worker serialises the calls.
 type Limiter interface {
 	// Admit refuses work that cannot meet its target or must yield to other work.
-	Admit(now time.Time, req *rpc.RunRequest, q *queue.Queue) *resultcode.Error
+	Admit(now time.Time, req *rpc.RunRequest, q *queue.Queue, running []queue.Running) *resultcode.Error
 	// Next takes the next item to start from the queue, if a slot is free for it.
 	Next(now time.Time, q *queue.Queue, running []queue.Running) (queue.Item, bool)
 	// Preempt names the running item to stop for waiting work.
@@ -36,7 +36,9 @@
 }
 
 // Admit accepts everything.
-func (l FixedLimiter) Admit(time.Time, *rpc.RunRequest, *queue.Queue) *resultcode.Error { return nil }
+func (l FixedLimiter) Admit(time.Time, *rpc.RunRequest, *queue.Queue, []queue.Running) *resultcode.Error {
+	return nil
+}
 
 // Next starts an item while a slot is free.
 func (l FixedLimiter) Next(now time.Time, q *queue.Queue, running []queue.Running) (queue.Item, bool) {
--- a/agent/worker/worker.go
+++ b/agent/worker/worker.go
@@ -169,7 +169,7 @@
 	if err := w.learn(now, req); err != nil {
 		return err
 	}
-	return w.limiter.Admit(now, req, w.queue)
+	return w.limiter.Admit(now, req, w.queue, w.runningList())
 }
 
 func newJob(now time.Time, req *rpc.RunRequest, attempt *execution.Attempt) *job {
