Measure the site with the default wait of standard profiles

Cause: goodput and the wait of short requests missed their goals because the workload's standard profiles stated a wait limit of 10 s: admitted requests were served long after their target of 1.5 s. Change: these profiles state no wait limit, so the product's default below urgent applies, the first-token target, for every policy.

--- a/measure/site/workload.go
+++ b/measure/site/workload.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/pistachiowind/pistachiowind/catalog"
 )
 
 // Class is the demand of one class of requests.
@@ -58,15 +60,20 @@
 		Name: "assistant", Tier: 0, Share: 0.7, Prompt: 800, Output: 150, Spread: 0.6, Short: true,
 		FirstToken: firstTokenTarget, InterToken: interTokenTarget, WaitLimit: firstTokenTarget,
 	}
+	// Standard classes state no wait limit of their own.
+	standardWait := catalog.Profile{
+		Tier:   catalog.TierStandard,
+		Target: catalog.Target{FirstTokenMS: int(firstTokenTarget.Milliseconds())},
+	}.MaxWait()
 	ledger := Class{
 		Name: "ledger", Tier: 1, Share: 0.3, Prompt: 100, Output: 20, Spread: 0.2, Once: true, Short: true,
-		FirstToken: firstTokenTarget, InterToken: interTokenTarget, WaitLimit: 10 * time.Second,
+		FirstToken: firstTokenTarget, InterToken: interTokenTarget, WaitLimit: standardWait,
 	}
 	chat := question
 	chat.Name, chat.Share = "chat", 0.25
 	supply := Class{
 		Name: "supply", Tier: 1, Share: 0.35, Prompt: 400, Output: 100, Spread: 0.6, Short: true,
-		FirstToken: firstTokenTarget, InterToken: interTokenTarget, WaitLimit: 10 * time.Second,
+		FirstToken: firstTokenTarget, InterToken: interTokenTarget, WaitLimit: standardWait,
 	}
 	history := Class{
 		Name: "history", Tier: 2, Share: 0.4, Prompt: 4000, Output: 2500, Spread: 0.5,
