Measure an idle router after it has joined

Cause: the window fell into the 15 s in which a starting router probes faster, and showed up to 22 KB/s. Change: the run waits 18 s before the window.

--- a/capacity/idle.go
+++ b/capacity/idle.go
@@ -74,7 +74,12 @@
 	return set.finish(), nil
 }
 
+// joinTime is above the time in which a starting router probes faster; see
+// membership.Options.
+const joinTime = 18 * time.Second
+
 func idleRouter(site *Site, name string, endpoints int, set *set) error {
+	joined := time.Now().Add(joinTime)
 	s, err := site.Subject(settings.RoleRouter, name, 0)
 	if err != nil {
 		return err
@@ -87,6 +92,7 @@
 	if err != nil {
 		return err
 	}
+	time.Sleep(time.Until(joined))
 	from, to, err := window(s, idleWindow)
 	if err != nil {
 		return err
