Pass a service's content length on

Change: the agent no longer drops the length that the service states, so the answer's form is the same each time and a caller can see a cut.

--- a/agent/endpoint/service.go
+++ b/agent/endpoint/service.go
@@ -100,7 +100,7 @@
 // connectionHeaders concern one connection and are not passed on.
 var connectionHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 }
 
 func headFrame(resp *http.Response) *rpc.Frame {
