standin: share the reading and replacing of faults

Change: readFaults and replaceFaults in standin.go hold the locking and the check once. The engine keeps its own, because replacing its faults also restarts it.

--- a/standin/objects.go
+++ b/standin/objects.go
@@ -90,20 +90,12 @@
 
 // Faults returns the faults in effect.
 func (s *ObjectStore) Faults() ObjectStoreFaults {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.faults
+	return readFaults(&s.mu, &s.faults)
 }
 
 // SetFaults replaces the faults.
 func (s *ObjectStore) SetFaults(f ObjectStoreFaults) error {
-	if err := f.validate(); err != nil {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-	return nil
+	return replaceFaults(&s.mu, &s.faults, f)
 }
 
 // admit applies the faults and returns false when the call has been answered.
--- a/standin/service.go
+++ b/standin/service.go
@@ -133,20 +133,12 @@
 
 // Faults returns the faults in effect, with the answers still to be lost.
 func (s *Service) Faults() ServiceFaults {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.faults
+	return readFaults(&s.mu, &s.faults)
 }
 
 // SetFaults replaces the faults.
 func (s *Service) SetFaults(f ServiceFaults) error {
-	if err := f.validate(); err != nil {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-	return nil
+	return replaceFaults(&s.mu, &s.faults, f)
 }
 
 // Log returns every call that ran, in order.
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -16,6 +16,7 @@
 	"math"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -49,6 +50,24 @@
 	validate() error
 }
 
+// readFaults returns a copy of the faults that mu guards.
+func readFaults[F faultSet](mu sync.Locker, current *F) F {
+	mu.Lock()
+	defer mu.Unlock()
+	return *current
+}
+
+// replaceFaults checks next and makes it the faults that mu guards.
+func replaceFaults[F faultSet](mu sync.Locker, current *F, next F) error {
+	if err := next.validate(); err != nil {
+		return err
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	*current = next
+	return nil
+}
+
 // addFaultRoutes serves GET and POST /faults.
 func addFaultRoutes[F faultSet](mux *http.ServeMux, get func() F, set func(F) error) {
 	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) {
--- a/standin/table.go
+++ b/standin/table.go
@@ -114,20 +114,12 @@
 
 // Faults returns the faults in effect, with the writes still to be affected.
 func (t *Table) Faults() TableFaults {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.faults
+	return readFaults(&t.mu, &t.faults)
 }
 
 // SetFaults replaces the faults. Calls that hang already go on hanging.
 func (t *Table) SetFaults(f TableFaults) error {
-	if err := f.validate(); err != nil {
-		return err
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.faults = f
-	return nil
+	return replaceFaults(&t.mu, &t.faults, f)
 }
 
 // Counts returns the calls so far by the first path element of the key. Calls
--- a/standin/vmlist.go
+++ b/standin/vmlist.go
@@ -109,20 +109,12 @@
 
 // Faults returns the faults in effect.
 func (l *VMList) Faults() VMListFaults {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.faults
+	return readFaults(&l.mu, &l.faults)
 }
 
 // SetFaults replaces the faults.
 func (l *VMList) SetFaults(f VMListFaults) error {
-	if err := f.validate(); err != nil {
-		return err
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.faults = f
-	return nil
+	return replaceFaults(&l.mu, &l.faults, f)
 }
 
 // Reads counts the calls of GET /vms.
--- a/standin/weights.go
+++ b/standin/weights.go
@@ -102,20 +102,12 @@
 
 // Faults returns the faults in effect.
 func (s *WeightStore) Faults() WeightStoreFaults {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.faults
+	return readFaults(&s.mu, &s.faults)
 }
 
 // SetFaults replaces the faults.
 func (s *WeightStore) SetFaults(f WeightStoreFaults) error {
-	if err := f.validate(); err != nil {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-	return nil
+	return replaceFaults(&s.mu, &s.faults, f)
 }
 
 // Stats returns the counts so far.
