--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -16,10 +16,10 @@
 	"github.com/pistachiowind/pistachiowind/admin"
 	"github.com/pistachiowind/pistachiowind/burn"
 	"github.com/pistachiowind/pistachiowind/catalog"
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/settings"
 	"github.com/pistachiowind/pistachiowind/standin"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
@@ -63,7 +63,7 @@
 	f := &fixture{process: &process{}, table: standin.NewTable(standin.TableOptions{}), holder: catalog.NewHolder()}
 	tableServer := httptest.NewServer(f.table)
 	t.Cleanup(tableServer.Close)
-	store := catalog.NewStore(platform.NewTable(platform.Options{URL: tableServer.URL}))
+	store := catalog.NewStore(storage.NewTable(storage.Options{URL: tableServer.URL}))
 	recorder := burn.NewRecorder("r1", start)
 	recorder.Record(start, burn.Sample{Profile: "chat", Class: "chat", Target: catalog.Target{WholeMS: 1}})
 	server, err := admin.New(admin.Options{
--- a/agent/claim/claiming.go
+++ b/agent/claim/claiming.go
@@ -5,8 +5,8 @@
 	"errors"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 // Step is what a Claiming wants done next.
@@ -34,7 +34,7 @@
 type Action struct {
 	Step     Step
 	Value    []byte
-	Expected platform.Revision
+	Expected storage.Revision
 	// Owner is the record whose owner is asked.
 	Owner    Record
 	Pause    time.Duration
@@ -48,7 +48,7 @@
 	// Cancelled states that the request has been abandoned.
 	Cancelled bool
 	// Row is the result of a create, a read or a takeover.
-	Row platform.Row
+	Row storage.Row
 	// Status and Outcome are the owner's answer.
 	Status  Status
 	Outcome *Outcome
@@ -73,7 +73,7 @@
 type Decision struct {
 	Verdict Verdict
 	// Revision is the row's revision with Run.
-	Revision platform.Revision
+	Revision storage.Revision
 	Outcome  *Outcome
 	Refusal  *resultcode.Error
 }
@@ -100,7 +100,7 @@
 	pause  time.Duration
 	// seen is the row of another nonce as last read.
 	seen    Record
-	seenRow platform.Row
+	seenRow storage.Row
 	// held states that another nonce certainly had a row at some time.
 	held bool
 }
@@ -140,7 +140,7 @@
 
 // write conditionally writes the own record. Repeating it is safe: all writes of
 // a claim are conditional, so a late one of them cannot replace another claim.
-func (c *Claiming) write(now time.Time, step Step, expected platform.Revision) Action {
+func (c *Claiming) write(now time.Time, step Step, expected storage.Revision) Action {
 	if c.tries == claimTries {
 		return c.refuse(resultcode.StoreUnavailable, "claim not settled after repeated writes")
 	}
@@ -157,17 +157,17 @@
 	switch {
 	case e.Err == nil:
 		return run(e.Row.Revision)
-	case errors.Is(e.Err, platform.ErrConflict):
+	case errors.Is(e.Err, storage.ErrConflict):
 		c.held = true
 		return Action{Step: StepRead}
-	case errors.Is(e.Err, platform.ErrOutcomeUnknown):
+	case errors.Is(e.Err, storage.ErrOutcomeUnknown):
 		return Action{Step: StepRead}
 	}
 	return c.refuse(resultcode.StoreUnavailable, "claim not written")
 }
 
 func (c *Claiming) read(now time.Time, e Event) Action {
-	if errors.Is(e.Err, platform.ErrNotFound) {
+	if errors.Is(e.Err, storage.ErrNotFound) {
 		return c.write(now, StepCreate, "")
 	}
 	if e.Err != nil {
@@ -239,7 +239,7 @@
 }
 
 func (c *Claiming) bodyFetched(e Event) Action {
-	if errors.Is(e.Err, platform.ErrNotFound) {
+	if errors.Is(e.Err, storage.ErrNotFound) {
 		return refuseAs(resultcode.Ran, resultcode.AnswerNotRetained, "the request ran; its answer is no longer kept")
 	}
 	if e.Err != nil {
@@ -271,6 +271,6 @@
 	return Action{Step: StepDecide, Decision: Decision{Verdict: Refuse, Refusal: refusal}}
 }
 
-func run(revision platform.Revision) Action {
+func run(revision storage.Revision) Action {
 	return Action{Step: StepDecide, Decision: Decision{Verdict: Run, Revision: revision}}
 }
--- a/agent/claim/claiming_test.go
+++ b/agent/claim/claiming_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 var (
@@ -14,13 +14,13 @@
 	testKey = Key{ClientAccount: "a", Service: "ledger", IdempotencyKey: "k"}
 )
 
-func row(t *testing.T, r Record) platform.Row {
+func row(t *testing.T, r Record) storage.Row {
 	t.Helper()
 	value, err := r.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
-	return platform.Row{Key: r.RowKey(), Value: value, Revision: "7"}
+	return storage.Row{Key: r.RowKey(), Value: value, Revision: "7"}
 }
 
 // Guards against a wrong step or verdict after any answer of the table and of
@@ -38,8 +38,8 @@
 	}
 	foreignDigest := other
 	foreignDigest.Digest = []byte("e")
-	conflict, lost := Event{Err: platform.ErrConflict}, Event{Err: platform.ErrOutcomeUnknown}
-	down, absent, ok := Event{Err: platform.ErrUnavailable}, Event{Err: platform.ErrNotFound}, Event{Row: platform.Row{Revision: "1"}}
+	conflict, lost := Event{Err: storage.ErrConflict}, Event{Err: storage.ErrOutcomeUnknown}
+	down, absent, ok := Event{Err: storage.ErrUnavailable}, Event{Err: storage.ErrNotFound}, Event{Row: storage.Row{Revision: "1"}}
 	cases := []struct {
 		name   string
 		events []Event
@@ -47,7 +47,7 @@
 	}{
 		{"created", []Event{ok}, "run"},
 		{"store down", []Event{down}, "not_run store_unavailable"},
-		{"call rejected", []Event{{Err: platform.ErrRejected}}, "not_run store_unavailable"},
+		{"call rejected", []Event{{Err: storage.ErrRejected}}, "not_run store_unavailable"},
 		{"answer lost, own row", []Event{lost, with(own, RecordStarted)}, "run"},
 		{"answer lost, no row, created again", []Event{lost, absent, ok}, "run"},
 		{"answer lost, store down", []Event{lost, down}, "not_run store_unavailable"},
@@ -70,7 +70,7 @@
 			{Status: StatusDone, Outcome: &Outcome{Execution: resultcode.Ran, Status: 202}}}, "replay 202"},
 		{"owner silent", []Event{conflict, with(other, RecordStarted), down, {}, with(other, RecordStarted), down, {},
 			with(other, RecordStarted), down}, "unknown outcome_unknown"},
-		{"malformed row", []Event{conflict, {Row: platform.Row{Value: []byte("{}")}}}, "unknown outcome_unknown"},
+		{"malformed row", []Event{conflict, {Row: storage.Row{Value: []byte("{}")}}}, "unknown outcome_unknown"},
 		{"cancelled", []Event{conflict, {Cancelled: true, Row: row(t, other)}}, "unknown key_in_progress"},
 	}
 	for _, c := range cases {
@@ -123,7 +123,7 @@
 			}
 			return
 		case StepCreate:
-			e.Err = platform.ErrConflict
+			e.Err = storage.ErrConflict
 		case StepRead:
 			e.Row = row(t, other)
 		case StepAskOwner:
@@ -176,27 +176,27 @@
 // their retention, and one changed row that keeps its batch from being deleted.
 func TestDeletions(t *testing.T) {
 	d := &Deletions{}
-	for i := range platform.MaxDeleteRows + 5 {
-		d.Keep(start.Add(time.Duration(i)*time.Second), platform.Row{Key: fmt.Sprint(i)}, "")
+	for i := range storage.MaxDeleteRows + 5 {
+		d.Keep(start.Add(time.Duration(i)*time.Second), storage.Row{Key: fmt.Sprint(i)}, "")
 	}
 	if _, ok := d.Next(start.Add(Retention - 1)); ok {
 		t.Fatal("deleted before the retention")
 	}
 	now := start.Add(Retention + time.Minute)
 	b, ok := d.Next(now)
-	if !ok || len(b.Rows) != platform.MaxDeleteRows {
+	if !ok || len(b.Rows) != storage.MaxDeleteRows {
 		t.Fatalf("batch of %d rows", len(b.Rows))
 	}
 	if _, ok := d.Next(now); ok {
 		t.Fatal("second batch while one is open")
 	}
-	d.Result(now, b, platform.ErrConflict)
-	for i := range platform.MaxDeleteRows {
+	d.Result(now, b, storage.ErrConflict)
+	for i := range storage.MaxDeleteRows {
 		b, ok := d.Next(now)
 		if !ok || len(b.Rows) != 1 {
 			t.Fatalf("retry %d has %d rows", i, len(b.Rows))
 		}
-		d.Result(now, b, platform.ErrNotFound)
+		d.Result(now, b, storage.ErrNotFound)
 	}
 	if _, ok := d.Next(now); ok {
 		t.Fatal("small batch deleted without delay")
--- a/agent/claim/fuzz_test.go
+++ b/agent/claim/fuzz_test.go
@@ -7,7 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
-	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 // Guards against a claim row that crashes its reader, that changes when it is
@@ -30,8 +30,8 @@
 		now := time.Unix(0, 0)
 		c := NewClaiming(Record{Digest: []byte{1}, Agent: "self", Nonce: "own"}, now.Add(time.Second))
 		c.Next(now, Event{})
-		c.Next(now, Event{Err: platform.ErrConflict})
-		a := c.Next(now, Event{Row: platform.Row{Value: value, Revision: "1"}})
+		c.Next(now, Event{Err: storage.ErrConflict})
+		a := c.Next(now, Event{Row: storage.Row{Value: value, Revision: "1"}})
 		if a.Step == StepDecide && a.Decision.Verdict == Run && r.Nonce != "own" {
 			t.Fatalf("row %q of another attempt lets this one run", value)
 		}
--- a/agent/claim/ledger.go
+++ b/agent/claim/ledger.go
@@ -5,22 +5,22 @@
 	"sync"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
-// Table is what the ledger needs of the table service; platform.Table is one.
+// Table is what the ledger needs of the table service; storage.Table is one.
 type Table interface {
-	Get(ctx context.Context, key string) (platform.Row, error)
-	Put(ctx context.Context, key string, value []byte, expected platform.Revision) (platform.Row, error)
-	List(ctx context.Context, prefix, after string, limit int) (rows []platform.Row, next string, err error)
-	DeleteBatch(ctx context.Context, rows []platform.Row) error
+	Get(ctx context.Context, key string) (storage.Row, error)
+	Put(ctx context.Context, key string, value []byte, expected storage.Revision) (storage.Row, error)
+	List(ctx context.Context, prefix, after string, limit int) (rows []storage.Row, next string, err error)
+	DeleteBatch(ctx context.Context, rows []storage.Row) error
 }
 
-// Objects is what the ledger needs of the object store; platform.Objects is one.
+// Objects is what the ledger needs of the object store; storage.Objects is one.
 type Objects interface {
-	Get(ctx context.Context, key string) ([]byte, platform.Revision, error)
-	Put(ctx context.Context, key string, value []byte) (platform.Revision, error)
+	Get(ctx context.Context, key string) ([]byte, storage.Revision, error)
+	Put(ctx context.Context, key string, value []byte) (storage.Revision, error)
 	Delete(ctx context.Context, key string) error
 }
 
@@ -69,7 +69,7 @@
 
 type runningClaim struct {
 	record   Record
-	revision platform.Revision
+	revision storage.Revision
 }
 
 // New returns a Ledger with an empty memory.
--- a/agent/claim/ledger_test.go
+++ b/agent/claim/ledger_test.go
@@ -12,15 +12,15 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 // fakeStore is a table, an object store and the way to the agents of a test.
 type fakeStore struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]storage.Row
 	objects map[string][]byte
 	serial  int
 	down    bool
@@ -30,7 +30,7 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{rows: map[string]platform.Row{}, objects: map[string][]byte{}, agents: map[string]*Ledger{}}
+	return &fakeStore{rows: map[string]storage.Row{}, objects: map[string][]byte{}, agents: map[string]*Ledger{}}
 }
 
 func (f *fakeStore) set(change func()) {
@@ -39,41 +39,41 @@
 	change()
 }
 
-func (f *fakeStore) Get(_ context.Context, key string) (platform.Row, error) {
+func (f *fakeStore) Get(_ context.Context, key string) (storage.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	row, ok := f.rows[key]
 	switch {
 	case f.down:
-		return row, platform.ErrUnavailable
+		return row, storage.ErrUnavailable
 	case !ok:
-		return row, platform.ErrNotFound
+		return row, storage.ErrNotFound
 	}
 	return row, nil
 }
 
-func (f *fakeStore) Put(_ context.Context, key string, value []byte, expected platform.Revision) (platform.Row, error) {
+func (f *fakeStore) Put(_ context.Context, key string, value []byte, expected storage.Revision) (storage.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return platform.Row{}, platform.ErrUnavailable
+		return storage.Row{}, storage.ErrUnavailable
 	}
 	if f.rows[key].Revision != expected {
-		return platform.Row{}, platform.ErrConflict
+		return storage.Row{}, storage.ErrConflict
 	}
 	f.serial++
-	f.rows[key] = platform.Row{Key: key, Value: value, Revision: platform.Revision(fmt.Sprint(f.serial))}
+	f.rows[key] = storage.Row{Key: key, Value: value, Revision: storage.Revision(fmt.Sprint(f.serial))}
 	if f.lose {
 		f.lose = false
-		return platform.Row{}, platform.ErrOutcomeUnknown
+		return storage.Row{}, storage.ErrOutcomeUnknown
 	}
 	return f.rows[key], nil
 }
 
-func (f *fakeStore) List(_ context.Context, prefix, _ string, _ int) ([]platform.Row, string, error) {
+func (f *fakeStore) List(_ context.Context, prefix, _ string, _ int) ([]storage.Row, string, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var rows []platform.Row
+	var rows []storage.Row
 	for key, row := range f.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, row)
@@ -82,12 +82,12 @@
 	return rows, "", nil
 }
 
-func (f *fakeStore) DeleteBatch(_ context.Context, rows []platform.Row) error {
+func (f *fakeStore) DeleteBatch(_ context.Context, rows []storage.Row) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, row := range rows {
 		if f.rows[row.Key].Revision != row.Revision {
-			return platform.ErrConflict
+			return storage.ErrConflict
 		}
 	}
 	for _, row := range rows {
@@ -98,16 +98,16 @@
 
 type fakeObjects struct{ *fakeStore }
 
-func (f fakeObjects) Get(_ context.Context, key string) ([]byte, platform.Revision, error) {
+func (f fakeObjects) Get(_ context.Context, key string) ([]byte, storage.Revision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if body, ok := f.objects[key]; ok {
 		return body, "1", nil
 	}
-	return nil, "", platform.ErrNotFound
+	return nil, "", storage.ErrNotFound
 }
 
-func (f fakeObjects) Put(_ context.Context, key string, value []byte) (platform.Revision, error) {
+func (f fakeObjects) Put(_ context.Context, key string, value []byte) (storage.Revision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.objects[key] = value
@@ -231,7 +231,7 @@
 
 type downAfterPut struct{ *fakeStore }
 
-func (d *downAfterPut) Put(ctx context.Context, key string, v []byte, r platform.Revision) (platform.Row, error) {
+func (d *downAfterPut) Put(ctx context.Context, key string, v []byte, r storage.Revision) (storage.Row, error) {
 	row, err := d.fakeStore.Put(ctx, key, v, r)
 	d.set(func() { d.down = true })
 	return row, err
--- a/agent/claim/outbox.go
+++ b/agent/claim/outbox.go
@@ -4,7 +4,7 @@
 	"errors"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 const (
@@ -44,7 +44,7 @@
 	Nonce    string
 	RowKey   string
 	Value    []byte
-	Expected platform.Revision
+	Expected storage.Revision
 	Object   string
 	Body     []byte
 }
@@ -54,7 +54,7 @@
 	Nonce string
 	// Row has the key and the final revision, which is empty if the row belongs to
 	// another nonce.
-	Row platform.Row
+	Row storage.Row
 	// Lost states that saving was given up.
 	Lost bool
 	// Object is the key of the kept body, if any.
@@ -72,7 +72,7 @@
 
 type unsaved struct {
 	record   Record
-	revision platform.Revision
+	revision storage.Revision
 	body     []byte
 	since    time.Time
 
@@ -95,7 +95,7 @@
 func (b *Outbox) Len() int { return len(b.items) }
 
 // Add takes the final record of a nonce, whose row has the revision.
-func (b *Outbox) Add(now time.Time, r Record, revision platform.Revision) {
+func (b *Outbox) Add(now time.Time, r Record, revision storage.Revision) {
 	outcome := *r.Outcome
 	r.Outcome = &outcome
 	r.State = outcome.finalState()
@@ -105,7 +105,7 @@
 		outcome.Body = nil
 		u.step = SaveObject
 	}
-	if len(u.body) > platform.MaxObjectBytes || headerBytes(outcome.Headers) > maxHeaderBytes {
+	if len(u.body) > storage.MaxObjectBytes || headerBytes(outcome.Headers) > maxHeaderBytes {
 		// The object stays absent, which a replay reports as not retained.
 		outcome = Outcome{Execution: outcome.Execution, Status: outcome.Status, Object: objectPrefix + r.Nonce}
 		u.body = nil
@@ -169,7 +169,7 @@
 
 // Result reports the end of a step. It returns true with a Saved when the
 // outcome needs no further steps.
-func (b *Outbox) Result(now time.Time, s Save, row platform.Row, err error) (Saved, bool) {
+func (b *Outbox) Result(now time.Time, s Save, row storage.Row, err error) (Saved, bool) {
 	u := b.items[s.Nonce]
 	u.open = false
 	b.open--
@@ -188,7 +188,7 @@
 	b.remove(s.Nonce)
 	return Saved{
 		Nonce:  s.Nonce,
-		Row:    platform.Row{Key: s.RowKey, Revision: u.revision},
+		Row:    storage.Row{Key: s.RowKey, Revision: u.revision},
 		Object: u.record.Outcome.Object,
 		Lost:   !finished || u.foreign == foreignTries,
 	}, true
@@ -218,12 +218,12 @@
 	u.step = SaveRow
 }
 
-func (u *unsaved) rowWritten(now time.Time, row platform.Row, err error) (finished bool) {
+func (u *unsaved) rowWritten(now time.Time, row storage.Row, err error) (finished bool) {
 	switch {
 	case err == nil:
 		u.revision = row.Revision
 		return true
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, storage.ErrConflict), errors.Is(err, storage.ErrOutcomeUnknown):
 		u.step = SaveRead
 	}
 	u.retry(now)
@@ -232,7 +232,7 @@
 
 // rowRead decides after an unclear write: an own final row is the result, an own
 // started row is written again, and a row of another nonce is left alone.
-func (u *unsaved) rowRead(now time.Time, row platform.Row, err error) (finished bool) {
+func (u *unsaved) rowRead(now time.Time, row storage.Row, err error) (finished bool) {
 	u.retry(now)
 	if err != nil {
 		return false
--- a/agent/claim/retention.go
+++ b/agent/claim/retention.go
@@ -4,7 +4,7 @@
 	"errors"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 const (
@@ -22,7 +22,7 @@
 )
 
 type keptRow struct {
-	row    platform.Row
+	row    storage.Row
 	object string
 	due    time.Time
 }
@@ -41,7 +41,7 @@
 
 // Batch is one transaction of deletions. The objects are deleted before it.
 type Batch struct {
-	Rows    []platform.Row
+	Rows    []storage.Row
 	Objects []string
 
 	kept   []keptRow
@@ -50,18 +50,18 @@
 
 // Keep plans the deletion of a row and its object after the retention. At the
 // bound the row is left to the sweep.
-func (d *Deletions) Keep(now time.Time, row platform.Row, object string) {
+func (d *Deletions) Keep(now time.Time, row storage.Row, object string) {
 	d.add(keptRow{row: row, object: object, due: now.Add(Retention)})
 }
 
 // Expired plans the deletion of a row of any process that the sweep has read.
 // The row is ignored if it is younger than the retention or malformed.
-func (d *Deletions) Expired(now time.Time, row platform.Row) {
+func (d *Deletions) Expired(now time.Time, row storage.Row) {
 	r, err := DecodeRecord(row.Value)
 	if err != nil || now.Sub(r.ClaimedAt) < sweepAge {
 		return
 	}
-	k := keptRow{row: platform.Row{Key: row.Key, Revision: row.Revision}, due: now}
+	k := keptRow{row: storage.Row{Key: row.Key, Revision: row.Revision}, due: now}
 	if r.Outcome != nil {
 		k.object = r.Outcome.Object
 	}
@@ -94,10 +94,10 @@
 		return b, true
 	}
 	n := 0
-	for n < len(d.rows) && n < platform.MaxDeleteRows && !now.Before(d.rows[n].due) {
+	for n < len(d.rows) && n < storage.MaxDeleteRows && !now.Before(d.rows[n].due) {
 		n++
 	}
-	if n == 0 || n < platform.MaxDeleteRows && now.Sub(d.rows[0].due) < batchDelay {
+	if n == 0 || n < storage.MaxDeleteRows && now.Sub(d.rows[0].due) < batchDelay {
 		return Batch{}, false
 	}
 	d.open = true
@@ -121,7 +121,7 @@
 // forgotten; after any other failure the rows are deleted later.
 func (d *Deletions) Result(now time.Time, b Batch, err error) {
 	d.open = false
-	changed := errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrNotFound)
+	changed := errors.Is(err, storage.ErrConflict) || errors.Is(err, storage.ErrNotFound)
 	switch {
 	case err == nil, changed && b.single:
 	case changed:
--- a/agent/claim/serve.go
+++ b/agent/claim/serve.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 const (
@@ -100,7 +100,7 @@
 }
 
 func (l *Ledger) save(ctx context.Context, s Save) {
-	var row platform.Row
+	var row storage.Row
 	var err error
 	switch s.Step {
 	case SaveObject:
@@ -139,7 +139,7 @@
 }
 
 func (l *Ledger) sweepPage(ctx context.Context, after string) {
-	rows, _, err := l.o.Table.List(ctx, rowPrefix, after, platform.MaxDeleteRows)
+	rows, _, err := l.o.Table.List(ctx, rowPrefix, after, storage.MaxDeleteRows)
 	if err != nil {
 		return
 	}
--- a/agent/gate/gate_test.go
+++ b/agent/gate/gate_test.go
@@ -8,9 +8,9 @@
 	"testing"
 
 	"github.com/pistachiowind/pistachiowind/lease"
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 type fakeEndpoint struct {
@@ -21,12 +21,12 @@
 	during   func()
 }
 
-func (f *fakeEndpoint) Get(context.Context, string) (platform.Row, error) {
+func (f *fakeEndpoint) Get(context.Context, string) (storage.Row, error) {
 	value, err := json.Marshal(lease.Record{Format: 1, Holder: "h", Number: f.number})
 	if err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
-	return platform.Row{Value: value}, f.readErr
+	return storage.Row{Value: value}, f.readErr
 }
 
 func (f *fakeEndpoint) Execute(_ context.Context, o *rpc.OrderRequest) error {
@@ -58,7 +58,7 @@
 // Guards against orders of a former lease holder, orders executed twice, and
 // orders admitted before the agent knows the fencing number.
 func TestKeeper(t *testing.T) {
-	f := &fakeEndpoint{number: 5, readErr: platform.ErrUnavailable}
+	f := &fakeEndpoint{number: 5, readErr: storage.ErrUnavailable}
 	k := NewKeeper(Options{Table: f, Executor: f, Lease: "placement"})
 	send(t, k, order("a", 5, "x"), resultcode.FencingNumberNotSet)
 	f.readErr = nil
--- a/agent/gate/keeper.go
+++ b/agent/gate/keeper.go
@@ -11,14 +11,14 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiowind/pistachiowind/lease"
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
-// Table is what a Keeper needs of the table service; platform.Table is one.
+// Table is what a Keeper needs of the table service; storage.Table is one.
 type Table interface {
-	Get(ctx context.Context, key string) (platform.Row, error)
+	Get(ctx context.Context, key string) (storage.Row, error)
 }
 
 // Executor passes an admitted order on to the endpoint.
@@ -116,7 +116,7 @@
 	if err == nil {
 		record, err = lease.Decode(row.Value)
 	}
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, storage.ErrNotFound) {
 		return resultcode.Wrap(resultcode.FencingNumberNotSet, err, "the lease row is not readable")
 	}
 	k.mu.Lock()
--- a/capacity/claims.go
+++ b/capacity/claims.go
@@ -7,9 +7,9 @@
 
 	"github.com/pistachiowind/pistachiowind/agent/claim"
 	"github.com/pistachiowind/pistachiowind/lease"
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/standin"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 const (
@@ -47,8 +47,8 @@
 	defer site.Close()
 	wire := &Wire{}
 	ledger := claim.New(claim.Options{
-		Table:   platform.NewTable(platform.Options{URL: site.TableURL, Client: wire.Client(16)}),
-		Objects: platform.NewObjects(platform.Options{URL: site.ObjectsURL}),
+		Table:   storage.NewTable(storage.Options{URL: site.TableURL, Client: wire.Client(16)}),
+		Objects: storage.NewObjects(storage.Options{URL: site.ObjectsURL}),
 		Agent:   "agent-1", Address: "127.0.0.1:7002",
 	})
 	ctx, stop := context.WithCancel(context.Background())
@@ -124,7 +124,7 @@
 // leaseTable is a table of one row that counts calls.
 type leaseTable struct {
 	leaseCalls
-	row      platform.Row
+	row      storage.Row
 	revision int
 }
 
@@ -136,17 +136,17 @@
 	}
 	t.writes++
 	if a.Expected != t.row.Revision {
-		l.Result(now, a, platform.Row{}, platform.ErrConflict)
+		l.Result(now, a, storage.Row{}, storage.ErrConflict)
 		return
 	}
 	t.revision++
-	t.row = platform.Row{Value: a.Value, Revision: platform.Revision(fmt.Sprint(t.revision))}
+	t.row = storage.Row{Value: a.Value, Revision: storage.Revision(fmt.Sprint(t.revision))}
 	l.Result(now, a, t.row, nil)
 }
 
-func readError(row platform.Row) error {
+func readError(row storage.Row) error {
 	if row.Revision == "" {
-		return platform.ErrNotFound
+		return storage.ErrNotFound
 	}
 	return nil
 }
--- a/capacity/propagation.go
+++ b/capacity/propagation.go
@@ -13,8 +13,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/pistachiowind/pistachiowind/catalog"
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/standin"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 const (
@@ -214,7 +214,7 @@
 	s.stop = stop
 	client := (&Wire{}).Client(n)
 	for i := range n {
-		if err := s.add(i, platform.NewTable(platform.Options{URL: site.TableURL, Client: client})); err != nil {
+		if err := s.add(i, storage.NewTable(storage.Options{URL: site.TableURL, Client: client})); err != nil {
 			s.close()
 			return nil, err
 		}
@@ -228,7 +228,7 @@
 	return s, s.settle(siteVersion)
 }
 
-func (s *swarm) add(i int, table *platform.Table) error {
+func (s *swarm) add(i int, table *storage.Table) error {
 	l := &light{address: fmt.Sprint(i), holder: catalog.NewHolder()}
 	peers := s.agentAddresses
 	if i >= s.routers {
--- a/capacity/static.go
+++ b/capacity/static.go
@@ -12,10 +12,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiowind/pistachiowind/catalog"
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/router/selection"
 	"github.com/pistachiowind/pistachiowind/rpc"
 	"github.com/pistachiowind/pistachiowind/standin"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 const (
@@ -61,7 +61,7 @@
 	}
 	defer site.Close()
 	wire := &Wire{}
-	store := catalog.NewStore(platform.NewTable(platform.Options{URL: site.TableURL, Client: wire.Client(1)}))
+	store := catalog.NewStore(storage.NewTable(storage.Options{URL: site.TableURL, Client: wire.Client(1)}))
 	adoption, err := loadBytes(wire, store, 0)
 	if err != nil {
 		return err
@@ -153,7 +153,7 @@
 
 func vmListReads(site *Site, n int, set *set) error {
 	wire := &Wire{}
-	list := platform.NewVMList(platform.Options{URL: site.VMsURL, Client: wire.Client(1)})
+	list := storage.NewVMList(storage.Options{URL: site.VMsURL, Client: wire.Client(1)})
 	before := ReadUsage()
 	for range staticRounds {
 		if _, err := list.List(context.Background()); err != nil {
--- a/capacity/subject.go
+++ b/capacity/subject.go
@@ -13,10 +13,10 @@
 	"github.com/rs/zerolog"
 
 	"github.com/pistachiowind/pistachiowind/agent"
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/router"
 	"github.com/pistachiowind/pistachiowind/router/dispatch"
 	"github.com/pistachiowind/pistachiowind/settings"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 const (
@@ -130,8 +130,8 @@
 		CallersAddress:   loopback,
 		PeersAddress:     loopback,
 		AdminAddress:     loopback,
-		Table:            platform.NewTable(platform.Options{URL: c.TableURL, Client: s.table.Client(2)}),
-		VMs:              platform.NewVMList(platform.Options{URL: c.VMsURL, Client: s.vms.Client(2)}),
+		Table:            storage.NewTable(storage.Options{URL: c.TableURL, Client: s.table.Client(2)}),
+		VMs:              storage.NewVMList(storage.Options{URL: c.VMsURL, Client: s.vms.Client(2)}),
 		PeerTransport:    s.peers.Wrap(dispatch.NewTransport()),
 		ReadyGrace:       -1,
 		DrainTimeout:     time.Second,
@@ -154,8 +154,8 @@
 		PeersAddress:     loopback,
 		AdminAddress:     loopback,
 		EndpointURL:      c.EndpointURL,
-		Table:            platform.NewTable(platform.Options{URL: c.TableURL, Client: s.table.Client(2)}),
-		Objects:          platform.NewObjects(platform.Options{URL: c.ObjectsURL, Client: s.table.Client(2)}),
+		Table:            storage.NewTable(storage.Options{URL: c.TableURL, Client: s.table.Client(2)}),
+		Objects:          storage.NewObjects(storage.Options{URL: c.ObjectsURL, Client: s.table.Client(2)}),
 		Concurrency:      agent.Concurrency{Initial: c.Slots, Min: 1, Max: c.Slots},
 		PeerTransport:    s.peers.Wrap(dispatch.NewTransport()),
 		DrainTimeout:     time.Second,
--- a/catalog/distribution_test.go
+++ b/catalog/distribution_test.go
@@ -8,8 +8,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 func version(v uint64) *Catalog {
@@ -162,7 +162,7 @@
 			t.Fatal("change not adopted within one poll")
 		}
 		f.set(func() {
-			f.down = platform.ErrUnavailable
+			f.down = storage.ErrUnavailable
 			f.peer = version(3)
 		})
 		d.Seen(3, "p")
--- a/catalog/distributor.go
+++ b/catalog/distributor.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 // PeerFetcher asks another process for its catalog.
@@ -129,7 +129,7 @@
 	have := d.have()
 	if ask.Source == FromStore {
 		// One read of the version and one of the document.
-		ctx, cancel := context.WithTimeout(ctx, 2*platform.DefaultCallTimeout+answerGrace)
+		ctx, cancel := context.WithTimeout(ctx, 2*storage.DefaultCallTimeout+answerGrace)
 		defer cancel()
 		return d.o.Store.Load(ctx, have)
 	}
--- a/catalog/history.go
+++ b/catalog/history.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"strings"
 
-	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 // maxHistoryPages bounds one listing. Proposals that never came into force
 // share the rows, so there may be more rows than versions.
-const maxHistoryPages = 4 * HistoryVersions / platform.MaxListRows
+const maxHistoryPages = 4 * HistoryVersions / storage.MaxListRows
 
 // History returns up to limit accepted changes, newest first. Proposals that
 // never came into force are left out.
@@ -35,7 +35,7 @@
 		if f.version == f.end {
 			return f.chain, nil
 		}
-		rows, next, err := s.table.List(ctx, historyPrefix, after, platform.MaxListRows)
+		rows, next, err := s.table.List(ctx, historyPrefix, after, storage.MaxListRows)
 		if err != nil {
 			return nil, err
 		}
@@ -51,7 +51,7 @@
 		return f.chain, nil
 	}
 	return nil, fmt.Errorf("%w: history row of version %d, change %s, not found",
-		platform.ErrUnavailable, f.version, f.changeID)
+		storage.ErrUnavailable, f.version, f.changeID)
 }
 
 // follower collects a chain of entries down to the version end, without it.
@@ -64,7 +64,7 @@
 }
 
 // follow takes rows that are sorted from the highest version down.
-func (f *follower) follow(rows []platform.Row) error {
+func (f *follower) follow(rows []storage.Row) error {
 	for _, row := range rows {
 		if f.version == f.end {
 			return nil
@@ -85,7 +85,7 @@
 // prune deletes rows of versions that are no longer kept, a bounded number at
 // each accepted change. Failures are ignored: the next change repeats the work.
 func (s *Store) prune(ctx context.Context, version uint64) {
-	s.pruneBelow(ctx, historyPrefix, version, HistoryVersions, platform.MaxDeleteRows)
+	s.pruneBelow(ctx, historyPrefix, version, HistoryVersions, storage.MaxDeleteRows)
 	s.pruneBelow(ctx, bodyPrefix, version, keptBodies, bodyPageRows)
 }
 
--- a/catalog/rows.go
+++ b/catalog/rows.go
@@ -7,15 +7,15 @@
 	"math"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
-// Table is what the store needs of the table service; platform.Table is one.
+// Table is what the store needs of the table service; storage.Table is one.
 type Table interface {
-	Get(ctx context.Context, key string) (platform.Row, error)
-	Put(ctx context.Context, key string, value []byte, expected platform.Revision) (platform.Row, error)
-	List(ctx context.Context, prefix, after string, limit int) (rows []platform.Row, next string, err error)
-	DeleteBatch(ctx context.Context, rows []platform.Row) error
+	Get(ctx context.Context, key string) (storage.Row, error)
+	Put(ctx context.Context, key string, value []byte, expected storage.Revision) (storage.Row, error)
+	List(ctx context.Context, prefix, after string, limit int) (rows []storage.Row, next string, err error)
+	DeleteBatch(ctx context.Context, rows []storage.Row) error
 }
 
 // Rows of the catalog. The row catalog/current names the version in force and
@@ -60,10 +60,10 @@
 // current is the decoded row catalog/current; its zero value means no row.
 type current struct {
 	entry Entry
-	row   platform.Row
+	row   storage.Row
 }
 
-func decodeEntry(row platform.Row) (Entry, error) {
+func decodeEntry(row storage.Row) (Entry, error) {
 	var e Entry
 	if err := json.Unmarshal(row.Value, &e); err != nil {
 		return Entry{}, fmt.Errorf("row %s is malformed: %w", row.Key, err)
--- a/catalog/store.go
+++ b/catalog/store.go
@@ -9,8 +9,8 @@
 	"slices"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 // putTries bounds how often one Put reads the current version and writes again.
@@ -89,7 +89,7 @@
 
 func (s *Store) current(ctx context.Context) (current, error) {
 	row, err := s.table.Get(ctx, currentKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return current{}, nil
 	}
 	if err != nil {
@@ -122,7 +122,7 @@
 			return nil, err
 		}
 		lastErr = err
-		written = written || errors.Is(err, platform.ErrOutcomeUnknown)
+		written = written || errors.Is(err, storage.ErrOutcomeUnknown)
 	}
 	if written {
 		return nil, resultcode.Wrap(resultcode.WriteOutcomeUnknown, lastErr, "change %s may be in force", change.ID).
@@ -177,10 +177,10 @@
 // write changes no content, so its outcome does not matter to the put.
 func (s *Store) verify(ctx context.Context, cur current, base uint64) error {
 	if cur.entry.Version < base {
-		return fmt.Errorf("%w: read version %d, the change is based on version %d", platform.ErrUnavailable, cur.entry.Version, base)
+		return fmt.Errorf("%w: read version %d, the change is based on version %d", storage.ErrUnavailable, cur.entry.Version, base)
 	}
 	if _, err := s.table.Put(ctx, currentKey, cur.row.Value, cur.row.Revision); err != nil {
-		return fmt.Errorf("%w: version %d not verified: %v", platform.ErrUnavailable, cur.entry.Version, err)
+		return fmt.Errorf("%w: version %d not verified: %v", storage.ErrUnavailable, cur.entry.Version, err)
 	}
 	return nil
 }
@@ -189,7 +189,7 @@
 // have been pruned; then the result has no contents.
 func (s *Store) accepted(ctx context.Context, e Entry) (*Catalog, error) {
 	body, err := s.body(ctx, e)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return &Catalog{Version: e.Version, ChangeID: e.ChangeID, ChangedBy: e.By, ChangedAt: e.At}, nil
 	}
 	if err != nil {
@@ -282,7 +282,7 @@
 		return nil, err
 	}
 	_, err = s.table.Put(ctx, currentKey, value, cur.row.Revision)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, storage.ErrConflict) {
 		return nil, fmt.Errorf("%w: %w", errMoved, err)
 	}
 	return next, err
@@ -325,12 +325,12 @@
 	if err == nil {
 		return value, nil
 	}
-	if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrOutcomeUnknown) {
+	if !errors.Is(err, storage.ErrConflict) && !errors.Is(err, storage.ErrOutcomeUnknown) {
 		return nil, err
 	}
 	row, readErr := s.table.Get(ctx, key)
 	if readErr != nil {
-		return nil, fmt.Errorf("%w: read after %v: %v", platform.ErrUnavailable, err, readErr)
+		return nil, fmt.Errorf("%w: read after %v: %v", storage.ErrUnavailable, err, readErr)
 	}
 	return row.Value, nil
 }
--- a/catalog/store_test.go
+++ b/catalog/store_test.go
@@ -11,64 +11,64 @@
 	"testing"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 // fakeTable is a table in memory. A put fault is returned for the next put of a
 // row; with ErrOutcomeUnknown the put takes effect.
 type fakeTable struct {
-	rows   map[string]platform.Row
+	rows   map[string]storage.Row
 	serial int
 	fault  map[string]error
 	before func(key string)
 }
 
 func newFakeTable() *fakeTable {
-	return &fakeTable{rows: map[string]platform.Row{}, fault: map[string]error{}}
+	return &fakeTable{rows: map[string]storage.Row{}, fault: map[string]error{}}
 }
 
-func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (f *fakeTable) Get(_ context.Context, key string) (storage.Row, error) {
 	row, ok := f.rows[key]
 	if !ok {
-		return row, platform.ErrNotFound
+		return row, storage.ErrNotFound
 	}
 	return row, nil
 }
 
-func (f *fakeTable) Put(_ context.Context, key string, value []byte, expected platform.Revision) (platform.Row, error) {
+func (f *fakeTable) Put(_ context.Context, key string, value []byte, expected storage.Revision) (storage.Row, error) {
 	if hook := f.before; hook != nil {
 		f.before = nil
 		hook(key)
 	}
 	fault := f.fault[key]
 	delete(f.fault, key)
-	if fault != nil && !errors.Is(fault, platform.ErrOutcomeUnknown) {
-		return platform.Row{}, fault
+	if fault != nil && !errors.Is(fault, storage.ErrOutcomeUnknown) {
+		return storage.Row{}, fault
 	}
 	if f.rows[key].Revision != expected {
-		return platform.Row{}, platform.ErrConflict
+		return storage.Row{}, storage.ErrConflict
 	}
 	f.serial++
-	f.rows[key] = platform.Row{Key: key, Value: value, Revision: platform.Revision(fmt.Sprint(f.serial))}
+	f.rows[key] = storage.Row{Key: key, Value: value, Revision: storage.Revision(fmt.Sprint(f.serial))}
 	return f.rows[key], fault
 }
 
-func (f *fakeTable) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, string, error) {
-	var rows []platform.Row
+func (f *fakeTable) List(_ context.Context, prefix, after string, limit int) ([]storage.Row, string, error) {
+	var rows []storage.Row
 	for key, row := range f.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b storage.Row) int { return strings.Compare(a.Key, b.Key) })
 	if len(rows) <= limit {
 		return rows, "", nil
 	}
 	return rows[:limit], rows[limit-1].Key, nil
 }
 
-func (f *fakeTable) DeleteBatch(_ context.Context, rows []platform.Row) error {
+func (f *fakeTable) DeleteBatch(_ context.Context, rows []storage.Row) error {
 	for _, row := range rows {
 		delete(f.rows, row.Key)
 	}
@@ -138,7 +138,7 @@
 // repeated put names a newer base.
 func TestRepeatedPutIsRecognised(t *testing.T) {
 	s, table := storeWithCatalog(t)
-	table.fault[currentKey] = platform.ErrOutcomeUnknown
+	table.fault[currentKey] = storage.ErrOutcomeUnknown
 	if c, err := s.Put(ctx, start, tierChange("x", 1, 1)); err != nil || c.Version != 2 {
 		t.Fatalf("lost answer: %+v %v", c, err)
 	}
@@ -162,11 +162,11 @@
 	rows fakeTable
 }
 
-func (s *staleReads) Get(ctx context.Context, key string) (platform.Row, error) {
+func (s *staleReads) Get(ctx context.Context, key string) (storage.Row, error) {
 	return s.rows.Get(ctx, key)
 }
 
-func (s *staleReads) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, string, error) {
+func (s *staleReads) List(ctx context.Context, prefix, after string, limit int) ([]storage.Row, string, error) {
 	return s.rows.List(ctx, prefix, after, limit)
 }
 
@@ -191,7 +191,7 @@
 	rowKeys := []string{versionKey(bodyPrefix, 2, "x"), versionKey(historyPrefix, 2, "x"), currentKey}
 	for _, key := range rowKeys {
 		s, table := storeWithCatalog(t)
-		table.fault[key] = platform.ErrUnavailable
+		table.fault[key] = storage.ErrUnavailable
 		table.before = func(string) {}
 		if _, err := s.put(ctx, start, tierChange("x", 1, 1)); err == nil {
 			t.Fatalf("put succeeded without row %s", key)
@@ -244,7 +244,7 @@
 		if value, err = json.Marshal(Entry{Version: v, ChangeID: id, Parent: parent}); err != nil {
 			t.Fatal(err)
 		}
-		table.rows[versionKey(historyPrefix, v, id)] = platform.Row{Key: versionKey(historyPrefix, v, id), Value: value, Revision: "f"}
+		table.rows[versionKey(historyPrefix, v, id)] = storage.Row{Key: versionKey(historyPrefix, v, id), Value: value, Revision: "f"}
 		parent = id
 	}
 	c := sample()
@@ -253,8 +253,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	table.rows[versionKey(bodyPrefix, last, parent)] = platform.Row{Key: versionKey(bodyPrefix, last, parent), Value: body, Revision: "f"}
-	table.rows[currentKey] = platform.Row{Key: currentKey, Value: value, Revision: "f"}
+	table.rows[versionKey(bodyPrefix, last, parent)] = storage.Row{Key: versionKey(bodyPrefix, last, parent), Value: body, Revision: "f"}
+	table.rows[currentKey] = storage.Row{Key: currentKey, Value: value, Revision: "f"}
 }
 
 // Guards against a poll that exceeds the 3 KB/s of control traffic per process.
@@ -316,18 +316,18 @@
 	down bool
 }
 
-func (u *unreadableAfterPut) Get(ctx context.Context, key string) (platform.Row, error) {
+func (u *unreadableAfterPut) Get(ctx context.Context, key string) (storage.Row, error) {
 	if u.down {
-		return platform.Row{}, platform.ErrUnavailable
+		return storage.Row{}, storage.ErrUnavailable
 	}
 	return u.fakeTable.Get(ctx, key)
 }
 
-func (u *unreadableAfterPut) Put(ctx context.Context, key string, v []byte, r platform.Revision) (platform.Row, error) {
+func (u *unreadableAfterPut) Put(ctx context.Context, key string, v []byte, r storage.Revision) (storage.Row, error) {
 	row, err := u.fakeTable.Put(ctx, key, v, r)
 	if key == currentKey {
 		u.down = true
-		err = platform.ErrOutcomeUnknown
+		err = storage.ErrOutcomeUnknown
 	}
 	return row, err
 }
--- a/catalog/validate.go
+++ b/catalog/validate.go
@@ -7,14 +7,14 @@
 	"strconv"
 	"unicode/utf8"
 
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 // Bounds of a catalog. They keep lookups and the row within fixed sizes.
 const (
 	// MaxBytes bounds the encoded document; it must fit one table row.
-	MaxBytes = platform.MaxValueBytes
+	MaxBytes = storage.MaxValueBytes
 
 	maxProfiles       = 256
 	maxServices       = 256
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,11 +18,11 @@
 	"github.com/pistachiowind/pistachiowind/agent"
 	"github.com/pistachiowind/pistachiowind/agent/queue"
 	"github.com/pistachiowind/pistachiowind/peertls"
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/router"
 	"github.com/pistachiowind/pistachiowind/router/dispatch"
 	"github.com/pistachiowind/pistachiowind/settings"
+	"github.com/pistachiowind/pistachiowind/storage"
 	"github.com/pistachiowind/pistachiowind/telemetry"
 )
 
@@ -70,7 +70,7 @@
 		CallersAddress:   s.Listen.Callers,
 		PeersAddress:     s.Listen.Peers,
 		AdminAddress:     s.Listen.Admin,
-		Table:            platform.NewTable(platform.Options{URL: s.Platform.TableURL}),
+		Table:            storage.NewTable(storage.Options{URL: s.Platform.TableURL}),
 		Agents:           s.Agents,
 		MaxOpen:          s.Limits.MaxOpenRequests,
 		MaxBodyBytes:     int64(s.Limits.MaxBodyBytes),
@@ -81,7 +81,7 @@
 		Version:          telemetry.Version(),
 	}
 	if s.Platform.VMListURL != "" {
-		opts.VMs = platform.NewVMList(platform.Options{URL: s.Platform.VMListURL})
+		opts.VMs = storage.NewVMList(storage.Options{URL: s.Platform.VMListURL})
 	}
 	security, err := newPeerSecurity(s.TLS, log)
 	if err != nil {
@@ -115,8 +115,8 @@
 		EndpointURL:      s.Endpoint.URL,
 		Service:          s.Endpoint.Service,
 		Models:           s.Endpoint.Models,
-		Table:            platform.NewTable(platform.Options{URL: s.Platform.TableURL}),
-		Objects:          platform.NewObjects(platform.Options{URL: s.Platform.ObjectsURL}),
+		Table:            storage.NewTable(storage.Options{URL: s.Platform.TableURL}),
+		Objects:          storage.NewObjects(storage.Options{URL: s.Platform.ObjectsURL}),
 		Queue:            queue.Options{Capacity: s.Queue.MaxItems, PerAccount: s.Queue.MaxItemsPerAccount},
 		Concurrency:      agent.Concurrency(s.Concurrency),
 		PeerTLS:          security.server,
--- a/demo/site.go
+++ b/demo/site.go
@@ -19,10 +19,10 @@
 	"github.com/pistachiowind/pistachiowind/catalog"
 	"github.com/pistachiowind/pistachiowind/daemon"
 	"github.com/pistachiowind/pistachiowind/httpserver"
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/router"
 	"github.com/pistachiowind/pistachiowind/settings"
 	"github.com/pistachiowind/pistachiowind/standin"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 const (
@@ -104,7 +104,7 @@
 	if err := s.startPlatform(); err != nil {
 		return err
 	}
-	store := catalog.NewStore(platform.NewTable(platform.Options{URL: s.tableURL}))
+	store := catalog.NewStore(storage.NewTable(storage.Options{URL: s.tableURL}))
 	first := catalog.Change{ID: "demo-first", By: "demo", Catalog: Catalog()}
 	if _, err := store.Put(ctx, time.Now(), first); err != nil {
 		return fmt.Errorf("write the first catalog: %w", err)
--- a/invariants/catalog_test.go
+++ b/invariants/catalog_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/catalog"
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 // storeView is the table as one process calls it. Other operators may act
@@ -17,23 +17,23 @@
 	w *world
 }
 
-func (v storeView) Get(_ context.Context, key string) (platform.Row, error) {
+func (v storeView) Get(_ context.Context, key string) (storage.Row, error) {
 	v.w.interleave()
 	return v.w.table.get(key)
 }
 
-func (v storeView) Put(_ context.Context, key string, value []byte, expected platform.Revision) (platform.Row, error) {
+func (v storeView) Put(_ context.Context, key string, value []byte, expected storage.Revision) (storage.Row, error) {
 	v.w.interleave()
 	return v.w.table.put(key, value, expected)
 }
 
-func (v storeView) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, string, error) {
+func (v storeView) List(_ context.Context, prefix, after string, limit int) ([]storage.Row, string, error) {
 	v.w.interleave()
 	return v.w.table.list(prefix, after, limit)
 }
 
-func (v storeView) DeleteBatch(context.Context, []platform.Row) error {
-	return platform.ErrUnavailable
+func (v storeView) DeleteBatch(context.Context, []storage.Row) error {
+	return storage.ErrUnavailable
 }
 
 // member is the catalog side of a process, driven as catalog.Distributor does.
--- a/invariants/claims_test.go
+++ b/invariants/claims_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/pistachiowind/pistachiowind/agent/claim"
 	"github.com/pistachiowind/pistachiowind/agent/gate"
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 // agent drives the decisions of one agent as claim.Ledger and gate.Keeper do.
@@ -148,7 +148,7 @@
 }
 
 func (a *agent) perform(r claim.Record, action claim.Action, step func(claim.Event)) {
-	written := func(row platform.Row, err error) { step(claim.Event{Row: row, Err: err}) }
+	written := func(row storage.Row, err error) { step(claim.Event{Row: row, Err: err}) }
 	switch action.Step {
 	case claim.StepCreate, claim.StepTakeOver:
 		if action.Step == claim.StepTakeOver {
@@ -165,7 +165,7 @@
 		body, ok := a.w.objects[action.Object]
 		var err error
 		if !ok {
-			err = platform.ErrNotFound
+			err = storage.ErrNotFound
 		}
 		a.deliver(latency, func() { step(claim.Event{Body: body, Err: err}) })
 	}
@@ -208,7 +208,7 @@
 }
 
 // run gives the request to the endpoint, which may refuse it, crash or answer.
-func (a *agent) run(r claim.Record, revision platform.Revision, reply func(resultcode.Execution, *claim.Outcome)) {
+func (a *agent) run(r claim.Record, revision storage.Revision, reply func(resultcode.Execution, *claim.Outcome)) {
 	w := a.w
 	o := claim.Outcome{Execution: resultcode.Ran, Status: 200, Body: []byte("answer of " + r.Nonce)}
 	switch w.draw(8, "endpoint") {
@@ -239,7 +239,7 @@
 // save drives the outbox.
 func (a *agent) save() {
 	for _, s := range a.outbox.Next(a.clock()) {
-		done := func(row platform.Row, err error) {
+		done := func(row storage.Row, err error) {
 			if saved, ok := a.outbox.Result(a.clock(), s, row, err); ok {
 				a.memory.Saved(saved.Nonce)
 			}
@@ -248,7 +248,7 @@
 		switch s.Step {
 		case claim.SaveObject:
 			a.w.objects[s.Object] = s.Body
-			a.deliver(latency, func() { done(platform.Row{}, nil) })
+			a.deliver(latency, func() { done(storage.Row{}, nil) })
 		case claim.SaveRow:
 			a.put(s.RowKey, s.Value, s.Expected, done)
 		case claim.SaveRead:
--- a/invariants/orders_test.go
+++ b/invariants/orders_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/pistachiowind/pistachiowind/agent/gate"
 	"github.com/pistachiowind/pistachiowind/lease"
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 // router competes for the lease and sends orders and requests.
@@ -42,7 +42,7 @@
 		r.deliver(max(100*time.Millisecond, r.lease.Wake().Sub(r.clock())), r.compete)
 		return
 	}
-	done := func(row platform.Row, err error) {
+	done := func(row storage.Row, err error) {
 		r.lease.Result(r.clock(), a, row, err)
 		r.compete()
 	}
@@ -119,12 +119,12 @@
 		a.admit(o)
 		return
 	}
-	a.get(lease.RowKey("placement"), func(row platform.Row, err error) {
+	a.get(lease.RowKey("placement"), func(row storage.Row, err error) {
 		var record lease.Record
 		if err == nil {
 			record, err = lease.Decode(row.Value)
 		}
-		if err == nil || errors.Is(err, platform.ErrNotFound) {
+		if err == nil || errors.Is(err, storage.ErrNotFound) {
 			a.gate.LeaseRead(record.Number)
 			seen[a.name()] = max(seen[a.name()], record.Number)
 		}
--- a/invariants/world_test.go
+++ b/invariants/world_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 const (
@@ -126,7 +126,7 @@
 }
 
 // get and put call the table; the answer is delivered to this incarnation.
-func (p *process) get(key string, answer func(platform.Row, error)) {
+func (p *process) get(key string, answer func(storage.Row, error)) {
 	inbox := p.inbox()
 	p.w.after(latency, func() {
 		row, err := p.w.table.get(key)
@@ -134,13 +134,13 @@
 	})
 }
 
-func (p *process) put(key string, value []byte, expected platform.Revision, answer func(platform.Row, error)) {
+func (p *process) put(key string, value []byte, expected storage.Revision, answer func(storage.Row, error)) {
 	inbox := p.inbox()
 	p.w.after(latency, func() {
 		t := p.w.table
 		t.delay = latency
 		row, err := t.put(key, value, expected)
-		if err == platform.ErrOutcomeUnknown {
+		if err == storage.ErrOutcomeUnknown {
 			t.delay = callTimeout
 		}
 		inbox(t.delay, func() { answer(row, err) })
@@ -161,7 +161,7 @@
 // state is a row from one write on; an absent row has no revision.
 type state struct {
 	serial int
-	row    platform.Row
+	row    storage.Row
 }
 
 type table struct {
@@ -193,79 +193,79 @@
 }
 
 // at returns the row as of a write's number.
-func (t *table) at(key string, serial int) platform.Row {
+func (t *table) at(key string, serial int) storage.Row {
 	states := t.rows[key]
 	for i := len(states) - 1; i >= 0; i-- {
 		if states[i].serial <= serial {
 			return states[i].row
 		}
 	}
-	return platform.Row{}
+	return storage.Row{}
 }
 
 // view returns the number of the write up to which a read sees the table.
 func (t *table) view() (serial int, err error) {
 	switch t.fault(false) {
 	case refused:
-		return 0, platform.ErrUnavailable
+		return 0, storage.ErrUnavailable
 	case lagging:
 		return t.serial - 1 - t.w.draw(4, "lag"), nil
 	}
 	return t.serial, nil
 }
 
-func (t *table) get(key string) (platform.Row, error) {
+func (t *table) get(key string) (storage.Row, error) {
 	serial, err := t.view()
 	if err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
 	row := t.at(key, serial)
 	if row.Revision == "" {
-		return row, platform.ErrNotFound
+		return row, storage.ErrNotFound
 	}
 	return row, nil
 }
 
-func (t *table) list(prefix, after string, limit int) ([]platform.Row, string, error) {
+func (t *table) list(prefix, after string, limit int) ([]storage.Row, string, error) {
 	serial, err := t.view()
 	if err != nil {
 		return nil, "", err
 	}
-	var rows []platform.Row
+	var rows []storage.Row
 	for key := range t.rows {
 		if row := t.at(key, serial); row.Revision != "" && strings.HasPrefix(key, prefix) && key > after {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b storage.Row) int { return strings.Compare(a.Key, b.Key) })
 	if len(rows) <= limit {
 		return rows, "", nil
 	}
 	return rows[:limit], rows[limit-1].Key, nil
 }
 
-func (t *table) apply(key string, value []byte, expected platform.Revision) (platform.Row, error) {
+func (t *table) apply(key string, value []byte, expected storage.Revision) (storage.Row, error) {
 	if t.at(key, t.serial).Revision != expected {
-		return platform.Row{}, platform.ErrConflict
+		return storage.Row{}, storage.ErrConflict
 	}
 	t.serial++
-	row := platform.Row{Key: key, Value: value, Revision: platform.Revision(fmt.Sprint(t.serial))}
+	row := storage.Row{Key: key, Value: value, Revision: storage.Revision(fmt.Sprint(t.serial))}
 	t.rows[key] = append(t.rows[key], state{serial: t.serial, row: row})
 	return row, nil
 }
 
-func (t *table) put(key string, value []byte, expected platform.Revision) (platform.Row, error) {
+func (t *table) put(key string, value []byte, expected storage.Revision) (storage.Row, error) {
 	switch t.fault(true) {
 	case refused:
-		return platform.Row{}, platform.ErrUnavailable
+		return storage.Row{}, storage.ErrUnavailable
 	case answerLost:
 		_, _ = t.apply(key, value, expected)
-		return platform.Row{}, platform.ErrOutcomeUnknown
+		return storage.Row{}, storage.ErrOutcomeUnknown
 	case writeLate:
 		t.w.after(time.Duration(t.w.draw(20_000, "late ms"))*time.Millisecond, func() { _, _ = t.apply(key, value, expected) })
-		return platform.Row{}, platform.ErrOutcomeUnknown
+		return storage.Row{}, storage.ErrOutcomeUnknown
 	case writeLost:
-		return platform.Row{}, platform.ErrOutcomeUnknown
+		return storage.Row{}, storage.ErrOutcomeUnknown
 	case slow:
 		t.delay = time.Duration(1+t.w.draw(int(callTimeout/time.Millisecond), "slow ms")) * time.Millisecond
 	}
--- a/lease/competitor.go
+++ b/lease/competitor.go
@@ -5,13 +5,13 @@
 	"sync"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
-// Table is what a Competitor needs of the table service; platform.Table is one.
+// Table is what a Competitor needs of the table service; storage.Table is one.
 type Table interface {
-	Get(ctx context.Context, key string) (platform.Row, error)
-	Put(ctx context.Context, key string, value []byte, expected platform.Revision) (platform.Row, error)
+	Get(ctx context.Context, key string) (storage.Row, error)
+	Put(ctx context.Context, key string, value []byte, expected storage.Revision) (storage.Row, error)
 }
 
 // Options configures a Competitor. Table, Name and Self are required.
@@ -104,8 +104,8 @@
 	return max(minPause, c.lease.Wake().Sub(c.o.Now()))
 }
 
-func (c *Competitor) call(ctx context.Context, a Action) (platform.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, platform.DefaultCallTimeout)
+func (c *Competitor) call(ctx context.Context, a Action) (storage.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, storage.DefaultCallTimeout)
 	defer cancel()
 	if a.Write {
 		return c.o.Table.Put(ctx, RowKey(c.o.Name), a.Value, a.Expected)
--- a/lease/fuzz_test.go
+++ b/lease/fuzz_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 // Guards against a row that crashes its reader, that is misread, or that makes a
@@ -27,7 +27,7 @@
 		if !ok || a.Write {
 			t.Fatalf("first action %+v", a)
 		}
-		l.Result(now, a, platform.Row{Value: value, Revision: "1"}, nil)
+		l.Result(now, a, storage.Row{Value: value, Revision: "1"}, nil)
 		if number, held := l.Held(now); held {
 			t.Fatalf("lease held with number %d after a read", number)
 		}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -12,7 +12,7 @@
 	"math"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 const (
@@ -71,7 +71,7 @@
 	// read.
 	Write    bool
 	Value    []byte
-	Expected platform.Revision
+	Expected storage.Revision
 
 	record Record
 	sent   time.Time
@@ -87,7 +87,7 @@
 	// The row as last seen, and when this revision was seen first.
 	known    bool
 	record   Record
-	revision platform.Revision
+	revision storage.Revision
 	since    time.Time
 
 	// unclear is a write whose answer was lost.
@@ -168,8 +168,8 @@
 }
 
 // Result reports the end of a call. For a read without a row err is
-// platform.ErrNotFound.
-func (l *Lease) Result(now time.Time, a Action, row platform.Row, err error) {
+// storage.ErrNotFound.
+func (l *Lease) Result(now time.Time, a Action, row storage.Row, err error) {
 	l.open = false
 	if a.Write {
 		l.written(now, a, row, err)
@@ -178,14 +178,14 @@
 	}
 }
 
-func (l *Lease) written(now time.Time, a Action, row platform.Row, err error) {
+func (l *Lease) written(now time.Time, a Action, row storage.Row, err error) {
 	switch {
 	case err == nil:
 		l.accept(now, a, row.Revision)
-	case errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, storage.ErrOutcomeUnknown):
 		l.unclear = &a
 		l.next = now.Add(retryInterval)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storage.ErrConflict):
 		// Another process has the row, or a late write of this one took effect.
 		l.known = false
 		l.next = now
@@ -196,7 +196,7 @@
 
 // accept takes over the effect of an own write. The lease counts from before the
 // write was sent, which is not later than any other process saw it.
-func (l *Lease) accept(now time.Time, a Action, revision platform.Revision) {
+func (l *Lease) accept(now time.Time, a Action, revision storage.Revision) {
 	l.see(now, a.record, revision)
 	l.unclear = nil
 	l.next = a.sent.Add(RenewInterval)
@@ -208,8 +208,8 @@
 	l.validUntil = a.sent.Add(TTL)
 }
 
-func (l *Lease) read(now time.Time, row platform.Row, err error) {
-	if errors.Is(err, platform.ErrNotFound) {
+func (l *Lease) read(now time.Time, row storage.Row, err error) {
+	if errors.Is(err, storage.ErrNotFound) {
 		l.see(now, Record{}, "")
 		l.unclear = nil
 		l.next = now
@@ -247,7 +247,7 @@
 	l.next = now
 }
 
-func (l *Lease) see(now time.Time, r Record, revision platform.Revision) {
+func (l *Lease) see(now time.Time, r Record, revision storage.Revision) {
 	if !l.known || l.revision != revision {
 		l.since = now
 	}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -9,14 +9,14 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 var start = time.Unix(1_800_000_000, 0)
 
 type fakeTable struct {
 	mu     sync.Mutex
-	row    *platform.Row
+	row    *storage.Row
 	serial int
 	fault  error
 }
@@ -27,30 +27,30 @@
 	f.fault = fault
 }
 
-func (f *fakeTable) Get(context.Context, string) (platform.Row, error) {
+func (f *fakeTable) Get(context.Context, string) (storage.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.fault != nil {
-		return platform.Row{}, platform.ErrUnavailable
+		return storage.Row{}, storage.ErrUnavailable
 	}
 	if f.row == nil {
-		return platform.Row{}, platform.ErrNotFound
+		return storage.Row{}, storage.ErrNotFound
 	}
 	return *f.row, nil
 }
 
 // Put takes effect before a fault of unknown outcome.
-func (f *fakeTable) Put(_ context.Context, key string, value []byte, expected platform.Revision) (platform.Row, error) {
+func (f *fakeTable) Put(_ context.Context, key string, value []byte, expected storage.Revision) (storage.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.fault != nil && f.fault != platform.ErrOutcomeUnknown {
-		return platform.Row{}, f.fault
+	if f.fault != nil && f.fault != storage.ErrOutcomeUnknown {
+		return storage.Row{}, f.fault
 	}
 	if f.row == nil && expected != "" || f.row != nil && f.row.Revision != expected {
-		return platform.Row{}, platform.ErrConflict
+		return storage.Row{}, storage.ErrConflict
 	}
 	f.serial++
-	f.row = &platform.Row{Key: key, Value: value, Revision: platform.Revision(fmt.Sprint(f.serial))}
+	f.row = &storage.Row{Key: key, Value: value, Revision: storage.Revision(fmt.Sprint(f.serial))}
 	return *f.row, f.fault
 }
 
@@ -61,7 +61,7 @@
 		if !ok {
 			return
 		}
-		var row platform.Row
+		var row storage.Row
 		var err error
 		if a.Write {
 			row, err = f.Put(context.Background(), "lease/x", a.Value, a.Expected)
@@ -114,10 +114,10 @@
 func TestValidityCountsFromSending(t *testing.T) {
 	l := New("a")
 	a, _ := l.Next(start)
-	l.Result(start, a, platform.Row{}, platform.ErrNotFound)
+	l.Result(start, a, storage.Row{}, storage.ErrNotFound)
 	a, _ = l.Next(start)
 	late := start.Add(TTL)
-	l.Result(late, a, platform.Row{Revision: "1"}, nil)
+	l.Result(late, a, storage.Row{Revision: "1"}, nil)
 	checkHeld(t, l, late, 0)
 	checkHeld(t, l, late.Add(-1), 1)
 }
@@ -129,7 +129,7 @@
 	l := New("a")
 	drive(l, f, start)
 	now := start.Add(RenewInterval)
-	f.set(platform.ErrOutcomeUnknown)
+	f.set(storage.ErrOutcomeUnknown)
 	drive(l, f, now)
 	f.set(nil)
 	drive(l, f, now.Add(time.Second))
@@ -141,10 +141,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.row = &platform.Row{Value: value, Revision: "late"}
+	f.row = &storage.Row{Value: value, Revision: "late"}
 	now = now.Add(time.Hour)
 	a, _ := l.Next(now)
-	l.Result(now, a, platform.Row{}, platform.ErrConflict)
+	l.Result(now, a, storage.Row{}, storage.ErrConflict)
 	a, _ = l.Next(now)
 	l.Result(now, a, *f.row, nil)
 	checkHeld(t, l, now, 0)
@@ -167,7 +167,7 @@
 				t.Fatal("lease lapsed")
 			}
 		}
-		f.set(platform.ErrUnavailable)
+		f.set(storage.ErrUnavailable)
 		time.Sleep(TTL)
 		if _, ok := c.Held(); ok {
 			t.Fatal("held after its time")
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 const (
@@ -24,10 +24,10 @@
 	publishTimeout = 5 * time.Second
 )
 
-// Rows is what an Exchange needs of the table service; platform.Table is one.
+// Rows is what an Exchange needs of the table service; storage.Table is one.
 type Rows interface {
-	Get(ctx context.Context, key string) (platform.Row, error)
-	Put(ctx context.Context, key string, value []byte, expected platform.Revision) (platform.Row, error)
+	Get(ctx context.Context, key string) (storage.Row, error)
+	Put(ctx context.Context, key string, value []byte, expected storage.Revision) (storage.Row, error)
 }
 
 // Exchange passes evidence on through the table service.
@@ -50,9 +50,9 @@
 	return records, err
 }
 
-func (x *Exchange) read(ctx context.Context) ([]Record, platform.Revision, error) {
+func (x *Exchange) read(ctx context.Context) ([]Record, storage.Revision, error) {
 	row, err := x.rows.Get(ctx, RowKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return nil, "", nil
 	}
 	if err != nil {
--- a/quarantine/fuzz_test.go
+++ b/quarantine/fuzz_test.go
@@ -5,17 +5,17 @@
 	"testing"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 type fixedRow []byte
 
-func (r fixedRow) Get(context.Context, string) (platform.Row, error) {
-	return platform.Row{Value: r, Revision: "1"}, nil
+func (r fixedRow) Get(context.Context, string) (storage.Row, error) {
+	return storage.Row{Value: r, Revision: "1"}, nil
 }
 
-func (r fixedRow) Put(context.Context, string, []byte, platform.Revision) (platform.Row, error) {
-	return platform.Row{}, nil
+func (r fixedRow) Put(context.Context, string, []byte, storage.Revision) (storage.Row, error) {
+	return storage.Row{}, nil
 }
 
 // Guards against a shared row that crashes its reader or exceeds the bounds of
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -10,13 +10,13 @@
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/catalog"
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/router/dispatch"
 	"github.com/pistachiowind/pistachiowind/router/health"
 	"github.com/pistachiowind/pistachiowind/router/membership"
 	"github.com/pistachiowind/pistachiowind/router/selection"
 	"github.com/pistachiowind/pistachiowind/rpc"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 // Options configure a Fleet. VMs or Agents is required.
@@ -24,7 +24,7 @@
 	Region           string
 	AvailabilityZone string
 	// VMs is the platform's VM list; nil means that only Agents are used.
-	VMs *platform.VMList
+	VMs *storage.VMList
 	// Agents are fixed peer addresses, used besides the VM list.
 	Agents []string
 	// Client reaches the agents.
@@ -60,7 +60,7 @@
 	view     view
 	listRead time.Time
 	// routers are the live routers of the VM list, nil before the first read.
-	routers []platform.VM
+	routers []storage.VM
 	// chosen counts the selections by model.
 	chosen map[string]uint64
 }
@@ -83,7 +83,7 @@
 	for _, address := range f.opts.Agents {
 		entries = append(entries, membership.Entry{
 			Name:             address,
-			Role:             string(platform.RoleAgent),
+			Role:             string(storage.RoleAgent),
 			Address:          address,
 			Region:           f.opts.Region,
 			AvailabilityZone: f.opts.AvailabilityZone,
--- a/router/fleet/placement.go
+++ b/router/fleet/placement.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/router/selection"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 // maxChosen bounds the models with a count of selections. At the bound the
@@ -74,10 +74,10 @@
 	return addresses
 }
 
-func liveRouters(vms []platform.VM) []platform.VM {
-	var routers []platform.VM
+func liveRouters(vms []storage.VM) []storage.VM {
+	var routers []storage.VM
 	for _, vm := range vms {
-		if vm.Role == platform.RoleRouter && vm.State == platform.VMLive {
+		if vm.Role == storage.RoleRouter && vm.State == storage.VMLive {
 			routers = append(routers, vm)
 		}
 	}
--- a/router/fleet/probe.go
+++ b/router/fleet/probe.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/router/membership"
 	"github.com/pistachiowind/pistachiowind/rpc"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 const (
@@ -90,7 +90,7 @@
 	f.refresh(now)
 }
 
-func listEntry(vm platform.VM) membership.Entry {
+func listEntry(vm storage.VM) membership.Entry {
 	e := membership.Entry{
 		Name:             vm.Name,
 		Role:             string(vm.Role),
@@ -98,7 +98,7 @@
 		Region:           vm.Region,
 		AvailabilityZone: vm.AvailabilityZone,
 	}
-	if vm.State == platform.VMLeaving {
+	if vm.State == storage.VMLeaving {
 		e.State = membership.Leaving
 	}
 	return e
--- a/router/planner/service_test.go
+++ b/router/planner/service_test.go
@@ -11,15 +11,15 @@
 
 	"github.com/pistachiowind/pistachiowind/catalog"
 	"github.com/pistachiowind/pistachiowind/lease"
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 // fake is the table, the site and the agents of a Service.
 type fake struct {
 	mu      sync.Mutex
-	row     *platform.Row
+	row     *storage.Row
 	calls   int
 	down    bool
 	models  []catalog.Model
@@ -29,27 +29,27 @@
 	ended   []Outcome
 }
 
-func (f *fake) Get(context.Context, string) (platform.Row, error) {
+func (f *fake) Get(context.Context, string) (storage.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
 	switch {
 	case f.down:
-		return platform.Row{}, platform.ErrUnavailable
+		return storage.Row{}, storage.ErrUnavailable
 	case f.row == nil:
-		return platform.Row{}, platform.ErrNotFound
+		return storage.Row{}, storage.ErrNotFound
 	}
 	return *f.row, nil
 }
 
-func (f *fake) Put(_ context.Context, key string, value []byte, _ platform.Revision) (platform.Row, error) {
+func (f *fake) Put(_ context.Context, key string, value []byte, _ storage.Revision) (storage.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
 	if f.down {
-		return platform.Row{}, platform.ErrUnavailable
+		return storage.Row{}, storage.ErrUnavailable
 	}
-	f.row = &platform.Row{Key: key, Value: value, Revision: platform.Revision(fmt.Sprint(f.calls))}
+	f.row = &storage.Row{Key: key, Value: value, Revision: storage.Revision(fmt.Sprint(f.calls))}
 	return *f.row, nil
 }
 
--- a/router/propagation.go
+++ b/router/propagation.go
@@ -8,8 +8,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/pistachiowind/pistachiowind/admin"
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/rpc"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 const (
@@ -46,23 +46,23 @@
 
 // processes lists whom to ask. A VM that the platform reports as leaving is not
 // waited for.
-func (r *Router) processes(ctx context.Context) []platform.VM {
+func (r *Router) processes(ctx context.Context) []storage.VM {
 	if r.opts.VMs != nil {
 		if list, err := r.opts.VMs.List(ctx); err == nil {
 			return live(list)
 		}
 	}
-	var list []platform.VM
+	var list []storage.VM
 	for _, address := range r.fleet.Addresses() {
-		list = append(list, platform.VM{Name: address, Role: platform.RoleAgent, Address: address})
+		list = append(list, storage.VM{Name: address, Role: storage.RoleAgent, Address: address})
 	}
-	return append(list, platform.VM{Name: r.opts.Name, Role: platform.RoleRouter, Address: r.peers.Address()})
+	return append(list, storage.VM{Name: r.opts.Name, Role: storage.RoleRouter, Address: r.peers.Address()})
 }
 
-func live(list []platform.VM) []platform.VM {
-	var out []platform.VM
+func live(list []storage.VM) []storage.VM {
+	var out []storage.VM
 	for _, vm := range list {
-		if vm.State == platform.VMLive {
+		if vm.State == storage.VMLive {
 			out = append(out, vm)
 		}
 	}
@@ -70,7 +70,7 @@
 }
 
 // versionAt asks one process for its version; zero means no answer.
-func (r *Router) versionAt(ctx context.Context, vm platform.VM) uint64 {
+func (r *Router) versionAt(ctx context.Context, vm storage.VM) uint64 {
 	ctx, cancel := context.WithTimeout(ctx, propagationTimeout)
 	defer cancel()
 	// No process has a version above this one, so no document is sent.
@@ -78,7 +78,7 @@
 	url := r.client.URL(vm.Address)
 	var snapshot *rpc.CatalogSnapshot
 	var err error
-	if vm.Role == platform.RoleAgent {
+	if vm.Role == storage.RoleAgent {
 		snapshot, err = rpc.NewAgentProtobufClient(url, r.client.HTTPClient()).FetchCatalog(ctx, req)
 	} else {
 		snapshot, err = rpc.NewRouterProtobufClient(url, r.client.HTTPClient()).FetchCatalog(ctx, req)
--- a/router/router.go
+++ b/router/router.go
@@ -30,13 +30,13 @@
 	"github.com/pistachiowind/pistachiowind/catalog"
 	"github.com/pistachiowind/pistachiowind/httpserver"
 	"github.com/pistachiowind/pistachiowind/lifecycle"
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/router/dispatch"
 	"github.com/pistachiowind/pistachiowind/router/fleet"
 	"github.com/pistachiowind/pistachiowind/router/ingress"
 	"github.com/pistachiowind/pistachiowind/router/planner"
 	"github.com/pistachiowind/pistachiowind/rpc"
 	"github.com/pistachiowind/pistachiowind/settings"
+	"github.com/pistachiowind/pistachiowind/storage"
 	"github.com/pistachiowind/pistachiowind/telemetry"
 )
 
@@ -61,8 +61,8 @@
 	PeersAddress     string
 	AdminAddress     string
 
-	Table *platform.Table
-	VMs   *platform.VMList
+	Table *storage.Table
+	VMs   *storage.VMList
 	// Agents are fixed peer addresses, used besides the VM list.
 	Agents []string
 
--- a/sessions/lease_test.go
+++ b/sessions/lease_test.go
@@ -14,9 +14,9 @@
 	"github.com/pistachiowind/pistachiowind/agent/endpoint"
 	"github.com/pistachiowind/pistachiowind/agent/gate"
 	"github.com/pistachiowind/pistachiowind/lease"
-	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/rpc"
 	"github.com/pistachiowind/pistachiowind/standin"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 // leaseSession has two processes that compete for the placement lease, and the
@@ -25,7 +25,7 @@
 	t      *testing.T
 	began  time.Time
 	now    time.Time
-	table  *platform.Table
+	table  *storage.Table
 	keeper *gate.Keeper
 	engine *standin.Engine
 	out    bytes.Buffer
@@ -38,7 +38,7 @@
 	tableServer, engineServer := httptest.NewServer(rows), httptest.NewServer(engine)
 	t.Cleanup(tableServer.Close)
 	t.Cleanup(engineServer.Close)
-	table := platform.NewTable(platform.Options{URL: tableServer.URL})
+	table := storage.NewTable(storage.Options{URL: tableServer.URL})
 	began := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 	return &leaseSession{
 		t: t, began: began, now: began, table: table, engine: engine,
@@ -58,7 +58,7 @@
 		if !ok {
 			return
 		}
-		var row platform.Row
+		var row storage.Row
 		var err error
 		key := lease.RowKey(agent.PlacementLease)
 		if a.Write {
@@ -76,9 +76,9 @@
 	switch {
 	case err == nil:
 		return "ok"
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, storage.ErrNotFound):
 		return "no row"
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storage.ErrConflict):
 		return "another revision"
 	}
 	return err.Error()
--- a/platform/call.go
+++ b/storage/call.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import (
 	"bytes"
@@ -17,10 +17,10 @@
 
 // ErrRejected means that the service understood the call and refused it for
 // good, or that the client refused it before sending. It had no effect.
-var ErrRejected = errors.New("platform: call rejected")
+var ErrRejected = errors.New("storage: call rejected")
 
 // ErrTooLarge means that an answer exceeded its bound and was not read whole.
-var ErrTooLarge = errors.New("platform: answer too large")
+var ErrTooLarge = errors.New("storage: answer too large")
 
 // Options configures a client of one platform service.
 type Options struct {
--- a/platform/table.go
+++ b/storage/table.go
@@ -1,9 +1,9 @@
-// Package platform reaches the services that the site already runs: the
+// Package storage reaches the services that the site already runs: the
 // transactional table service, the object store, the VM list and the weight
 // store. Each adapter is one file, so that a change of the real protocol
 // touches one place. The packages that use a service declare the interface
 // that they need; the types here are shared between them.
-package platform
+package storage
 
 import (
 	"errors"
@@ -11,19 +11,19 @@
 )
 
 // ErrNotFound means that the row or object does not exist.
-var ErrNotFound = errors.New("platform: not found")
+var ErrNotFound = errors.New("storage: not found")
 
 // ErrConflict means that a conditional write found another revision than the
 // expected one. The write did not take effect.
-var ErrConflict = errors.New("platform: revision conflict")
+var ErrConflict = errors.New("storage: revision conflict")
 
 // ErrUnavailable means that the service refused the call or could not be
 // reached before the call was sent. A write with this error did not take effect.
-var ErrUnavailable = errors.New("platform: service unavailable")
+var ErrUnavailable = errors.New("storage: service unavailable")
 
 // ErrOutcomeUnknown means that a write was sent and its answer was lost. The
 // write may have taken effect, or may still take effect.
-var ErrOutcomeUnknown = errors.New("platform: outcome of the write unknown")
+var ErrOutcomeUnknown = errors.New("storage: outcome of the write unknown")
 
 // Revision identifies one state of a row or object. The empty revision stands
 // for "does not exist" in conditional writes.
--- a/platform/vmlist.go
+++ b/storage/vmlist.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import (
 	"context"
--- a/platform/weights.go
+++ b/storage/weights.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import (
 	"context"
@@ -27,7 +27,7 @@
 
 // Error states the time to wait.
 func (e *RateLimitedError) Error() string {
-	return fmt.Sprintf("platform: weight store rate limit reached, retry after %v", e.RetryAfter)
+	return fmt.Sprintf("storage: weight store rate limit reached, retry after %v", e.RetryAfter)
 }
 
 // Unwrap returns ErrUnavailable.
