--- /dev/null
+++ b/cmd/pistachiowind-gateway/main.go
@@ -0,0 +1,101 @@
+// Command pistachiowind-gateway runs a gateway on the users' platform. It is a
+// program of its own, so that the VMs with little memory do not load the demo,
+// the load generator and the reports of the command pistachiowind.
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	mathrand "math/rand/v2"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/pistachiowind/pistachiowind/gateway"
+	"github.com/pistachiowind/pistachiowind/gateway/follow"
+	"github.com/pistachiowind/pistachiowind/platform"
+	"github.com/pistachiowind/pistachiowind/telemetry"
+)
+
+const (
+	// memoryShare of the VM's limit is what the Go heap may use; the rest is for
+	// stacks, buffers of the kernel and the program itself.
+	memoryShare = 0.6
+	// gcPercent trades processor time for a small heap.
+	gcPercent = 60
+	// defaultLogLines bounds the log lines a second.
+	defaultLogLines = 400
+)
+
+func main() {
+	app := kingpin.New("pistachiowind-gateway", "Routes requests to endpoints by the operators' profiles.")
+	path := app.Flag("settings", "Settings file (JSON).").Envar("PISTACHIOWIND_NODE_FILE").Required().String()
+	check := app.Flag("check", "Check the settings and exit.").Bool()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	settings, err := gateway.LoadSettings(*path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	if *check {
+		return
+	}
+	if err := run(settings); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(s gateway.Settings) error {
+	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * 1e6))
+	debug.SetGCPercent(gcPercent)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	lines := s.LogLinesPerS
+	if lines == 0 {
+		lines = defaultLogLines
+	}
+	writer := telemetry.NewBoundedWriter(lines, time.Now)
+	logCtx, endLog := context.WithCancel(context.Background())
+	logEnded := make(chan struct{})
+	go func() {
+		defer close(logEnded)
+		_ = writer.Serve(logCtx, os.Stdout)
+	}()
+	defer func() {
+		endLog()
+		<-logEnded
+	}()
+	log, err := telemetry.NewLogger(writer, telemetry.LogOptions{Role: "gateway", Name: s.Name})
+	if err != nil {
+		return err
+	}
+	store := platform.NewStore(s.StoreAddress)
+	g := gateway.New(gateway.Options{
+		Settings:     s,
+		Protocol:     platform.Headers{},
+		ReadyPath:    platform.ReadyPath,
+		Config:       store.ConfigTable(),
+		Endpoints:    store.EndpointTable(),
+		ConfigSink:   func(g *gateway.Gateway) follow.Sink { return platform.ConfigSink{Site: g} },
+		EndpointSink: func(g *gateway.Gateway) follow.Sink { return platform.EndpointSink{Site: g} },
+		Log:          log,
+		Rand:         mathrand.New(mathrand.NewPCG(seed(), seed())),
+	})
+	return g.Serve(ctx)
+}
+
+// seed reads the operating system's random source, which does not fail on Linux.
+func seed() uint64 {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		panic(err)
+	}
+	return binary.LittleEndian.Uint64(b[:])
+}
--- /dev/null
+++ b/gateway/dispatcher.go
@@ -0,0 +1,244 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/gateway/admission"
+	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/registry"
+	"github.com/pistachiowind/pistachiowind/gateway/relay"
+	"github.com/pistachiowind/pistachiowind/gateway/routing"
+	"github.com/pistachiowind/pistachiowind/router/budget"
+	"github.com/pistachiowind/pistachiowind/router/health"
+)
+
+const (
+	// healthRefresh is how often the judgement of the endpoints is renewed, and
+	// how often requests without a first event are reported to it.
+	healthRefresh = 200 * time.Millisecond
+	// fewGateways is the number of gateways assumed for the split of the retry
+	// allowance while their number is not known.
+	fewGateways = 8
+	// allowanceShare is the part of the retry allowance that is handed out; the
+	// rest covers gateways that start while others still run.
+	allowanceShare = 0.7
+	// ratioShare is the part of the retry ratio that is used.
+	ratioShare = 0.9
+)
+
+// dispatcher serialises the decisions about requests. It implements
+// relay.Placer.
+type dispatcher struct {
+	mu       sync.Mutex
+	fleet    *placement.Fleet
+	health   *health.Tracker
+	registry *registry.Registry
+	budgets  map[string]*budget.Budget
+	flights  map[*ticket]struct{}
+	table    *routing.Table
+	rng      *rand.Rand
+	settings Settings
+	// listed states that the endpoints were read once.
+	listed bool
+}
+
+func newDispatcher(s Settings, rng *rand.Rand) *dispatcher {
+	return &dispatcher{
+		fleet:    placement.NewFleet(s.AvailabilityZone),
+		health:   health.New(health.Options{Window: 5 * time.Second, OpenTime: 2 * time.Second, MaxOpenTime: 8 * time.Second, RampTime: 3 * time.Second}),
+		registry: registry.New(),
+		budgets:  make(map[string]*budget.Budget),
+		flights:  make(map[*ticket]struct{}),
+		rng:      rng,
+		settings: s,
+	}
+}
+
+// Admit implements relay.Placer.
+func (d *dispatcher) Admit(w *placement.Work, q relay.Quest) (relay.Ticket, *relay.Refusal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	choice, found := d.fleet.Choose(now, w)
+	if !found {
+		return nil, &relay.Refusal{Reason: "no_endpoint", RetryAfter: admission.NoEndpointRetryAfter}
+	}
+	verdict := admission.Judge(admission.Request{
+		Streaming: w.Streaming, Rank: w.Rank, Target: w.Target, TimeLeft: q.TimeLeft, Further: q.Further,
+	}, choice)
+	if !verdict.Admitted {
+		return nil, &relay.Refusal{Reason: verdict.Reason, RetryAfter: verdict.RetryAfter}
+	}
+	t := &ticket{dispatcher: d, choice: choice, flight: d.fleet.Send(now, w, choice), sentAt: now, streaming: w.Streaming}
+	d.health.Sent(now, choice.Endpoint.ID)
+	d.flights[t] = struct{}{}
+	return t, nil
+}
+
+// FirstAttempt implements relay.Placer.
+func (d *dispatcher) FirstAttempt(service, account string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget(service).First(account)
+}
+
+// AllowRetry implements relay.Placer.
+func (d *dispatcher) AllowRetry(service, account string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget(service).Spend(account, budget.Retry)
+}
+
+func (d *dispatcher) budget(service string) *budget.Budget {
+	b := d.budgets[service]
+	if b == nil {
+		burst := max(int(d.settings.RetryAllowance*allowanceShare/fewGateways), 1)
+		b = budget.New(budget.Options{
+			Fraction:     d.settings.RetryRatio * ratioShare,
+			AccountBurst: burst,
+			TotalBurst:   burst,
+			RedirectCost: 1,
+		})
+		d.budgets[service] = b
+	}
+	return b
+}
+
+// refresh renews the judgement of the endpoints.
+func (d *dispatcher) refresh() []registry.Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for t := range d.flights {
+		if t.started || !t.streaming {
+			continue
+		}
+		d.health.Record(now, health.Observation{
+			Endpoint: t.choice.Endpoint.ID, Kind: health.FirstTokenPending, Duration: t.relative(now), Sent: t.sentAt,
+		})
+	}
+	d.health.Each(now, d.fleet.SetHealth)
+	changes := d.registry.Expire(now)
+	d.apply(now, changes)
+	return changes
+}
+
+// apply brings changes of the registry to the fleet.
+func (d *dispatcher) apply(now time.Time, changes []registry.Change) {
+	for _, c := range changes {
+		switch c.State {
+		case "gone":
+			d.fleet.Remove(c.Entry.ID)
+			d.health.Leave(now, c.Entry.ID)
+		case "draining":
+			d.put(now, c.Entry)
+			d.fleet.Drain(c.Entry.ID)
+		case "restarted":
+			d.fleet.Remove(c.Entry.ID)
+			d.health.Leave(now, c.Entry.ID)
+			d.put(now, c.Entry)
+			if c.Entry.Draining {
+				d.fleet.Drain(c.Entry.ID)
+			}
+		case "ready":
+			d.put(now, c.Entry)
+		}
+	}
+}
+
+func (d *dispatcher) put(now time.Time, e registry.Entry) {
+	description := placement.Endpoint{ID: e.ID, Service: e.Service, Address: e.Address, Zone: e.Zone, Slots: e.Slots}
+	if d.table != nil {
+		if s := d.table.Service(e.Service); s != nil && s.Engine != nil {
+			description.MemoryTokens = s.Engine.MemoryTokens
+			description.TokensPerEvent = s.Engine.TokensPerEvent
+		}
+	}
+	d.fleet.Put(description)
+	d.health.Join(now, e.ID, e.Service)
+}
+
+// adopt takes a configuration and describes the endpoints anew by it.
+func (d *dispatcher) adopt(t *routing.Table) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table = t
+	now := time.Now()
+	d.registry.Entries(func(e registry.Entry) {
+		d.put(now, e)
+		if e.Draining {
+			d.fleet.Drain(e.ID)
+		}
+	})
+}
+
+// update changes the registry and applies what changed.
+func (d *dispatcher) update(change func(now time.Time, r *registry.Registry) []registry.Change) []registry.Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	changes := change(now, d.registry)
+	d.apply(now, changes)
+	return changes
+}
+
+func (d *dispatcher) pickService(r *routing.Route) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return r.Pick(d.rng)
+}
+
+// ticket is an attempt under way. It implements relay.Ticket.
+type ticket struct {
+	dispatcher *dispatcher
+	choice     placement.Choice
+	flight     *placement.Flight
+	sentAt     time.Time
+	streaming  bool
+	started    bool
+}
+
+// Choice implements relay.Ticket.
+func (t *ticket) Choice() placement.Choice { return t.choice }
+
+// relative is the time since the send in units of what was expected, as a
+// duration: requests of different sizes become comparable.
+func (t *ticket) relative(now time.Time) time.Duration {
+	return time.Duration(t.flight.Ratio(now) * float64(time.Second))
+}
+
+// Started implements relay.Ticket.
+func (t *ticket) Started() {
+	if t.started {
+		return
+	}
+	t.dispatcher.mu.Lock()
+	defer t.dispatcher.mu.Unlock()
+	t.started = true
+	now := time.Now()
+	t.dispatcher.health.Record(now, health.Observation{
+		Endpoint: t.choice.Endpoint.ID, Kind: health.FirstToken, Duration: t.relative(now), Sent: t.sentAt,
+	})
+	t.flight.Started(now)
+}
+
+// Ended implements relay.Ticket.
+func (t *ticket) Ended(r relay.Result) {
+	d := t.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t.flight.End()
+	delete(d.flights, t)
+	kinds := map[relay.Result]health.Kind{
+		relay.Whole:       health.Success,
+		relay.Broken:      health.Failure,
+		relay.Unreachable: health.Failure,
+		relay.Rejected:    health.Refusal,
+	}
+	kind, counts := kinds[r]
+	if counts {
+		d.health.Record(time.Now(), health.Observation{Endpoint: t.choice.Endpoint.ID, Kind: kind, Sent: t.sentAt})
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,292 @@
+// Package gateway runs the role that callers reach on a platform whose endpoints
+// are called directly. Its supervisor tree:
+//
+//	gateway
+//	├── callers      HTTP listener, package relay
+//	├── ready        readiness and metrics listener
+//	├── config       follows the operators' configuration
+//	├── endpoints    follows the directory of endpoints
+//	├── connections  closes idle connections to endpoints
+//	├── health       renews the judgement of the endpoints
+//	└── log          writes log lines
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/pistachiowind/pistachiowind/gateway/follow"
+	"github.com/pistachiowind/pistachiowind/gateway/registry"
+	"github.com/pistachiowind/pistachiowind/gateway/relay"
+	"github.com/pistachiowind/pistachiowind/gateway/routing"
+	"github.com/pistachiowind/pistachiowind/gateway/upstream"
+)
+
+const (
+	// headerTimeout bounds the head of a request. It exceeds what operators
+	// configure, which callers keep to.
+	headerTimeout = 10 * time.Second
+	// maxHeaderBytes bounds the head of a request.
+	maxHeaderBytes = 64 << 10
+	// leaveRotation is how long new connections are still accepted after SIGTERM:
+	// the balancer asks once a second and needs two misses.
+	leaveRotation = 2500 * time.Millisecond
+	// killMargin is how long before SIGKILL the last connections are closed.
+	killMargin = 300 * time.Millisecond
+)
+
+// Options are what a Gateway consists of besides its settings.
+type Options struct {
+	Settings  Settings
+	Protocol  relay.Protocol
+	ReadyPath string
+	// Config and Endpoints are the tables to follow; ConfigSink and EndpointSink
+	// decode their rows for the Gateway.
+	Config, Endpoints        follow.Source
+	ConfigSink, EndpointSink func(*Gateway) follow.Sink
+	Log                      zerolog.Logger
+	Rand                     *rand.Rand
+	// Metrics may be nil.
+	Metrics http.Handler
+	// Finished, if not nil, is told of each request.
+	Finished func(relay.Record)
+}
+
+// Gateway is the role.
+type Gateway struct {
+	o          Options
+	log        zerolog.Logger
+	dispatcher *dispatcher
+	table      atomic.Pointer[routing.Table]
+	pool       *upstream.Pool
+	callers    *http.Server
+	idle       *idleCloser
+	draining   atomic.Bool
+}
+
+// New returns a Gateway that does not listen yet.
+func New(o Options) *Gateway {
+	g := &Gateway{o: o, log: o.Log, dispatcher: newDispatcher(o.Settings, o.Rand)}
+	g.pool = upstream.NewPool(upstream.Options{})
+	g.idle = newIdleCloser(g.idleTimeout)
+	g.callers = &http.Server{
+		Handler: relay.New(relay.Options{
+			Protocol:    o.Protocol,
+			Table:       g.table.Load,
+			Placer:      g.dispatcher,
+			Pool:        g.pool,
+			Observer:    g,
+			PickService: g.dispatcher.pickService,
+		}),
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         g.idle.changed,
+	}
+	return g
+}
+
+func (g *Gateway) idleTimeout() time.Duration {
+	if t := g.table.Load(); t != nil && t.Limits.IdleTimeout > 0 {
+		return t.Limits.IdleTimeout
+	}
+	return time.Minute
+}
+
+// Ready reports whether the gateway can serve callers.
+func (g *Gateway) Ready() bool {
+	return !g.draining.Load() && g.table.Load() != nil && g.dispatcher.isListed()
+}
+
+func (d *dispatcher) isListed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed
+}
+
+func (g *Gateway) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(g.o.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !g.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return mux
+}
+
+// serviceFunc adapts a function to suture.Service.
+type serviceFunc struct {
+	name string
+	run  func(context.Context) error
+}
+
+func (s serviceFunc) Serve(ctx context.Context) error { return s.run(ctx) }
+func (s serviceFunc) String() string                  { return s.name }
+
+// Serve runs until ctx ends, then drains and returns. The error is that of a
+// listener that could not be opened, or of the supervisor.
+func (g *Gateway) Serve(ctx context.Context) error {
+	callers, err := net.Listen("tcp", g.o.Settings.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	ready, err := net.Listen("tcp", g.o.Settings.Listen.Ready)
+	if err != nil {
+		return errors.Join(err, callers.Close())
+	}
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	supervisor := suture.New("gateway", suture.Spec{EventHook: func(e suture.Event) {
+		g.log.Warn().Str("event", e.String()).Msg("supervised service ended")
+	}})
+	seed := func() *rand.Rand { return rand.New(rand.NewPCG(g.o.Rand.Uint64(), g.o.Rand.Uint64())) }
+	readyServer := &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerTimeout}
+	for _, s := range []serviceFunc{
+		{"config", follow.New(g.o.Config, g.o.ConfigSink(g), seed()).Serve},
+		{"endpoints", follow.New(g.o.Endpoints, g.o.EndpointSink(g), seed()).Serve},
+		{"connections", g.pool.Sweep},
+		{"health", g.refreshHealth},
+	} {
+		supervisor.Add(s)
+	}
+	ended := supervisor.ServeBackground(running)
+	failed := make(chan error, 2)
+	go func() { failed <- g.callers.Serve(callers) }()
+	go func() { failed <- readyServer.Serve(ready) }()
+	g.log.Info().Str("callers", g.o.Settings.Listen.Callers).Msg("started")
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		return err
+	case err := <-ended:
+		return err
+	}
+	g.drain()
+	stop()
+	<-ended
+	g.log.Info().Msg("stopped")
+	return readyServer.Close()
+}
+
+// drain takes the gateway out of rotation, finishes the requests in progress
+// and returns before the platform kills the process.
+func (g *Gateway) drain() {
+	began := time.Now()
+	g.draining.Store(true)
+	g.log.Info().Msg("draining")
+	g.callers.SetKeepAlivesEnabled(false)
+	time.Sleep(min(leaveRotation, g.o.Settings.GracePeriod()/3))
+	left := g.o.Settings.GracePeriod() - killMargin - time.Since(began)
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	if err := g.callers.Shutdown(ctx); err != nil {
+		g.log.Warn().Err(err).Msg("requests were still open at the end of the drain")
+		if err := g.callers.Close(); err != nil {
+			g.log.Warn().Err(err).Msg("close connections")
+		}
+	}
+}
+
+func (g *Gateway) refreshHealth(ctx context.Context) error {
+	ticker := time.NewTicker(healthRefresh)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			g.logChanges(g.dispatcher.refresh())
+		}
+	}
+}
+
+// ConfigSeen adopts a configuration if it is newer than the one in force.
+func (g *Gateway) ConfigSeen(c routing.Config) {
+	old := g.table.Load()
+	if old != nil && c.Version <= old.Version {
+		return
+	}
+	table := routing.Compile(c)
+	g.dispatcher.adopt(table)
+	g.table.Store(table)
+	event := g.log.Info().Int64("version", c.Version).Int("routes", len(c.Routes)).Int("accounts", len(c.Accounts))
+	if old != nil {
+		event = event.Int64("previous", old.Version)
+	}
+	event.Msg("configuration adopted")
+}
+
+// EndpointsListed replaces all entries.
+func (g *Gateway) EndpointsListed(entries []registry.Entry) {
+	g.logChanges(g.dispatcher.update(func(now time.Time, r *registry.Registry) []registry.Change {
+		g.dispatcher.listed = true
+		return r.Replace(now, entries)
+	}))
+}
+
+// EndpointPut adds or replaces an entry.
+func (g *Gateway) EndpointPut(e registry.Entry) {
+	g.logChanges(g.dispatcher.update(func(_ time.Time, r *registry.Registry) []registry.Change {
+		if c, ok := r.Put(e); ok {
+			return []registry.Change{c}
+		}
+		return nil
+	}))
+}
+
+// EndpointRemoved handles an entry that is no longer there.
+func (g *Gateway) EndpointRemoved(id string) {
+	g.logChanges(g.dispatcher.update(func(now time.Time, r *registry.Registry) []registry.Change {
+		if c, ok := r.Remove(now, id); ok {
+			return []registry.Change{c}
+		}
+		return nil
+	}))
+}
+
+// StoreLost notes that a table does not answer.
+func (g *Gateway) StoreLost(table string, cause error) {
+	g.dispatcher.update(func(_ time.Time, r *registry.Registry) []registry.Change {
+		r.DirectoryLost()
+		return nil
+	})
+	g.log.Warn().Str("table", table).Err(cause).Msg("store lost")
+}
+
+// StoreRegained notes that a table answers again.
+func (g *Gateway) StoreRegained(table string) {
+	g.dispatcher.update(func(now time.Time, r *registry.Registry) []registry.Change {
+		r.DirectoryBack(now)
+		return nil
+	})
+	g.log.Info().Str("table", table).Msg("store regained")
+}
+
+// Undecodable notes a row that was left out.
+func (g *Gateway) Undecodable(table, key string, cause error) {
+	g.log.Warn().Str("table", table).Str("key", key).Err(cause).Msg("row left out")
+}
+
+func (g *Gateway) logChanges(changes []registry.Change) {
+	for _, c := range changes {
+		g.log.Info().Str("endpoint", c.Entry.ID).Str("service", c.Entry.Service).Str("address", c.Entry.Address).
+			Int64("born", c.Entry.Born).Str("state", c.State).Msg("endpoint changed")
+	}
+}
+
+// Finished implements relay.Observer.
+func (g *Gateway) Finished(r relay.Record) {
+	if g.o.Finished != nil {
+		g.o.Finished(r)
+	}
+	logRecord(g.log, r)
+}
--- /dev/null
+++ b/gateway/log.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/pistachiowind/pistachiowind/gateway/relay"
+)
+
+// logRecord writes the line about a finished request.
+func logRecord(log zerolog.Logger, r relay.Record) {
+	event := log.Info().
+		Str("id", r.ID).
+		Str("route", r.Route).
+		Str("service", r.Service).
+		Str("account", r.Account).
+		Int("rank", r.Rank).
+		Int64("config", r.ConfigVersion).
+		Str("result", r.Result).
+		Int("status", r.Status).
+		Int64("left_ms", ms(r.TimeLeft)).
+		Int64("first_ms", ms(r.FirstEvent)).
+		Int64("total_ms", ms(r.Total))
+	if r.Cause != "" {
+		event = event.Str("cause", r.Cause)
+	}
+	if r.RetryAfter > 0 {
+		event = event.Int64("retry_after_ms", ms(r.RetryAfter))
+	}
+	if r.Events > 0 {
+		event = event.Int("events", r.Events)
+	}
+	if len(r.Attempts) > 0 {
+		attempts := zerolog.Arr()
+		for _, a := range r.Attempts {
+			attempts = attempts.Dict(zerolog.Dict().
+				Str("endpoint", a.Endpoint).
+				Str("result", a.Result).
+				Int64("expected_ms", ms(a.Expected)).
+				Int64("took_ms", ms(a.Took)).
+				Int("uncached", a.Uncached).
+				Int("running", a.Load.Running).
+				Int("prefill", a.Load.Prefill))
+		}
+		event = event.Array("attempts", attempts)
+	}
+	event.Msg("request")
+}
+
+func ms(d time.Duration) int64 { return d.Milliseconds() }
--- /dev/null
+++ b/gateway/placement/flight.go
@@ -0,0 +1,116 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// smoothing is the weight of the newest observation.
+	smoothing = 0.15
+	// minRatio and maxRatio bound one observation of slowness, so that a single
+	// outlier does not decide.
+	minRatio, maxRatio = 0.4, 8.0
+	// slownessHalfLife is the time in which the slowness of an endpoint without
+	// new observations moves half way to 1.
+	slownessHalfLife = 3 * time.Second
+	// minPromptForRate is the number of tokens from which a first event tells
+	// the prefill speed.
+	minPromptForRate = 1500
+)
+
+// Flight is a request at an endpoint, from its send to its end.
+type Flight struct {
+	endpoint *endpoint
+	service  *service
+	load     Load
+	work     *Work
+	sentAt   time.Time
+	ahead    int
+	uncached int
+	expected time.Duration
+	started  bool
+	ended    bool
+}
+
+// Send notes that a request goes to the chosen endpoint.
+func (f *Fleet) Send(now time.Time, w *Work, c Choice) *Flight {
+	e := f.endpoints[c.Endpoint.ID]
+	if e == nil {
+		return &Flight{ended: true, started: true}
+	}
+	s := f.services[e.Service]
+	flight := &Flight{
+		endpoint: e, service: s, work: w, sentAt: now,
+		ahead: c.Load.Prefill, uncached: c.Uncached, expected: c.Expected,
+	}
+	flight.load = Load{Running: 1}
+	if w.Streaming {
+		flight.load.Memory = w.PromptTokens + w.OutputTokens
+		flight.load.Prefill = c.Uncached
+		if w.tight(float64(max(e.TokensPerEvent, 1)) * chunkTokens / s.prefillRate) {
+			flight.load.Tight = 1
+		}
+		e.cache.use(w.shared(), c.Load.Memory)
+	}
+	e.own.add(flight.load, 1)
+	return flight
+}
+
+// Started notes the first event, or the head of a plain answer.
+func (fl *Flight) Started(now time.Time) {
+	if fl.started {
+		return
+	}
+	fl.started = true
+	took := float64(now.Sub(fl.sentAt)) / float64(time.Millisecond)
+	fl.learn(now, took)
+	fl.endpoint.own.add(Load{Prefill: fl.load.Prefill}, -1)
+	fl.load.Prefill = 0
+}
+
+func (fl *Flight) learn(now time.Time, took float64) {
+	expected := max(float64(fl.expected)/float64(time.Millisecond), 1)
+	fl.endpoint.observe(now, took/expected)
+	if !fl.work.Streaming {
+		fl.service.plainTime += smoothing * (took/fl.endpoint.slowness - fl.service.plainTime)
+		return
+	}
+	read := fl.ahead + fl.uncached
+	if fl.uncached >= minPromptForRate {
+		rate := float64(read) / max(took-float64(startTime.Milliseconds()), 1)
+		rate = min(max(rate, defaultPrefillRate/4), defaultPrefillRate*4)
+		fl.service.prefillRate += smoothing / 3 * (rate - fl.service.prefillRate)
+	}
+}
+
+func (e *endpoint) observe(now time.Time, ratio float64) {
+	ratio = min(max(ratio, minRatio), maxRatio)
+	e.decay(now)
+	e.slowness = math.Exp(math.Log(e.slowness) + smoothing*(math.Log(ratio)))
+	e.slowness = min(max(e.slowness, minRatio), maxRatio)
+	e.seenAt = now
+}
+
+func (e *endpoint) decay(now time.Time) {
+	if e.seenAt.IsZero() {
+		return
+	}
+	halves := float64(now.Sub(e.seenAt)) / float64(slownessHalfLife)
+	e.slowness = math.Exp(math.Log(e.slowness) * math.Pow(0.5, halves))
+	e.seenAt = now
+}
+
+// Ratio returns the time since the send relative to what was expected.
+func (fl *Flight) Ratio(now time.Time) float64 {
+	return float64(now.Sub(fl.sentAt)) / max(float64(fl.expected), float64(startTime))
+}
+
+// End notes the end of the request, however it ended.
+func (fl *Flight) End() {
+	if fl.ended {
+		return
+	}
+	fl.ended = true
+	fl.endpoint.own.add(fl.load, -1)
+}
--- /dev/null
+++ b/gateway/relay/protocol.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/gateway/placement"
+)
+
+// Fields is what a caller states of its request.
+type Fields struct {
+	// ID of the caller's attempt; each attempt has its own.
+	ID  string
+	Key string
+	// TimeLeft until the caller gives up, if HasDeadline.
+	TimeLeft    time.Duration
+	HasDeadline bool
+	// LastEventID is set when the caller resumes a stream.
+	LastEventID                string
+	PromptTokens, OutputTokens int
+	Parts                      []placement.Part
+}
+
+// Outgoing is what the gateway states to an endpoint.
+type Outgoing struct {
+	TimeLeft   time.Duration
+	EndpointID string
+	Account    string
+	Streaming  bool
+	Rank       int
+	// LastEventID replaces the caller's when the gateway resumes a stream.
+	LastEventID string
+}
+
+// AnswerFields is what an endpoint states of its answer.
+type AnswerFields struct {
+	// ID of the attempt that the answer belongs to.
+	ID string
+	// Signed answers come from an endpoint that ran the request.
+	Signed bool
+	// NotRun states that the endpoint did not run the request.
+	NotRun bool
+}
+
+// Protocol translates headers.
+type Protocol interface {
+	Request(http.Header) Fields
+	// Outgoing sets the system's own headers in place.
+	Outgoing(http.Header, Outgoing)
+	Answer(http.Header) AnswerFields
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect", "Host",
+}
+
+// endToEnd returns a copy of h without the headers that concern one connection.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, line := range h["Connection"] {
+		for _, name := range splitList(line) {
+			out.Del(name)
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/relay/record.go
@@ -0,0 +1,43 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/gateway/placement"
+)
+
+// Record is the line about one finished request.
+type Record struct {
+	ID, Route, Service, Account string
+	ConfigVersion               int64
+	Rank                        int
+	// Result names the outcome, such as "delivered" or "refused_overload".
+	Result string
+	Status int
+	// Cause is the last failure; empty when there was none.
+	Cause    string
+	Attempts []Attempt
+	// FirstEvent is the time from arrival to the first byte of the answer; zero
+	// when there was none.
+	FirstEvent, Total time.Duration
+	TimeLeft          time.Duration
+	RetryAfter        time.Duration
+	Events            int
+}
+
+// Attempt is what the line says of one endpoint.
+type Attempt struct {
+	Endpoint string
+	Expected time.Duration
+	Uncached int
+	Load     placement.Load
+	// Took is the time until the attempt ended.
+	Took time.Duration
+	// Result is the outcome of the attempt.
+	Result string
+}
+
+// Observer takes records and counts. Its methods must not block.
+type Observer interface {
+	Finished(Record)
+}
--- /dev/null
+++ b/gateway/relay/relay.go
@@ -0,0 +1,428 @@
+// Package relay serves callers: it matches a request to its route, asks where it
+// should go, forwards it, and passes the answer back byte by byte or gives a
+// failure of its own that is true. Decisions are made by the packages routing,
+// placement and outcome.
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/gateway/outcome"
+	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/routing"
+	"github.com/pistachiowind/pistachiowind/gateway/upstream"
+)
+
+const (
+	// defaultTimeLeft applies to callers that state no deadline on routes
+	// without a timeout.
+	defaultTimeLeft = 60 * time.Second
+	// maxUnsent bounds the endpoints that could not be reached for one request.
+	maxUnsent = 3
+	// minTimeForAttempt is the time below which a further attempt cannot
+	// succeed.
+	minTimeForAttempt = 20 * time.Millisecond
+	// maxPlainBytes is the size up to which a plain answer is read whole before
+	// it is passed on, so that a truncated one can be repeated or reported.
+	maxPlainBytes = 512 << 10
+	// bodyTimeout bounds the time for reading a request body.
+	bodyTimeout = 10 * time.Second
+	// defaultMaxBody applies while the configuration states no bound.
+	defaultMaxBody = 4 << 20
+	// freshForUnsafe is the age up to which an idle connection is used for a
+	// request that must not be repeated: an endpoint may drop it without notice.
+	freshForUnsafe = 1500 * time.Millisecond
+	// retryAfterSplit: callers honour a Retry-After of up to a third of the time
+	// they have left.
+	retryAfterSplit = 3
+	copyBufferBytes = 4 << 10
+)
+
+// Placer decides where requests go. Its implementation serialises the calls.
+type Placer interface {
+	// Admit returns the endpoint of an attempt, or a refusal.
+	Admit(w *placement.Work, q Quest) (Ticket, *Refusal)
+	// AllowRetry takes a token of the retry budget of a service.
+	AllowRetry(service, account string) bool
+	// FirstAttempt earns a fraction of a token.
+	FirstAttempt(service, account string)
+}
+
+// Quest is what the placement needs to know beyond the work.
+type Quest struct {
+	Account  string
+	TimeLeft time.Duration
+	// Further is true for attempts after the first.
+	Further bool
+}
+
+// Ticket is a placed attempt.
+type Ticket interface {
+	Choice() placement.Choice
+	// Started notes the first event or the head of a plain answer.
+	Started()
+	// Ended notes the result of the attempt.
+	Ended(Result)
+}
+
+// Result is the outcome of an attempt for the judgement of the endpoint.
+type Result int
+
+// Results of an attempt.
+const (
+	// Whole answers were read to their end.
+	Whole Result = iota
+	// Neutral ends say nothing about the endpoint: the caller left, or time ran out.
+	Neutral
+	// Broken answers did not come, were spoiled or ended early.
+	Broken
+	// Rejected requests were not run.
+	Rejected
+	// Unreachable endpoints did not accept a connection.
+	Unreachable
+)
+
+// Refusal is a decision not to forward a request.
+type Refusal struct {
+	// Reason is a short name for the log.
+	Reason string
+	// RetryAfter is when room is expected.
+	RetryAfter time.Duration
+}
+
+// Options configure a Relay. All fields are required.
+type Options struct {
+	Protocol Protocol
+	// Table returns the configuration in force, nil while none is known.
+	Table    func() *routing.Table
+	Placer   Placer
+	Pool     *upstream.Pool
+	Observer Observer
+	// PickService draws a service of a split route.
+	PickService func(*routing.Route) string
+}
+
+// Relay is an http.Handler.
+type Relay struct {
+	o Options
+}
+
+// New returns a Relay.
+func New(o Options) *Relay { return &Relay{o: o} }
+
+// exchange is one request of a caller.
+type exchange struct {
+	*Relay
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time
+	table   *routing.Table
+	route   *routing.Route
+	account string
+	rank    int
+	fields  Fields
+	body    []byte
+	work    placement.Work
+	record  Record
+	// deadline is the earlier of the caller's and the route's.
+	deadline time.Time
+	state    outcome.State
+	// headSent states that the head of an answer has gone to the caller.
+	headSent bool
+	events   eventSplitter
+}
+
+// ServeHTTP implements http.Handler.
+func (rl *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{Relay: rl, w: w, r: r, arrived: time.Now(), table: rl.o.Table()}
+	// net/http would add both; an answer has only the endpoint's own headers.
+	w.Header()["Date"] = nil
+	w.Header()["Content-Type"] = nil
+	defer x.finish()
+	if !x.resolve() || !x.readBody() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	defer cancel()
+	x.run(ctx)
+}
+
+// finish writes the record also when the connection is being aborted.
+func (x *exchange) finish() {
+	x.record.Total = time.Since(x.arrived)
+	x.record.Status = max(x.record.Status, 0)
+	x.o.Observer.Finished(x.record)
+}
+
+// resolve finds the route and the client account, or answers the request.
+func (x *exchange) resolve() bool {
+	x.fields = x.o.Protocol.Request(x.r.Header)
+	x.record.ID = x.fields.ID
+	if x.table == nil {
+		x.refuse(&Refusal{Reason: "no_config", RetryAfter: time.Second})
+		return false
+	}
+	x.record.ConfigVersion = x.table.Version
+	x.route = x.table.Route(x.r.Host, x.r.URL.Path)
+	if x.route == nil {
+		x.fail(http.StatusNotFound, "unknown_route", nil)
+		return false
+	}
+	x.record.Route = x.route.Name
+	x.rank = x.route.Rank
+	if x.table.NeedsKey(x.route) {
+		account := x.table.Account(x.fields.Key)
+		if account == nil {
+			x.fail(http.StatusUnauthorized, "unknown_key", nil)
+			return false
+		}
+		x.account = account.Name
+		if account.Rank != nil {
+			x.rank = *account.Rank
+		}
+	}
+	x.record.Account, x.record.Rank = x.account, x.rank
+	x.setDeadline()
+	return true
+}
+
+func (x *exchange) setDeadline() {
+	left := time.Duration(math.MaxInt64)
+	if x.fields.HasDeadline {
+		left = x.fields.TimeLeft
+	}
+	if x.route.Timeout > 0 {
+		left = min(left, x.route.Timeout)
+	}
+	if left == math.MaxInt64 {
+		left = defaultTimeLeft
+	}
+	x.record.TimeLeft = left
+	x.deadline = x.arrived.Add(left)
+}
+
+// readBody reads the whole body, so that the request can be framed anew and sent
+// again.
+func (x *exchange) readBody() bool {
+	if x.r.ContentLength == 0 {
+		return true
+	}
+	limit := x.table.Limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	if x.r.ContentLength > limit {
+		x.fail(http.StatusRequestEntityTooLarge, "body_too_large", nil)
+		return false
+	}
+	until := x.arrived.Add(bodyTimeout)
+	if x.deadline.Before(until) {
+		until = x.deadline
+	}
+	control := http.NewResponseController(x.w)
+	if err := control.SetReadDeadline(until); err != nil {
+		x.record.Cause = err.Error()
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		x.fail(http.StatusRequestEntityTooLarge, "body_too_large", nil)
+		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.fail(http.StatusRequestTimeout, "body_timeout", err)
+		return false
+	case err != nil:
+		x.record.Result, x.record.Cause = "body_unreadable", err.Error()
+		panic(http.ErrAbortHandler)
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		x.record.Cause = err.Error()
+	}
+	x.body = body
+	return true
+}
+
+// run makes attempts until the request has its answer.
+func (x *exchange) run(ctx context.Context) {
+	service := x.o.PickService(x.route)
+	x.record.Service = service
+	x.work = placement.Work{
+		Service:      service,
+		Streaming:    x.route.Kind == routing.Streaming,
+		PromptTokens: x.fields.PromptTokens,
+		OutputTokens: x.fields.OutputTokens,
+		Parts:        x.fields.Parts,
+		Target:       x.route.Target,
+		MaxPause:     x.route.MaxPause,
+		Rank:         x.rank,
+	}
+	x.state = outcome.State{
+		Repeatable:  x.route.Repeatable() || x.route.Resumable,
+		MaxAttempts: x.route.MaxAttempts,
+		MaxUnsent:   maxUnsent,
+	}
+	x.events.lastID = x.fields.LastEventID
+	for x.attempt(ctx, service) {
+	}
+}
+
+// attempt makes one attempt and reports whether another should follow.
+func (x *exchange) attempt(ctx context.Context, service string) bool {
+	further := len(x.record.Attempts) > 0
+	quest := Quest{Account: x.account, TimeLeft: time.Until(x.deadline), Further: further}
+	ticket, refusal := x.o.Placer.Admit(&x.work, quest)
+	if refusal != nil {
+		x.noEndpoint(refusal)
+		return false
+	}
+	if !further {
+		x.o.Placer.FirstAttempt(service, x.account)
+	}
+	choice := ticket.Choice()
+	x.work.Excluded = append(x.work.Excluded, choice.Endpoint.ID)
+	x.record.Attempts = append(x.record.Attempts, Attempt{
+		Endpoint: choice.Endpoint.ID,
+		Expected: choice.Expected,
+		Uncached: choice.Uncached,
+		Load:     choice.Load,
+	})
+	began := time.Now()
+	end := x.send(ctx, ticket)
+	last := &x.record.Attempts[len(x.record.Attempts)-1]
+	last.Took, last.Result = time.Since(began), end.name
+	if end.err != nil {
+		x.record.Cause = end.err.Error()
+	}
+	return x.proceed(ctx, end)
+}
+
+// noEndpoint ends the request when no endpoint takes an attempt.
+func (x *exchange) noEndpoint(refusal *Refusal) {
+	switch {
+	case x.headSent:
+		x.abort("stream_broken")
+	case x.state.MayHaveRun:
+		x.fail(http.StatusBadGateway, "outcome_unknown", nil)
+	default:
+		x.refuse(refusal)
+	}
+}
+
+// ending is the outcome of one attempt.
+type ending struct {
+	kind outcome.Kind
+	name string
+	err  error
+	// answer is kept for a failure of the endpoint that may be delivered.
+	answer *upstream.Response
+	body   []byte
+	// done states that the answer was delivered.
+	done bool
+}
+
+// proceed applies the decision about what follows an attempt.
+func (x *exchange) proceed(ctx context.Context, end ending) bool {
+	if end.done {
+		return false
+	}
+	if x.r.Context().Err() != nil {
+		x.record.Result = "caller_left"
+		panic(http.ErrAbortHandler)
+	}
+	if end.kind == outcome.NotSent {
+		x.state.Unsent++
+	} else {
+		x.state.Sent++
+	}
+	if end.kind == outcome.Unknown || end.kind == outcome.Failed {
+		x.state.MayHaveRun = true
+	}
+	x.state.TimeLeft = ctx.Err() == nil && time.Until(x.deadline) > minTimeForAttempt
+	action := outcome.Decide(end.kind, x.state)
+	if action == outcome.Retry && end.kind != outcome.NotSent && !x.o.Placer.AllowRetry(x.work.Service, x.account) {
+		x.state.TimeLeft = false
+		action = outcome.Decide(end.kind, x.state)
+		x.record.Cause = "retry budget spent"
+	}
+	return x.apply(ctx, action, end)
+}
+
+func (x *exchange) apply(ctx context.Context, action outcome.Action, end ending) bool {
+	switch {
+	case action == outcome.Retry:
+		return true
+	case x.headSent:
+		x.abort("stream_broken")
+	case action == outcome.Deliver:
+		x.deliver(end.answer.Response, end.body)
+	case action == outcome.Refuse:
+		x.refuse(&Refusal{Reason: end.name, RetryAfter: x.retrySoon()})
+	case ctx.Err() != nil:
+		x.fail(http.StatusGatewayTimeout, "timeout", end.err)
+	default:
+		x.fail(http.StatusBadGateway, end.name, end.err)
+	}
+	return false
+}
+
+// retrySoon is the advice after an endpoint did not run a request: others have
+// room, so the caller may come back at once.
+func (x *exchange) retrySoon() time.Duration { return 50 * time.Millisecond }
+
+func (x *exchange) refuse(refusal *Refusal) {
+	after := refusal.RetryAfter
+	if x.fields.HasDeadline {
+		left := x.fields.TimeLeft - time.Since(x.arrived)
+		after = min(after, left/retryAfterSplit)
+	}
+	after = max(after, 0)
+	x.record.RetryAfter = after
+	x.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	x.fail(http.StatusServiceUnavailable, refusal.Reason, nil)
+}
+
+// fail answers with a failure of the gateway's own.
+func (x *exchange) fail(status int, result string, cause error) {
+	x.record.Result, x.record.Status = result, status
+	if cause != nil {
+		x.record.Cause = cause.Error()
+	}
+	x.w.Header().Set("Content-Length", "0")
+	x.w.WriteHeader(status)
+}
+
+// abort cuts the caller's connection, so that an answer that ended early does
+// not look complete.
+func (x *exchange) abort(result string) {
+	x.record.Result = result
+	panic(http.ErrAbortHandler)
+}
+
+// deliver passes a whole answer of an endpoint on.
+func (x *exchange) deliver(answer *http.Response, body []byte) {
+	x.record.Result, x.record.Status = "delivered", answer.StatusCode
+	x.copyHead(answer)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(answer.StatusCode)
+	if x.r.Method == http.MethodHead {
+		return
+	}
+	if _, err := x.w.Write(body); err != nil {
+		x.record.Result, x.record.Cause = "caller_left", err.Error()
+	}
+}
+
+func (x *exchange) copyHead(answer *http.Response) {
+	h := x.w.Header()
+	for name, values := range endToEnd(answer.Header) {
+		h[name] = values
+	}
+}
--- /dev/null
+++ b/gateway/relay/send.go
@@ -0,0 +1,227 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/gateway/outcome"
+	"github.com/pistachiowind/pistachiowind/gateway/routing"
+	"github.com/pistachiowind/pistachiowind/gateway/upstream"
+)
+
+var (
+	errUnsigned = errors.New("success without the endpoint's signature")
+	errEncoded  = errors.New("answer has a content encoding that was not asked for")
+	errTooLarge = fmt.Errorf("plain answer exceeds %d bytes", maxPlainBytes)
+)
+
+// send forwards the request to the placed endpoint and, for a success, the
+// answer to the caller.
+func (x *exchange) send(ctx context.Context, t Ticket) ending {
+	answer, err := x.o.Pool.RoundTrip(ctx, t.Choice().Endpoint.Address, x.outgoing(t))
+	if err != nil {
+		return x.exchangeFailed(ctx, t, err)
+	}
+	fields := x.o.Protocol.Answer(answer.Header)
+	if fields.NotRun || answer.StatusCode == http.StatusMisdirectedRequest {
+		return x.notRun(t, answer)
+	}
+	if err := credible(answer, fields); err != nil {
+		answer.Abort()
+		t.Ended(Broken)
+		return ending{kind: outcome.Unknown, name: "answer_spoiled", err: err}
+	}
+	if x.route.Kind == routing.Streaming && success(answer.StatusCode) {
+		return x.stream(ctx, t, answer)
+	}
+	return x.plain(ctx, t, answer)
+}
+
+func success(status int) bool { return status >= 200 && status < 300 }
+
+// credible checks that an answer can be passed on as the endpoint's own. A
+// status that promises "not run" is only true together with that statement.
+func credible(answer *upstream.Response, fields AnswerFields) error {
+	switch {
+	case success(answer.StatusCode) && !fields.Signed:
+		return errUnsigned
+	case answer.Header.Get("Content-Encoding") != "":
+		return errEncoded
+	case outcome.PromisesNotRun(answer.StatusCode):
+		return fmt.Errorf("status %d without a statement that the request did not run", answer.StatusCode)
+	}
+	return nil
+}
+
+func (x *exchange) outgoing(t Ticket) *upstream.Request {
+	h := endToEnd(x.r.Header)
+	o := Outgoing{
+		TimeLeft:   time.Until(x.deadline),
+		EndpointID: t.Choice().Endpoint.ID,
+		Account:    x.account,
+		Streaming:  x.route.Kind == routing.Streaming,
+		Rank:       x.rank,
+	}
+	if x.headSent {
+		o.LastEventID = x.events.lastID
+	}
+	x.o.Protocol.Outgoing(h, o)
+	req := &upstream.Request{
+		Method:  x.r.Method,
+		Target:  x.r.RequestURI,
+		Host:    x.r.Host,
+		Header:  h,
+		Body:    x.body,
+		HasBody: x.r.ContentLength != 0 || x.r.Header.Get("Content-Length") != "",
+		Answers: x.answersThis,
+	}
+	if !x.state.Repeatable {
+		req.MaxIdle = freshForUnsafe
+	}
+	return req
+}
+
+// answersThis reports whether an answer belongs to this request. Statements that
+// a request was not run may lack the id.
+func (x *exchange) answersThis(h http.Header) bool {
+	id := x.o.Protocol.Answer(h).ID
+	return id == "" || id == x.fields.ID
+}
+
+func (x *exchange) exchangeFailed(ctx context.Context, t Ticket, err error) ending {
+	var failure *upstream.Failure
+	end := ending{kind: outcome.Unknown, name: "unanswered", err: err}
+	result := Broken
+	if errors.As(err, &failure) {
+		switch failure.Stage {
+		case upstream.NotSent:
+			end.kind, end.name, result = outcome.NotSent, "unreachable", Unreachable
+		case upstream.Spoiled:
+			end.name = "answer_spoiled"
+		}
+	}
+	if ctx.Err() != nil {
+		result = Neutral
+	}
+	t.Ended(result)
+	return end
+}
+
+func (x *exchange) notRun(t Ticket, answer *upstream.Response) ending {
+	status := answer.StatusCode
+	if _, err := io.CopyN(io.Discard, answer.Body, maxPlainBytes); err == io.EOF {
+		answer.Finish()
+	} else {
+		answer.Abort()
+	}
+	t.Ended(Rejected)
+	return ending{kind: outcome.NotRun, name: fmt.Sprintf("endpoint_rejected_%d", status)}
+}
+
+// plain reads the whole answer and delivers it.
+func (x *exchange) plain(ctx context.Context, t Ticket, answer *upstream.Response) ending {
+	t.Started()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxPlainBytes+1))
+	if err == nil && len(body) > maxPlainBytes {
+		err = errTooLarge
+	}
+	if err != nil {
+		answer.Abort()
+		result := Broken
+		if ctx.Err() != nil {
+			result = Neutral
+		}
+		t.Ended(result)
+		return ending{kind: outcome.Unknown, name: "answer_truncated", err: err}
+	}
+	answer.Finish()
+	if answer.StatusCode >= http.StatusInternalServerError {
+		t.Ended(Broken)
+		return ending{kind: outcome.Failed, name: fmt.Sprintf("endpoint_failed_%d", answer.StatusCode), answer: answer, body: body}
+	}
+	t.Ended(Whole)
+	x.record.FirstEvent = time.Since(x.arrived)
+	x.deliver(answer.Response, body)
+	return ending{name: "delivered", done: true}
+}
+
+// stream passes events on as they arrive.
+func (x *exchange) stream(ctx context.Context, t Ticket, answer *upstream.Response) ending {
+	x.events.drop()
+	buffer := make([]byte, copyBufferBytes)
+	for {
+		n, err := answer.Body.Read(buffer)
+		if n > 0 {
+			t.Started()
+			if failed := x.forward(answer, x.events.push(buffer[:n])); failed != nil {
+				answer.Abort()
+				t.Ended(Neutral)
+				x.record.Cause = failed.Error()
+				x.abort("caller_left")
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if err != io.EOF {
+			return x.streamBroke(ctx, t, answer, err)
+		}
+		return x.streamEnded(t, answer)
+	}
+}
+
+func (x *exchange) streamEnded(t Ticket, answer *upstream.Response) ending {
+	if failed := x.forward(answer, x.events.flush()); failed != nil {
+		answer.Abort()
+		t.Ended(Neutral)
+		x.record.Cause = failed.Error()
+		x.abort("caller_left")
+	}
+	if !x.headSent {
+		x.sendHead(answer)
+	}
+	answer.Finish()
+	t.Ended(Whole)
+	x.record.Result = "delivered"
+	return ending{name: "delivered", done: true}
+}
+
+func (x *exchange) streamBroke(ctx context.Context, t Ticket, answer *upstream.Response, err error) ending {
+	answer.Abort()
+	result := Broken
+	if ctx.Err() != nil {
+		result = Neutral
+	}
+	t.Ended(result)
+	if x.events.oversize {
+		x.record.Cause = err.Error()
+		x.abort("stream_broken")
+	}
+	return ending{kind: outcome.Unknown, name: "stream_broken", err: err}
+}
+
+func (x *exchange) sendHead(answer *upstream.Response) {
+	x.headSent = true
+	x.record.FirstEvent = time.Since(x.arrived)
+	x.record.Status = answer.StatusCode
+	x.copyHead(answer.Response)
+	x.w.WriteHeader(answer.StatusCode)
+}
+
+func (x *exchange) forward(answer *upstream.Response, events []byte) error {
+	if len(events) == 0 {
+		return nil
+	}
+	if !x.headSent {
+		x.sendHead(answer)
+	}
+	x.record.Events++
+	if _, err := x.w.Write(events); err != nil {
+		return err
+	}
+	return http.NewResponseController(x.w).Flush()
+}
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/resultcode"
+)
+
+// Settings of a gateway, a JSON file.
+type Settings struct {
+	Name             string `json:"name"`
+	Region           string `json:"region"`
+	AvailabilityZone string `json:"availability_zone"`
+	// Listen holds addresses as IP:PORT.
+	Listen Listen `json:"listen"`
+	// StoreAddress is the IP:PORT of the platform's store.
+	StoreAddress string `json:"store_address"`
+	// PeerSeeds are ready addresses of other gateways, at most three.
+	PeerSeeds []string `json:"peer_seeds,omitempty"`
+	// MemoryMB is the memory limit of the process in megabytes.
+	MemoryMB int `json:"memory_mb"`
+	// GracePeriodS is the time from SIGTERM to SIGKILL in seconds.
+	GracePeriodS float64 `json:"grace_period_s"`
+	// RetryRatio, RetryWindowS and RetryAllowance bound the attempts beyond the
+	// first one of all gateways together.
+	RetryRatio     float64 `json:"retry_ratio"`
+	RetryWindowS   float64 `json:"retry_window_s"`
+	RetryAllowance float64 `json:"retry_allowance"`
+	// LogLinesPerS bounds the log; further lines are counted and dropped. The
+	// default is 400.
+	LogLinesPerS int `json:"log_lines_per_s,omitempty"`
+}
+
+// Listen holds the addresses on which a gateway accepts connections.
+type Listen struct {
+	Callers string `json:"callers"`
+	Ready   string `json:"ready"`
+	// Metrics is empty for no metrics.
+	Metrics string `json:"metrics,omitempty"`
+	// Peers is the UDP address for the exchange of loads; empty for none.
+	Peers string `json:"peers,omitempty"`
+}
+
+// GracePeriod is the time from SIGTERM to SIGKILL.
+func (s Settings) GracePeriod() time.Duration {
+	return time.Duration(s.GracePeriodS * float64(time.Second))
+}
+
+// LoadSettings reads and checks a settings file. The error is a
+// *resultcode.Error with code InvalidSettings.
+func LoadSettings(path string) (Settings, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return Settings{}, resultcode.Wrap(resultcode.InvalidSettings, err, "open settings")
+	}
+	defer file.Close()
+	return ReadSettings(file)
+}
+
+// ReadSettings decodes and checks settings.
+func ReadSettings(r io.Reader) (Settings, error) {
+	decoder := json.NewDecoder(r)
+	decoder.DisallowUnknownFields()
+	var s Settings
+	if err := decoder.Decode(&s); err != nil {
+		return Settings{}, resultcode.Wrap(resultcode.InvalidSettings, err, "decode settings")
+	}
+	if err := s.check(); err != nil {
+		return Settings{}, resultcode.Wrap(resultcode.InvalidSettings, err, "check settings")
+	}
+	return s, nil
+}
+
+func (s Settings) check() error {
+	var faults []error
+	require := func(ok bool, field, rule string) {
+		if !ok {
+			faults = append(faults, fmt.Errorf("field %s: %s", field, rule))
+		}
+	}
+	address := func(field, value string, optional bool) {
+		if optional && value == "" {
+			return
+		}
+		_, err := netip.ParseAddrPort(value)
+		require(err == nil, field, "must be IP:PORT")
+	}
+	require(s.Name != "", "name", "must not be empty")
+	require(s.AvailabilityZone != "", "availability_zone", "must not be empty")
+	require(s.MemoryMB >= 32, "memory_mb", "must be at least 32")
+	require(s.GracePeriodS > 0, "grace_period_s", "must be positive")
+	require(s.RetryRatio >= 0 && s.RetryRatio <= 1, "retry_ratio", "must be from 0 to 1")
+	require(s.RetryWindowS > 0, "retry_window_s", "must be positive")
+	require(s.RetryAllowance >= 0, "retry_allowance", "must not be negative")
+	require(s.LogLinesPerS >= 0, "log_lines_per_s", "must not be negative")
+	address("listen.callers", s.Listen.Callers, false)
+	address("listen.ready", s.Listen.Ready, false)
+	address("listen.metrics", s.Listen.Metrics, true)
+	address("listen.peers", s.Listen.Peers, true)
+	address("store_address", s.StoreAddress, false)
+	for i, seed := range s.PeerSeeds {
+		address(fmt.Sprintf("peer_seeds[%d]", i), seed, false)
+	}
+	return errors.Join(faults...)
+}
