Exchange loads between gateways and fetch shared prompt parts

Change: gateway/peers exchanges loads and placements by UDP; placement fetches the cached parts from the engine that read them; SIGHUP reloads.

--- a/cmd/pistachiowind-gateway/main.go
+++ b/cmd/pistachiowind-gateway/main.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/rs/zerolog"
 
 	"github.com/pistachiowind/pistachiowind/gateway"
 	"github.com/pistachiowind/pistachiowind/gateway/follow"
@@ -46,14 +47,14 @@
 	if *check {
 		return
 	}
-	if err := run(settings); err != nil {
+	if err := run(*path, settings); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(s gateway.Settings) error {
-	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * 1e6))
+func run(path string, s gateway.Settings) error {
+	limitMemory(s)
 	debug.SetGCPercent(gcPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -88,9 +89,33 @@
 		Log:          log,
 		Rand:         mathrand.New(mathrand.NewPCG(seed(), seed())),
 	})
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go func() {
+		for range hangups {
+			reload(path, g, log)
+		}
+	}()
 	return g.Serve(ctx)
 }
 
+func limitMemory(s gateway.Settings) {
+	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * 1e6))
+}
+
+// reload takes the settings file after SIGHUP. A file that is not valid leaves
+// the settings as they are.
+func reload(path string, g *gateway.Gateway, log zerolog.Logger) {
+	s, err := gateway.LoadSettings(path)
+	if err != nil {
+		log.Error().Err(err).Msg("new settings are not valid; the previous ones stay in force")
+		return
+	}
+	limitMemory(s)
+	g.Reload(s)
+}
+
 // seed reads the operating system's random source, which does not fail on Linux.
 func seed() uint64 {
 	var b [8]byte
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -106,6 +106,16 @@
 	return b
 }
 
+// reload takes the retry limits of new settings if they differ.
+func (d *dispatcher) reload(s Settings) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s.RetryRatio != d.settings.RetryRatio || s.RetryAllowance != d.settings.RetryAllowance {
+		clear(d.budgets)
+	}
+	d.settings = s
+}
+
 // refresh renews the judgement of the endpoints.
 func (d *dispatcher) refresh() []registry.Change {
 	d.mu.Lock()
@@ -154,12 +164,22 @@
 		if s := d.table.Service(e.Service); s != nil && s.Engine != nil {
 			description.MemoryTokens = s.Engine.MemoryTokens
 			description.TokensPerEvent = s.Engine.TokensPerEvent
+			description.FetchRate = fetchRate(s.Engine)
 		}
 	}
 	d.fleet.Put(description)
 	d.health.Join(now, e.ID, e.Service)
 }
 
+// fetchRate is the speed of a transfer between engines in tokens per millisecond.
+func fetchRate(e *routing.Engine) float64 {
+	if e.TokenBytes <= 0 {
+		return 0
+	}
+	const bytesPerMSPerMbps = 125
+	return e.LinkMbps * bytesPerMSPerMbps / float64(e.TokenBytes)
+}
+
 // adopt takes a configuration and describes the endpoints anew by it.
 func (d *dispatcher) adopt(t *routing.Table) {
 	d.mu.Lock()
--- /dev/null
+++ b/gateway/exchange.go
@@ -0,0 +1,167 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/gateway/peers"
+	"github.com/pistachiowind/pistachiowind/gateway/peers/wire"
+	"github.com/pistachiowind/pistachiowind/gateway/placement"
+)
+
+const (
+	// placementRepeat is how long a placement is part of the statements, so that
+	// a lost datagram does not lose it.
+	placementRepeat = 3
+	// maxLoads and maxPlacementsSent keep a statement below peers.MaxDatagram.
+	maxLoads          = 300
+	maxPlacementsSent = 200
+)
+
+// exchange sends this gateway's loads to its peers and takes theirs.
+type exchange struct {
+	gateway *Gateway
+	mu      sync.Mutex
+	state   *peers.Exchange
+	lost    uint64
+}
+
+// peerSeeds returns the seeds with the port that all gateways use for peers.
+func peerSeeds(s Settings) []string {
+	self, err := netip.ParseAddrPort(s.Listen.Peers)
+	if err != nil {
+		return nil
+	}
+	var seeds []string
+	for _, seed := range s.PeerSeeds {
+		if a, err := netip.ParseAddrPort(seed); err == nil {
+			seeds = append(seeds, netip.AddrPortFrom(a.Addr(), self.Port()).String())
+		}
+	}
+	return seeds
+}
+
+func newExchange(g *Gateway, started time.Time) *exchange {
+	s := g.o.Settings
+	return &exchange{gateway: g, state: peers.New(s.Listen.Peers, peerSeeds(s), started)}
+}
+
+// serve exchanges statements until ctx ends.
+func (x *exchange) serve(ctx context.Context) error {
+	socket, err := net.ListenPacket("udp", x.gateway.o.Settings.Listen.Peers)
+	if err != nil {
+		return err
+	}
+	defer socket.Close()
+	received := make(chan error, 1)
+	go func() { received <- x.receive(socket) }()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-received:
+			return err
+		case <-timer.C:
+			timer.Reset(x.send(socket))
+		}
+	}
+}
+
+// send sends one statement to all peers and returns the time until the next.
+func (x *exchange) send(socket net.PacketConn) time.Duration {
+	now := time.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	interval := x.state.Interval(now)
+	loads, placements := x.gateway.dispatcher.statement(now.Add(-placementRepeat * interval))
+	datagram, err := x.state.Compose(now, loads, placements)
+	if err != nil {
+		x.gateway.log.Warn().Err(err).Msg("statement to peers not sent")
+		return interval
+	}
+	for _, target := range x.state.Targets(now) {
+		address, err := netip.ParseAddrPort(target)
+		if err != nil {
+			continue
+		}
+		// A datagram that is not sent is replaced by the next one.
+		if _, err := socket.WriteTo(datagram, net.UDPAddrFromAddrPort(address)); err != nil {
+			x.lost++
+		}
+	}
+	return interval
+}
+
+func (x *exchange) receive(socket net.PacketConn) error {
+	buffer := make([]byte, peers.MaxDatagram+1)
+	for {
+		n, _, err := socket.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		if err != nil {
+			x.lost++
+			continue
+		}
+		x.take(buffer[:n])
+	}
+}
+
+func (x *exchange) take(datagram []byte) {
+	now := time.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	statement, fresh, err := x.state.Receive(now, datagram)
+	if err != nil || !fresh {
+		return
+	}
+	x.gateway.dispatcher.heard(now, statement)
+}
+
+// statement returns the loads of this gateway and its placements since a time.
+func (d *dispatcher) statement(since time.Time) ([]*wire.Load, []*wire.Placement) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var loads []*wire.Load
+	d.fleet.OwnLoads(func(endpoint uint64, l placement.Load) {
+		if len(loads) >= maxLoads {
+			return
+		}
+		loads = append(loads, &wire.Load{
+			Endpoint: endpoint,
+			Running:  uint32(l.Running),
+			Tight:    uint32(l.Tight),
+			Prefill:  uint32(l.Prefill),
+			Memory:   uint32(l.Memory),
+		})
+	})
+	latest := d.fleet.Placements(since)
+	latest = latest[max(len(latest)-maxPlacementsSent, 0):]
+	var placements []*wire.Placement
+	for _, p := range latest {
+		placements = append(placements, &wire.Placement{Endpoint: p.Endpoint, Part: p.Part.ID, Tokens: uint32(p.Part.Tokens)})
+	}
+	return loads, placements
+}
+
+// heard takes a peer's statement.
+func (d *dispatcher) heard(now time.Time, s *wire.Statement) {
+	loads := make(map[uint64]placement.Load, len(s.Loads))
+	for _, l := range s.Loads {
+		loads[l.Endpoint] = placement.Load{
+			Running: int(l.Running), Tight: int(l.Tight), Prefill: int(l.Prefill), Memory: int(l.Memory),
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fleet.PeerLoads(now, s.Sender, loads)
+	for _, p := range s.Placements {
+		d.fleet.PeerPlacement(now, p.Endpoint, placement.Part{ID: p.Part, Tokens: int(p.Tokens)})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 //	├── config       follows the operators' configuration
 //	├── endpoints    follows the directory of endpoints
 //	├── connections  closes idle connections to endpoints
+//	├── peers        exchanges loads with other gateways
 //	├── health       renews the judgement of the endpoints
 //	└── log          writes log lines
 package gateway
@@ -70,11 +71,14 @@
 	callers    *http.Server
 	idle       *idleCloser
 	draining   atomic.Bool
+	// grace is the time from SIGTERM to SIGKILL in nanoseconds.
+	grace atomic.Int64
 }
 
 // New returns a Gateway that does not listen yet.
 func New(o Options) *Gateway {
 	g := &Gateway{o: o, log: o.Log, dispatcher: newDispatcher(o.Settings, o.Rand)}
+	g.grace.Store(int64(o.Settings.GracePeriod()))
 	g.pool = upstream.NewPool(upstream.Options{})
 	g.idle = newIdleCloser(g.idleTimeout)
 	g.callers = &http.Server{
@@ -100,6 +104,15 @@
 	return time.Minute
 }
 
+// Reload takes new settings. Addresses stay as they were at the start; the grace
+// period and the retry limits change at once.
+func (g *Gateway) Reload(s Settings) {
+	g.dispatcher.reload(s)
+	g.grace.Store(int64(s.GracePeriod()))
+	g.log.Info().Float64("grace_period_s", s.GracePeriodS).Float64("retry_ratio", s.RetryRatio).
+		Float64("retry_allowance", s.RetryAllowance).Msg("settings reloaded")
+}
+
 // Ready reports whether the gateway can serve callers.
 func (g *Gateway) Ready() bool {
 	return !g.draining.Load() && g.table.Load() != nil && g.dispatcher.isListed()
@@ -150,12 +163,16 @@
 	}})
 	seed := func() *rand.Rand { return rand.New(rand.NewPCG(g.o.Rand.Uint64(), g.o.Rand.Uint64())) }
 	readyServer := &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerTimeout}
-	for _, s := range []serviceFunc{
+	services := []serviceFunc{
 		{"config", follow.New(g.o.Config, g.o.ConfigSink(g), seed()).Serve},
 		{"endpoints", follow.New(g.o.Endpoints, g.o.EndpointSink(g), seed()).Serve},
 		{"connections", g.pool.Sweep},
 		{"health", g.refreshHealth},
-	} {
+	}
+	if g.o.Settings.Listen.Peers != "" {
+		services = append(services, serviceFunc{"peers", newExchange(g, time.Now()).serve})
+	}
+	for _, s := range services {
 		supervisor.Add(s)
 	}
 	ended := supervisor.ServeBackground(running)
@@ -184,8 +201,9 @@
 	g.draining.Store(true)
 	g.log.Info().Msg("draining")
 	g.callers.SetKeepAlivesEnabled(false)
-	time.Sleep(min(leaveRotation, g.o.Settings.GracePeriod()/3))
-	left := g.o.Settings.GracePeriod() - killMargin - time.Since(began)
+	grace := time.Duration(g.grace.Load())
+	time.Sleep(min(leaveRotation, grace/3))
+	left := grace - killMargin - time.Since(began)
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	if err := g.callers.Shutdown(ctx); err != nil {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -40,6 +40,7 @@
 				Int64("expected_ms", ms(a.Expected)).
 				Int64("took_ms", ms(a.Took)).
 				Int("uncached", a.Uncached).
+				Int("fetched", a.Fetched).
 				Int("running", a.Load.Running).
 				Int("prefill", a.Load.Prefill))
 		}
--- a/gateway/placement/cache.go
+++ b/gateway/placement/cache.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"time"
+
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
@@ -10,33 +12,84 @@
 // partCache models which shared parts an engine keeps. Like the engine, it drops
 // the least recently used part when the memory is full.
 type partCache struct {
-	parts    *simplelru.LRU[uint64, int]
+	parts    *simplelru.LRU[uint64, cachedPart]
 	tokens   int
 	capacity int
 }
 
+type cachedPart struct {
+	tokens int
+	// readAt is when the engine is expected to have read the part.
+	readAt time.Time
+}
+
 func newPartCache(capacity int) *partCache {
 	c := &partCache{capacity: capacity}
 	// The size is positive, which is all that NewLRU checks.
-	c.parts, _ = simplelru.NewLRU[uint64, int](maxCachedParts, func(_ uint64, tokens int) { c.tokens -= tokens })
+	c.parts, _ = simplelru.NewLRU[uint64, cachedPart](maxCachedParts, func(_ uint64, p cachedPart) { c.tokens -= p.tokens })
 	return c
 }
 
-func (c *partCache) has(id uint64) bool { return c.parts.Contains(id) }
+// state tells whether a part was sent there and whether it was read by now.
+func (c *partCache) state(now time.Time, id uint64) (sent, read bool) {
+	p, ok := c.parts.Peek(id)
+	return ok, ok && !now.Before(p.readAt)
+}
 
-// use marks parts as read now; inUse is the memory that running requests hold.
-func (c *partCache) use(parts []Part, inUse int) {
-	for _, p := range parts {
-		if _, ok := c.parts.Get(p.ID); ok {
-			continue
-		}
-		c.parts.Add(p.ID, p.Tokens)
-		c.tokens += p.Tokens
+// use marks a part as needed now and returns whether it was not known before.
+// Memory that running requests hold, inUse, is not available for parts.
+func (c *partCache) use(p Part, readAt time.Time, inUse int) bool {
+	if _, ok := c.parts.Get(p.ID); ok {
+		return false
 	}
+	c.parts.Add(p.ID, cachedPart{tokens: p.Tokens, readAt: readAt})
+	c.tokens += p.Tokens
 	room := max(c.capacity-inUse, 0)
-	for c.tokens > room && c.parts.Len() > 0 {
+	for c.tokens > room && c.parts.Len() > 1 {
 		c.parts.RemoveOldest()
 	}
+	return true
+}
+
+// Placement states that a shared part was sent to an endpoint.
+type Placement struct {
+	// Endpoint is the hash of the endpoint's id.
+	Endpoint uint64
+	Part     Part
+	// At is when it was sent.
+	At time.Time
+}
+
+const (
+	// maxPlacements bounds the placements that are kept for the peers.
+	maxPlacements = 256
+	// peerReadTime is the assumed time from a peer's placement until the part
+	// was read.
+	peerReadTime = 300 * time.Millisecond
+)
+
+func (f *Fleet) notePlacement(p Placement) {
+	if len(f.placements) >= maxPlacements {
+		f.placements = f.placements[1:]
+	}
+	f.placements = append(f.placements, p)
+}
+
+// Placements returns this gateway's placements since a time.
+func (f *Fleet) Placements(since time.Time) []Placement {
+	for i, p := range f.placements {
+		if !p.At.Before(since) {
+			return f.placements[i:]
+		}
+	}
+	return nil
+}
+
+// PeerPlacement notes that a peer has sent a shared part to an endpoint.
+func (f *Fleet) PeerPlacement(now time.Time, endpoint uint64, p Part) {
+	if e := f.byHash[endpoint]; e != nil {
+		e.cache.use(p, now.Add(peerReadTime), e.load(now).Memory)
+	}
 }
 
 // homes are the endpoints where a request's shared parts belong. All gateways
@@ -44,9 +97,13 @@
 // shared part and the endpoint's id.
 type homes struct {
 	first, second *endpoint
+	// source is the endpoint that has read the most of the shared parts, as far
+	// as is known; nil for none.
+	source       *endpoint
+	sourceTokens int
 }
 
-func (s *service) homes(w *Work) homes {
+func (s *service) homes(now time.Time, w *Work) homes {
 	shared := w.shared()
 	if len(shared) == 0 {
 		return homes{}
@@ -55,16 +112,18 @@
 	var h homes
 	var firstRank, secondRank uint64
 	for _, e := range s.members {
-		if e.draining || e.ejected {
-			continue
+		if !e.draining && !e.ejected {
+			rank := mix(key ^ e.hash)
+			switch {
+			case h.first == nil || rank > firstRank:
+				h.second, secondRank = h.first, firstRank
+				h.first, firstRank = e, rank
+			case h.second == nil || rank > secondRank:
+				h.second, secondRank = e, rank
+			}
 		}
-		rank := mix(key ^ e.hash)
-		switch {
-		case h.first == nil || rank > firstRank:
-			h.second, secondRank = h.first, firstRank
-			h.first, firstRank = e, rank
-		case h.second == nil || rank > secondRank:
-			h.second, secondRank = e, rank
+		if read := e.readTokens(now, shared); read > h.sourceTokens {
+			h.source, h.sourceTokens = e, read
 		}
 	}
 	return h
@@ -79,21 +138,35 @@
 	return x ^ x>>31
 }
 
-// cachedTokens returns the expected number of tokens of the shared parts that
-// the endpoint need not read. A part helps only if all parts before it are
-// cached too.
-func (e *endpoint) cachedTokens(shared []Part, h homes) float64 {
+// readTokens returns the tokens of the leading shared parts that the endpoint
+// has read. A part helps only if all parts before it are cached too.
+func (e *endpoint) readTokens(now time.Time, shared []Part) int {
+	sum := 0
+	for _, p := range shared {
+		if _, read := e.cache.state(now, p.ID); !read {
+			break
+		}
+		sum += p.Tokens
+	}
+	return sum
+}
+
+// sentTokens returns the expected tokens of the leading shared parts that the
+// endpoint will have read before a request that is sent now.
+func (e *endpoint) sentTokens(shared []Part, h homes) float64 {
 	prior := 0.0
-	switch e {
-	case h.first:
+	switch {
+	case h.source != nil:
+		// Somebody is known to hold the parts; guesses are not needed.
+	case e == h.first:
 		prior = homeBelief
-	case h.second:
+	case e == h.second:
 		prior = secondBelief
 	}
 	sum := 0.0
 	for _, p := range shared {
 		belief := prior
-		if e.cache.has(p.ID) {
+		if sent, _ := e.cache.state(time.Time{}, p.ID); sent {
 			belief = 1
 		}
 		if belief == 0 {
@@ -103,3 +176,18 @@
 	}
 	return sum
 }
+
+// plan decides what the endpoint reads itself and what it fetches. It returns
+// the time of the fetch in milliseconds.
+func (s *service) plan(c *Choice, e *endpoint, w *Work, h homes) float64 {
+	known := e.sentTokens(w.shared(), h)
+	c.Uncached = max(w.PromptTokens-int(known), 0)
+	missing := float64(h.sourceTokens) - known
+	if h.source == nil || h.source == e || e.FetchRate <= 0 || missing < minFetch {
+		return 0
+	}
+	c.FetchFrom = h.source.Address
+	c.Fetched = int(missing)
+	c.Uncached -= c.Fetched
+	return fetchSetup + missing/e.FetchRate
+}
--- a/gateway/placement/flight.go
+++ b/gateway/placement/flight.go
@@ -51,7 +51,11 @@
 		if w.tight(float64(max(e.TokensPerEvent, 1)) * chunkTokens / s.prefillRate) {
 			flight.load.Tight = 1
 		}
-		e.cache.use(w.shared(), c.Load.Memory)
+		for _, p := range w.shared() {
+			if e.cache.use(p, now.Add(c.Expected), c.Load.Memory) {
+				f.notePlacement(Placement{Endpoint: e.hash, Part: p, At: now})
+			}
+		}
 	}
 	e.own.add(flight.load, 1)
 	return flight
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -53,6 +53,14 @@
 	peerLoadMaxAge = 1500 * time.Millisecond
 	// plainTime is the assumed service time of a plain request.
 	plainTime = 50 * time.Millisecond
+	// rereadCost is the cost of reading heavyPrompt tokens of shared parts that
+	// another endpoint holds already.
+	rereadCost = 0.25
+	// fetchSetup is the time before a fetch between engines begins, in
+	// milliseconds.
+	fetchSetup = 5.0
+	// minFetch is the number of tokens below which reading again is as good.
+	minFetch = 256
 	// memoryReserve is the share of an engine's memory that stays free for the
 	// growth of running requests.
 	memoryReserve = 0.1
@@ -80,6 +88,14 @@
 	Excluded []string
 }
 
+// ownTokens is the size of the part that no other request shares.
+func (w *Work) ownTokens() int {
+	if len(w.Parts) == 0 {
+		return w.PromptTokens
+	}
+	return w.Parts[len(w.Parts)-1].Tokens
+}
+
 func (w *Work) shared() []Part {
 	if len(w.Parts) == 0 {
 		return nil
@@ -114,6 +130,9 @@
 	MemoryTokens int
 	// TokensPerEvent of a stream.
 	TokensPerEvent int
+	// FetchRate is the speed at which cached tokens are fetched from another
+	// endpoint, in tokens per millisecond; 0 where that is not possible.
+	FetchRate float64
 }
 
 type endpoint struct {
@@ -139,7 +158,10 @@
 type Fleet struct {
 	zone      string
 	endpoints map[string]*endpoint
+	byHash    map[uint64]*endpoint
 	services  map[string]*service
+	// placements are the latest ones of this gateway, oldest first.
+	placements []Placement
 }
 
 type service struct {
@@ -151,7 +173,12 @@
 
 // NewFleet returns an empty Fleet for a gateway in the given availability zone.
 func NewFleet(zone string) *Fleet {
-	return &Fleet{zone: zone, endpoints: make(map[string]*endpoint), services: make(map[string]*service)}
+	return &Fleet{
+		zone:      zone,
+		endpoints: make(map[string]*endpoint),
+		byHash:    make(map[uint64]*endpoint),
+		services:  make(map[string]*service),
+	}
 }
 
 // Put adds an endpoint or changes its description.
@@ -172,6 +199,7 @@
 		weight:   1,
 	}
 	f.endpoints[e.ID] = added
+	f.byHash[added.hash] = added
 	s := f.services[e.Service]
 	if s == nil {
 		s = &service{prefillRate: defaultPrefillRate, plainTime: float64(plainTime.Milliseconds())}
@@ -194,6 +222,7 @@
 		return
 	}
 	delete(f.endpoints, id)
+	delete(f.byHash, e.hash)
 	s := f.services[e.Service]
 	for i, m := range s.members {
 		if m == e {
@@ -211,17 +240,24 @@
 	}
 }
 
-// SetPeerLoad replaces what a peer says of its work at an endpoint.
-func (f *Fleet) SetPeerLoad(now time.Time, peer, id string, load Load) {
-	if e := f.endpoints[id]; e != nil {
-		e.peers[peer] = peerLoad{load: load, at: now}
+// PeerLoads replaces what a peer says of its work. The loads are by the hash of
+// the endpoint's id; endpoints that are missing there have none of its work.
+func (f *Fleet) PeerLoads(now time.Time, peer string, loads map[uint64]Load) {
+	for _, e := range f.endpoints {
+		if load, ok := loads[e.hash]; ok {
+			e.peers[peer] = peerLoad{load: load, at: now}
+			continue
+		}
+		delete(e.peers, peer)
 	}
 }
 
-// OwnLoads calls f for each endpoint with the work of this gateway there.
-func (f *Fleet) OwnLoads(report func(id string, l Load)) {
-	for id, e := range f.endpoints {
-		report(id, e.own)
+// OwnLoads calls report for each endpoint that has work of this gateway.
+func (f *Fleet) OwnLoads(report func(endpoint uint64, l Load)) {
+	for _, e := range f.endpoints {
+		if e.own != (Load{}) {
+			report(e.hash, e.own)
+		}
 	}
 }
 
@@ -232,6 +268,10 @@
 	Expected time.Duration
 	// Uncached is the estimated number of prompt tokens to be read.
 	Uncached int
+	// FetchFrom is the address of an endpoint from which cached parts should be
+	// fetched first; empty for none. Fetched is the expected number of tokens.
+	FetchFrom string
+	Fetched   int
 	// Free states that the endpoint has a free slot and memory.
 	Free bool
 	// Load is the load that was assumed.
@@ -253,7 +293,7 @@
 }
 
 func (f *Fleet) cheapest(now time.Time, s *service, w *Work, accept func(*endpoint) bool) (Choice, bool) {
-	homes := s.homes(w)
+	homes := s.homes(now, w)
 	var best Choice
 	bestCost := math.Inf(1)
 	for _, e := range s.members {
@@ -323,9 +363,9 @@
 }
 
 func (s *service) streamCost(c *Choice, e *endpoint, w *Work, h homes) float64 {
-	c.Uncached = w.PromptTokens - int(e.cachedTokens(w.shared(), h))
+	fetch := s.plan(c, e, w, h)
 	rate := s.prefillRate / e.slowness
-	prefill := float64(c.Uncached) / rate
+	prefill := float64(c.Uncached)/rate + fetch
 	wait := float64(c.Load.Prefill) / rate
 	expected := wait + prefill + float64(startTime.Milliseconds())*e.slowness
 	c.Expected = milliseconds(expected)
@@ -334,6 +374,8 @@
 	c.Free = c.Load.Running < slots && memory < 1
 	cost := expected / targetMS(w)
 	cost += occupancyCost * float64(c.Load.Running) / float64(slots)
+	// What is read again takes the engine's time from other requests.
+	cost += rereadCost * max(float64(c.Uncached-w.ownTokens())/heavyPrompt, 0)
 	if !c.Free {
 		over := max(float64(c.Load.Running+1-slots)/float64(slots), memory-1)
 		cost += crowdingCost * (0.25 + over)
--- a/gateway/relay/protocol.go
+++ b/gateway/relay/protocol.go
@@ -28,6 +28,9 @@
 	Account    string
 	Streaming  bool
 	Rank       int
+	// FetchFrom is the address of an endpoint that holds more of the prompt in
+	// its cache; empty for none.
+	FetchFrom string
 	// LastEventID replaces the caller's when the gateway resumes a stream.
 	LastEventID string
 }
--- a/gateway/relay/record.go
+++ b/gateway/relay/record.go
@@ -30,6 +30,7 @@
 	Endpoint string
 	Expected time.Duration
 	Uncached int
+	Fetched  int
 	Load     placement.Load
 	// Took is the time until the attempt ended.
 	Took time.Duration
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -292,6 +292,7 @@
 		Endpoint: choice.Endpoint.ID,
 		Expected: choice.Expected,
 		Uncached: choice.Uncached,
+		Fetched:  choice.Fetched,
 		Load:     choice.Load,
 	})
 	began := time.Now()
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -65,6 +65,7 @@
 		Account:    x.account,
 		Streaming:  x.route.Kind == routing.Streaming,
 		Rank:       x.rank,
+		FetchFrom:  t.Choice().FetchFrom,
 	}
 	if x.headSent {
 		o.LastEventID = x.events.lastID
--- a/gateway/routing/routing.go
+++ b/gateway/routing/routing.go
@@ -99,6 +99,10 @@
 	MemoryTokens int
 	// TokensPerEvent is the number of tokens in one event of a stream.
 	TokensPerEvent int
+	// TokenBytes is the size of one token in the KV cache.
+	TokenBytes int
+	// LinkMbps is the bandwidth between engines in megabits a second.
+	LinkMbps float64
 }
 
 // Limits bound what a caller may send.
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -21,7 +21,8 @@
 	Listen Listen `json:"listen"`
 	// StoreAddress is the IP:PORT of the platform's store.
 	StoreAddress string `json:"store_address"`
-	// PeerSeeds are ready addresses of other gateways, at most three.
+	// PeerSeeds are addresses on VMs that run a gateway. Only the IP address is
+	// used; the port is that of Listen.Peers.
 	PeerSeeds []string `json:"peer_seeds,omitempty"`
 	// MemoryMB is the memory limit of the process in megabytes.
 	MemoryMB int `json:"memory_mb"`
