--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -185,6 +185,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table = t
+	for name, pause := range t.StrictestPauses() {
+		d.fleet.SetStrictestPause(name, pause)
+	}
 	now := time.Now()
 	d.registry.Entries(func(e registry.Entry) {
 		d.put(now, e)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -136,7 +136,7 @@
 		loads = append(loads, &wire.Load{
 			Endpoint: endpoint,
 			Running:  uint32(l.Running),
-			Tight:    uint32(l.Tight),
+			Tight:    float32(l.Tight),
 			Prefill:  uint32(l.Prefill),
 			Memory:   uint32(l.Memory),
 		})
@@ -155,7 +155,7 @@
 	loads := make(map[uint64]placement.Load, len(s.Loads))
 	for _, l := range s.Loads {
 		loads[l.Endpoint] = placement.Load{
-			Running: int(l.Running), Tight: int(l.Tight), Prefill: int(l.Prefill), Memory: int(l.Memory),
+			Running: int(l.Running), Tight: float64(l.Tight), Prefill: int(l.Prefill), Memory: int(l.Memory),
 		}
 	}
 	d.mu.Lock()
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -29,7 +29,7 @@
 		event = event.Int64("retry_after_ms", ms(r.RetryAfter))
 	}
 	if r.Events > 0 {
-		event = event.Int("events", r.Events)
+		event = event.Int("events", r.Events).Int64("max_pause_ms", ms(r.MaxPause))
 	}
 	if len(r.Attempts) > 0 {
 		attempts := zerolog.Arr()
@@ -42,6 +42,7 @@
 				Int("uncached", a.Uncached).
 				Int("fetched", a.Fetched).
 				Int("running", a.Load.Running).
+				Float64("tight", a.Load.Tight).
 				Int("prefill", a.Load.Prefill))
 		}
 		event = event.Array("attempts", attempts)
--- a/gateway/placement/flight.go
+++ b/gateway/placement/flight.go
@@ -48,9 +48,7 @@
 	if w.Streaming {
 		flight.load.Memory = w.PromptTokens + w.OutputTokens
 		flight.load.Prefill = c.Uncached
-		if w.tight(float64(max(e.TokensPerEvent, 1)) * chunkTokens / s.prefillRate) {
-			flight.load.Tight = 1
-		}
+		flight.load.Tight = w.strictness(s.strictestPause)
 		for _, p := range w.shared() {
 			if e.cache.use(p, now.Add(c.Expected), c.Load.Memory) {
 				f.notePlacement(Placement{Endpoint: e.hash, Part: p, At: now})
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -24,24 +24,27 @@
 	// chunkTokens is the usual size of a prefill chunk. A running stream waits
 	// for one chunk between two of its tokens.
 	chunkTokens = 2048
-	// tightFactor: a stream is tight when its longest allowed pause is below this
-	// many times the pause that chunked prefill causes.
-	tightFactor = 3.0
+	// decodeStep is the assumed time of a step without prefill, in milliseconds.
+	decodeStep = 7.0
+	// riskFrom is the ratio of expected to allowed time from which being late is
+	// possible: engines slow down 2.5 times for moments.
+	riskFrom = 0.4
+	// waitCost prices the wait for the first event relative to its target.
+	waitCost = 0.3
 	// startTime is the assumed time to the first event of an empty prompt.
 	startTime = 10 * time.Millisecond
-	// harmWeight prices a millisecond of prefill beside a tight stream relative
-	// to a millisecond of that stream's allowed pause.
-	harmWeight = 0.3
 	// occupancyCost is the cost of a full endpoint relative to an empty one; it
 	// spreads work that has no other preference.
 	occupancyCost = 0.2
+	// streamOccupancyCost is the same for engines, whose batches slow down little.
+	streamOccupancyCost = 0.1
 	// crowdingCost is the cost of work beyond an endpoint's slots or memory.
 	crowdingCost = 4.0
 	// zoneCost prefers the own availability zone among equals.
 	zoneCost = 0.02
 	// orderCost separates tight streams from long prompts at equal load: all
 	// gateways order the endpoints alike.
-	orderCost = 0.05
+	orderCost = 0.2
 	// heavyPrompt is the number of uncached prompt tokens from which a prompt
 	// delays the streams beside it for more than one chunk.
 	heavyPrompt = chunkTokens
@@ -107,8 +110,9 @@
 type Load struct {
 	// Running is the number of requests, waiting ones included.
 	Running int
-	// Tight is the number of streams whose pauses must stay short.
-	Tight int
+	// Tight is the number of streams, each weighted by how strict its pauses are
+	// relative to the strictest of its service.
+	Tight float64
 	// Prefill is the number of prompt tokens still to be read.
 	Prefill int
 	// Memory is the number of tokens of the running requests.
@@ -117,7 +121,7 @@
 
 func (l *Load) add(o Load, sign int) {
 	l.Running += sign * o.Running
-	l.Tight += sign * o.Tight
+	l.Tight += float64(sign) * o.Tight
 	l.Prefill += sign * o.Prefill
 	l.Memory += sign * o.Memory
 }
@@ -169,6 +173,46 @@
 	// prefillRate is the smoothed observed speed in tokens per millisecond.
 	prefillRate float64
 	plainTime   float64
+	// strictestPause is the shortest pause that a route of the service allows, in
+	// milliseconds; infinite for none.
+	strictestPause float64
+}
+
+// position is the place of an endpoint in the order by hash, from 0 to 1.
+func (s *service) position(e *endpoint) float64 {
+	if len(s.members) < 2 {
+		return 0
+	}
+	at := 0
+	for _, m := range s.members {
+		if m.hash < e.hash {
+			at++
+		}
+	}
+	return float64(at) / float64(len(s.members)-1)
+}
+
+// SetStrictestPause sets the shortest pause between events that a service's
+// routes allow; zero for none.
+func (f *Fleet) SetStrictestPause(name string, pause time.Duration) {
+	s := f.service(name)
+	s.strictestPause = math.Inf(1)
+	if pause > 0 {
+		s.strictestPause = float64(pause.Milliseconds())
+	}
+}
+
+func (f *Fleet) service(name string) *service {
+	s := f.services[name]
+	if s == nil {
+		s = &service{
+			prefillRate:    defaultPrefillRate,
+			plainTime:      float64(plainTime.Milliseconds()),
+			strictestPause: math.Inf(1),
+		}
+		f.services[name] = s
+	}
+	return s
 }
 
 // NewFleet returns an empty Fleet for a gateway in the given availability zone.
@@ -200,11 +244,7 @@
 	}
 	f.endpoints[e.ID] = added
 	f.byHash[added.hash] = added
-	s := f.services[e.Service]
-	if s == nil {
-		s = &service{prefillRate: defaultPrefillRate, plainTime: float64(plainTime.Milliseconds())}
-		f.services[e.Service] = s
-	}
+	s := f.service(e.Service)
 	s.members = append(s.members, added)
 }
 
@@ -372,38 +412,61 @@
 	slots := max(e.Slots, 1)
 	memory := float64(c.Load.Memory+w.PromptTokens+w.OutputTokens) / max(float64(e.MemoryTokens)*(1-memoryReserve), 1)
 	c.Free = c.Load.Running < slots && memory < 1
-	cost := expected / targetMS(w)
-	cost += occupancyCost * float64(c.Load.Running) / float64(slots)
+	cost := waitCost*expected/targetMS(w) + lateRisk(expected/targetMS(w))
+	cost += streamOccupancyCost * float64(c.Load.Running) / float64(slots)
 	// What is read again takes the engine's time from other requests.
 	cost += rereadCost * max(float64(c.Uncached-w.ownTokens())/heavyPrompt, 0)
 	if !c.Free {
 		over := max(float64(c.Load.Running+1-slots)/float64(slots), memory-1)
 		cost += crowdingCost * (0.25 + over)
 	}
-	position := float64(e.hash) / math.MaxUint64
-	pausePerChunk := float64(max(e.TokensPerEvent, 1)) * chunkTokens / rate
-	if w.tight(pausePerChunk) {
-		// Prefill that waits there will delay this stream's events as well.
-		cost += harmWeight * wait / pauseMS(w)
-		cost += orderCost * position
-	}
-	if c.Uncached >= heavyPrompt {
-		cost += harmWeight * float64(c.Load.Tight) * prefill / typicalTightPause
-		cost += orderCost * (1 - position)
-	}
+	before := s.pause(e, rate, c.Load.Prefill)
+	cost += lateRisk(before / pauseMS(w))
+	after := s.pause(e, rate, c.Load.Prefill+c.Uncached)
+	strictest := s.strictestPause
+	harm := lateRisk(after/strictest) - lateRisk(before/strictest)
+	cost += c.Load.Tight * harm
+	// All gateways order the endpoints alike: strict streams gather at one end of
+	// the order and long prompts at the other while there is room for that.
+	position := s.position(e)
+	strict := w.strictness(strictest)
+	heavy := min(float64(c.Uncached)/heavyPrompt, 1)
+	cost += orderCost * (strict*position + (1-strict)*heavy*(1-position))
 	return cost
 }
 
-// typicalTightPause is the allowed pause, in milliseconds, that is assumed for
-// the tight streams of other gateways, whose exact targets are not exchanged.
-const typicalTightPause = 300.0
+// pause estimates the time between two events of a stream, in milliseconds,
+// while an endpoint reads the given number of prompt tokens in chunks.
+func (s *service) pause(e *endpoint, rate float64, prefill int) float64 {
+	steps := max(e.TokensPerEvent, 1)
+	read := min(prefill, steps*chunkTokens)
+	return float64(read)/rate + float64(steps)*decodeStep*e.slowness
+}
+
+// lateRisk is the risk that something takes longer than allowed, for the ratio
+// of its expected to its allowed time. Engines slow down for moments, by a
+// factor of 2 to 3, so the risk begins well below 1; above 1 it goes on rising,
+// so that the less late of two late choices is taken.
+func lateRisk(ratio float64) float64 {
+	return max(ratio-riskFrom, 0) / (1 - riskFrom)
+}
 
-// tight reports whether prefill chunks between tokens threaten the pauses of w.
-func (w *Work) tight(pausePerChunk float64) bool {
-	return w.MaxPause > 0 && pauseMS(w) < tightFactor*pausePerChunk
+// strictness tells how strict the pauses of a stream are relative to the
+// strictest of its service, from 0 to 1.
+func (w *Work) strictness(strictest float64) float64 {
+	if w.MaxPause <= 0 {
+		return 0
+	}
+	ratio := min(strictest/pauseMS(w), 1)
+	return ratio * ratio
 }
 
-func pauseMS(w *Work) float64 { return max(float64(w.MaxPause.Milliseconds()), 1) }
+func pauseMS(w *Work) float64 {
+	if w.MaxPause <= 0 {
+		return math.Inf(1)
+	}
+	return float64(w.MaxPause.Milliseconds())
+}
 
 func targetMS(w *Work) float64 {
 	if w.Target <= 0 {
--- a/gateway/relay/record.go
+++ b/gateway/relay/record.go
@@ -23,6 +23,8 @@
 	TimeLeft          time.Duration
 	RetryAfter        time.Duration
 	Events            int
+	// MaxPause is the longest time between two events.
+	MaxPause time.Duration
 }
 
 // Attempt is what the line says of one endpoint.
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -136,7 +136,9 @@
 	state    outcome.State
 	// headSent states that the head of an answer has gone to the caller.
 	headSent bool
-	events   eventSplitter
+	// lastEvent is when the last events went to the caller.
+	lastEvent time.Time
+	events    eventSplitter
 }
 
 // ServeHTTP implements http.Handler.
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -213,6 +213,14 @@
 	x.w.WriteHeader(answer.StatusCode)
 }
 
+func (x *exchange) noteEvent(now time.Time) {
+	if x.record.Events > 0 {
+		x.record.MaxPause = max(x.record.MaxPause, now.Sub(x.lastEvent))
+	}
+	x.record.Events++
+	x.lastEvent = now
+}
+
 func (x *exchange) forward(answer *upstream.Response, events []byte) error {
 	if len(events) == 0 {
 		return nil
@@ -220,7 +228,7 @@
 	if !x.headSent {
 		x.sendHead(answer)
 	}
-	x.record.Events++
+	x.noteEvent(time.Now())
 	if _, err := x.w.Write(events); err != nil {
 		return err
 	}
--- a/gateway/routing/routing.go
+++ b/gateway/routing/routing.go
@@ -189,6 +189,25 @@
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// StrictestPauses returns the shortest MaxPause of the routes to each service; 0
+// for services without one.
+func (t *Table) StrictestPauses() map[string]time.Duration {
+	pauses := make(map[string]time.Duration, len(t.Services))
+	for i := range t.Services {
+		pauses[t.Services[i].Name] = 0
+	}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		for _, share := range r.Split {
+			old := pauses[share.Service]
+			if r.MaxPause > 0 && (old == 0 || r.MaxPause < old) {
+				pauses[share.Service] = r.MaxPause
+			}
+		}
+	}
+	return pauses
+}
+
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
