--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -14,19 +14,39 @@
 	NoEndpointRetryAfter = time.Second
 	// minRetryAfter spaces out callers that are refused for lack of room.
 	minRetryAfter = 200 * time.Millisecond
+	// urgentSlack and standardSlack are the expected times to the first event,
+	// relative to the target, up to which a stream is admitted. Work that would
+	// be later takes the engines' time from work that can still be in time.
+	urgentSlack   = 1.5
+	standardSlack = 1.0
+)
+
+// Reasons of refusals.
+const (
+	OutOfTime         = "out_of_time"
+	OutOfReach        = "target_out_of_reach"
+	MoreUrgentRefused = "more_urgent_refused"
 )
 
 // Request is what the decision needs of a request.
 type Request struct {
+	Service string
+	// Route is the name of the route.
+	Route     string
 	Streaming bool
 	Rank      int
-	Target    time.Duration
+	// Prompt is the number of prompt tokens.
+	Prompt int
+	Target time.Duration
 	// TimeLeft until the request's deadline.
 	TimeLeft time.Duration
 	// Further attempts of an admitted request are judged by the deadline only.
 	Further bool
 }
 
+// Choice is the best endpoint for a request.
+type Choice = placement.Choice
+
 // Verdict is the decision.
 type Verdict struct {
 	Admitted   bool
@@ -35,9 +55,21 @@
 }
 
 // Judge decides about a request for which c is the best endpoint.
-func Judge(r Request, c placement.Choice) Verdict {
+func Judge(r Request, c Choice) Verdict {
 	if c.Expected >= r.TimeLeft {
-		return Verdict{Reason: "out_of_time", RetryAfter: max(c.Expected-r.TimeLeft, minRetryAfter)}
+		return Verdict{Reason: OutOfTime, RetryAfter: max(c.Expected-r.TimeLeft, minRetryAfter)}
+	}
+	if !r.Streaming || r.Further || r.Target <= 0 {
+		return Verdict{Admitted: true}
+	}
+	slack := standardSlack
+	if r.Rank == 0 {
+		slack = urgentSlack
+	}
+	limit := time.Duration(slack * float64(r.Target))
+	// A prompt that is late even without others is not refused for its size.
+	if c.Expected <= limit || c.Wait <= r.Target/4 {
+		return Verdict{Admitted: true}
 	}
-	return Verdict{Admitted: true}
+	return Verdict{Reason: OutOfReach, RetryAfter: max(c.Expected-limit, minRetryAfter)}
 }
--- /dev/null
+++ b/gateway/admission/gate.go
@@ -0,0 +1,214 @@
+package admission
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// memory is the time constant with which counts of requests fade. It is a few
+	// times the interval at which gateways exchange loads.
+	memory = time.Second
+	// shedGain turns the late share of more urgent work into the share of less
+	// urgent work that is refused: at an eighth, nothing less urgent is served.
+	shedGain = 8.0
+	// servedShare is the admitted share from which a kind of work counts as served.
+	servedShare = 0.1
+	// minOffered is the number of requests below which a share tells nothing.
+	minOffered = 3.0
+	// negligible is the count below which a kind of work is forgotten.
+	negligible = 0.05
+	// sizeRatio is the ratio of typical prompt sizes from which the larger of two
+	// kinds of work of the same rank is refused first.
+	sizeRatio = 2.0
+	// sizeSmoothing is the weight of the newest prompt in a typical size.
+	sizeSmoothing = 0.05
+	// maxKinds bounds the kinds of work that are remembered. Beyond it, no new
+	// ones are.
+	maxKinds = 1024
+)
+
+// Kind names requests that are alike.
+type Kind struct {
+	Service string
+	// Route is the name of the route.
+	Route string
+	Rank  int
+}
+
+// Pressure tells how much of a kind of work was expected to be late.
+type Pressure struct {
+	// Size is the typical number of prompt tokens.
+	Size float64
+	// Offered and Late are numbers of requests that fade with time.
+	Offered, Late float64
+}
+
+type faded struct {
+	Pressure
+	// admitted is the number of requests that were let in; it fades too.
+	admitted float64
+	at       time.Time
+}
+
+func (f *faded) fade(now time.Time) {
+	factor := math.Exp(-float64(now.Sub(f.at)) / float64(memory))
+	f.Offered *= factor
+	f.admitted *= factor
+	f.Late *= factor
+	f.at = now
+}
+
+// Gate decides about the requests of all services. While more urgent work would
+// be late, here or at another gateway, it refuses a share of the work that is
+// less urgent, so that the room goes to the urgent first. A Gate is not safe
+// for concurrent use.
+type Gate struct {
+	rng *rand.Rand
+	own map[Kind]*faded
+	// heard is by kind and peer.
+	heard map[Kind]map[string]*faded
+}
+
+// NewGate returns a Gate without history.
+func NewGate(rng *rand.Rand) *Gate {
+	return &Gate{rng: rng, own: make(map[Kind]*faded), heard: make(map[Kind]map[string]*faded)}
+}
+
+// Decide judges a request. Work that would be late is refused only when work that
+// is less urgent is refused already; until then it presses the latter out.
+func (g *Gate) Decide(now time.Time, r Request, c Choice) Verdict {
+	v := Judge(r, c)
+	if !r.Streaming || r.Further || v.Reason == OutOfTime {
+		return v
+	}
+	k := Kind{Service: r.Service, Route: r.Route, Rank: r.Rank}
+	f := g.note(now, k, float64(r.Prompt), !v.Admitted)
+	yields := g.lessUrgentServed(now, k, f.Size)
+	switch {
+	case yields:
+		v = Verdict{Admitted: true}
+	case v.Admitted && g.shed(now, k, f.Size):
+		v = Verdict{Reason: MoreUrgentRefused, RetryAfter: memory/2 + time.Duration(g.rng.Int64N(int64(memory)))}
+	}
+	if v.Admitted {
+		f.admitted++
+	}
+	return v
+}
+
+// shed draws whether a request makes room for more urgent work.
+func (g *Gate) shed(now time.Time, k Kind, size float64) bool {
+	share := g.lateBefore(now, k, size)
+	return share > 0 && g.rng.Float64() < shedGain*share
+}
+
+// lessUrgentServed reports whether this gateway lately admitted an appreciable
+// share of a kind of work that goes after the given one.
+func (g *Gate) lessUrgentServed(now time.Time, k Kind, size float64) bool {
+	for other, f := range g.own {
+		if other.Service != k.Service || !goesBefore(k.Rank, size, other.Rank, f.Size) {
+			continue
+		}
+		f.fade(now)
+		if f.Offered >= minOffered && f.admitted > servedShare*f.Offered {
+			return true
+		}
+	}
+	return false
+}
+
+// note counts a request and returns the counts of its kind.
+func (g *Gate) note(now time.Time, k Kind, prompt float64, late bool) *faded {
+	f := g.own[k]
+	if f == nil {
+		f = &faded{Pressure: Pressure{Size: prompt}, at: now}
+		if len(g.own) < maxKinds {
+			g.own[k] = f
+		}
+	}
+	f.fade(now)
+	f.Offered++
+	if late {
+		f.Late++
+	}
+	f.Size += sizeSmoothing * (prompt - f.Size)
+	return f
+}
+
+// lateBefore returns the largest late share among the kinds of work that
+// go before the given one.
+func (g *Gate) lateBefore(now time.Time, k Kind, size float64) float64 {
+	worst := 0.0
+	consider := func(other Kind, otherSize float64) {
+		if other.Service != k.Service || !goesBefore(other.Rank, otherSize, k.Rank, size) {
+			return
+		}
+		if offered, late := g.total(now, other); offered >= minOffered {
+			worst = max(worst, late/offered)
+		}
+	}
+	for other, f := range g.own {
+		consider(other, f.Size)
+	}
+	for other, peers := range g.heard {
+		if g.own[other] != nil {
+			continue
+		}
+		for _, f := range peers {
+			consider(other, f.Size)
+			break
+		}
+	}
+	return worst
+}
+
+// goesBefore reports whether work of a rank and size is served before other work.
+func goesBefore(rank int, size float64, otherRank int, otherSize float64) bool {
+	if rank != otherRank {
+		return rank < otherRank
+	}
+	return otherSize >= sizeRatio*size
+}
+
+// total sums what this gateway and its peers say of a kind.
+func (g *Gate) total(now time.Time, k Kind) (offered, late float64) {
+	if f := g.own[k]; f != nil {
+		f.fade(now)
+		offered, late = f.Offered, f.Late
+	}
+	for peer, f := range g.heard[k] {
+		f.fade(now)
+		if f.Offered < negligible {
+			delete(g.heard[k], peer)
+			continue
+		}
+		offered += f.Offered
+		late += f.Late
+	}
+	return offered, late
+}
+
+// Own calls report for each kind of work of which this gateway expected some to be late.
+func (g *Gate) Own(now time.Time, report func(Kind, Pressure)) {
+	for k, f := range g.own {
+		f.fade(now)
+		if f.Late >= negligible {
+			report(k, f.Pressure)
+		}
+	}
+}
+
+// Hear takes what a peer says of a kind of work.
+func (g *Gate) Hear(now time.Time, peer string, k Kind, r Pressure) {
+	peers := g.heard[k]
+	if peers == nil {
+		if len(g.heard) >= maxKinds {
+			return
+		}
+		peers = make(map[string]*faded)
+		g.heard[k] = peers
+	}
+	peers[peer] = &faded{Pressure: r, at: now}
+}
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -33,6 +33,7 @@
 type dispatcher struct {
 	mu       sync.Mutex
 	fleet    *placement.Fleet
+	gate     *admission.Gate
 	health   *health.Tracker
 	registry *registry.Registry
 	budgets  map[string]*budget.Budget
@@ -48,6 +49,7 @@
 	return &dispatcher{
 		fleet:    placement.NewFleet(s.AvailabilityZone),
 		health:   health.New(health.Options{Window: 5 * time.Second, OpenTime: 2 * time.Second, MaxOpenTime: 8 * time.Second, RampTime: 3 * time.Second}),
+		gate:     admission.NewGate(rng),
 		registry: registry.New(),
 		budgets:  make(map[string]*budget.Budget),
 		flights:  make(map[*ticket]struct{}),
@@ -65,8 +67,15 @@
 	if !found {
 		return nil, &relay.Refusal{Reason: "no_endpoint", RetryAfter: admission.NoEndpointRetryAfter}
 	}
-	verdict := admission.Judge(admission.Request{
-		Streaming: w.Streaming, Rank: w.Rank, Target: w.Target, TimeLeft: q.TimeLeft, Further: q.Further,
+	verdict := d.gate.Decide(now, admission.Request{
+		Service:   w.Service,
+		Route:     q.Route,
+		Streaming: w.Streaming,
+		Rank:      w.Rank,
+		Prompt:    w.PromptTokens,
+		Target:    w.Target,
+		TimeLeft:  q.TimeLeft,
+		Further:   q.Further,
 	}, choice)
 	if !verdict.Admitted {
 		return nil, &relay.Refusal{Reason: verdict.Reason, RetryAfter: verdict.RetryAfter}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/pistachiowind/pistachiowind/gateway/admission"
 	"github.com/pistachiowind/pistachiowind/gateway/peers"
 	"github.com/pistachiowind/pistachiowind/gateway/peers/wire"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
@@ -20,6 +21,7 @@
 	// maxLoads and maxPlacementsSent keep a statement below peers.MaxDatagram.
 	maxLoads          = 300
 	maxPlacementsSent = 200
+	maxPressures      = 30
 )
 
 // exchange sends this gateway's loads to its peers and takes theirs.
@@ -79,8 +81,8 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	interval := x.state.Interval(now)
-	loads, placements := x.gateway.dispatcher.statement(now.Add(-placementRepeat * interval))
-	datagram, err := x.state.Compose(now, loads, placements)
+	statement := x.gateway.dispatcher.statement(now, now.Add(-placementRepeat*interval))
+	datagram, err := x.state.Compose(now, statement)
 	if err != nil {
 		x.gateway.log.Warn().Err(err).Msg("statement to peers not sent")
 		return interval
@@ -124,8 +126,9 @@
 	x.gateway.dispatcher.heard(now, statement)
 }
 
-// statement returns the loads of this gateway and its placements since a time.
-func (d *dispatcher) statement(since time.Time) ([]*wire.Load, []*wire.Placement) {
+// statement returns the loads and pressures of this gateway and its placements
+// since a time.
+func (d *dispatcher) statement(now, since time.Time) *wire.Statement {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var loads []*wire.Load
@@ -147,7 +150,21 @@
 	for _, p := range latest {
 		placements = append(placements, &wire.Placement{Endpoint: p.Endpoint, Part: p.Part.ID, Tokens: uint32(p.Part.Tokens)})
 	}
-	return loads, placements
+	var pressures []*wire.Pressure
+	d.gate.Own(now, func(k admission.Kind, r admission.Pressure) {
+		if len(pressures) >= maxPressures {
+			return
+		}
+		pressures = append(pressures, &wire.Pressure{
+			Service: k.Service,
+			Kind:    k.Route,
+			Rank:    uint32(max(k.Rank, 0)),
+			Size:    uint32(r.Size),
+			Offered: float32(r.Offered),
+			Late:    float32(r.Late),
+		})
+	})
+	return &wire.Statement{Loads: loads, Placements: placements, Pressures: pressures}
 }
 
 // heard takes a peer's statement.
@@ -161,6 +178,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.fleet.PeerLoads(now, s.Sender, loads)
+	for _, r := range s.Pressures {
+		k := admission.Kind{Service: r.Service, Route: r.Kind, Rank: int(r.Rank)}
+		d.gate.Hear(now, s.Sender, k, admission.Pressure{
+			Size: float64(r.Size), Offered: float64(r.Offered), Late: float64(r.Late),
+		})
+	}
 	for _, p := range s.Placements {
 		d.fleet.PeerPlacement(now, p.Endpoint, placement.Part{ID: p.Part, Tokens: int(p.Tokens)})
 	}
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -114,18 +114,14 @@
 	return targets
 }
 
-// Compose returns the next statement as a datagram. The caller fills loads and
-// placements.
-func (e *Exchange) Compose(now time.Time, loads []*wire.Load, placements []*wire.Placement) ([]byte, error) {
+// Compose completes the next statement with what tells it apart from others and
+// returns it as a datagram.
+func (e *Exchange) Compose(now time.Time, s *wire.Statement) ([]byte, error) {
 	e.sequence++
-	s := &wire.Statement{
-		Sender:      e.self,
-		Incarnation: e.incarnation,
-		Sequence:    e.sequence,
-		Peers:       e.named(now),
-		Loads:       loads,
-		Placements:  placements,
-	}
+	s.Sender = e.self
+	s.Incarnation = e.incarnation
+	s.Sequence = e.sequence
+	s.Peers = e.named(now)
 	b, err := proto.Marshal(s)
 	if err != nil {
 		return nil, fmt.Errorf("encode statement: %w", err)
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -306,6 +306,8 @@
 	Endpoint Endpoint
 	// Expected is the estimated time to the first event or to the plain answer.
 	Expected time.Duration
+	// Wait is the part of Expected that is due to other requests.
+	Wait time.Duration
 	// Uncached is the estimated number of prompt tokens to be read.
 	Uncached int
 	// FetchFrom is the address of an endpoint from which cached parts should be
@@ -409,6 +411,7 @@
 	wait := float64(c.Load.Prefill) / rate
 	expected := wait + prefill + float64(startTime.Milliseconds())*e.slowness
 	c.Expected = milliseconds(expected)
+	c.Wait = milliseconds(wait)
 	slots := max(e.Slots, 1)
 	memory := float64(c.Load.Memory+w.PromptTokens+w.OutputTokens) / max(float64(e.MemoryTokens)*(1-memoryReserve), 1)
 	c.Free = c.Load.Running < slots && memory < 1
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -57,6 +57,7 @@
 
 // Quest is what the placement needs to know beyond the work.
 type Quest struct {
+	Route    string
 	Account  string
 	TimeLeft time.Duration
 	// Further is true for attempts after the first.
@@ -279,7 +280,7 @@
 // attempt makes one attempt and reports whether another should follow.
 func (x *exchange) attempt(ctx context.Context, service string) bool {
 	further := len(x.record.Attempts) > 0
-	quest := Quest{Account: x.account, TimeLeft: time.Until(x.deadline), Further: further}
+	quest := Quest{Route: x.route.Name, Account: x.account, TimeLeft: time.Until(x.deadline), Further: further}
 	ticket, refusal := x.o.Placer.Admit(&x.work, quest)
 	if refusal != nil {
 		x.noEndpoint(refusal)
