--- a/gateway/admission/gate.go
+++ b/gateway/admission/gate.go
@@ -11,8 +11,8 @@
 	// times the interval at which gateways exchange loads.
 	memory = time.Second
 	// shedGain turns the late share of more urgent work into the share of less
-	// urgent work that is refused: at an eighth, nothing less urgent is served.
-	shedGain = 8.0
+	// urgent work that is refused: at a third, nothing less urgent is served.
+	shedGain = 3.0
 	// servedShare is the admitted share from which a kind of work counts as served.
 	servedShare = 0.1
 	// minOffered is the number of requests below which a share tells nothing.
