Test the gateway's modules; close connections after chunked requests

Cause: the gateway had no tests. Writing the session tests showed that net/http keeps a connection open after a request with chunks and a Content-Length, so bytes that the caller meant as its body would be read as another request. Ruled out: refusing such requests, since net/http hides the second length.

--- /dev/null
+++ b/gateway/admission/gate_test.go
@@ -0,0 +1,133 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/gateway/placement"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func chat(rank int) Request {
+	return Request{
+		Service: "pool", Route: "chat", Streaming: true, Rank: rank, Prompt: 700,
+		Target: 400 * time.Millisecond, TimeLeft: 15 * time.Second,
+	}
+}
+
+func plan(rank int) Request {
+	return Request{
+		Service: "pool", Route: "plan", Streaming: true, Rank: rank, Prompt: 9000,
+		Target: 2 * time.Second, TimeLeft: 8 * time.Second,
+	}
+}
+
+func waiting(d time.Duration) Choice {
+	return placement.Choice{Expected: d + 20*time.Millisecond, Wait: d}
+}
+
+func newGate() *Gate { return NewGate(rand.New(rand.NewPCG(1, 2))) }
+
+// offer sends requests to the gate, 10 ms apart, and returns the admitted share.
+func offer(g *Gate, now *time.Time, n int, r Request, c Choice) float64 {
+	admitted := 0
+	for range n {
+		*now = now.Add(10 * time.Millisecond)
+		if g.Decide(*now, r, c).Admitted {
+			admitted++
+		}
+	}
+	return float64(admitted) / float64(n)
+}
+
+// Guards against an answer that cannot come in time being waited for.
+func TestRequestThatCannotMeetItsDeadlineIsRefusedAtOnce(t *testing.T) {
+	r := plan(2)
+	r.TimeLeft = time.Second
+	v := newGate().Decide(start, r, waiting(2*time.Second))
+	if v.Admitted || v.Reason != OutOfTime || v.RetryAfter <= 0 {
+		t.Fatalf("%+v, want a refusal with a Retry-After", v)
+	}
+}
+
+// Load pattern: a burst of long prompts delays chats. The long prompts make room,
+// and no chat is refused while long prompts are still let in.
+func TestBurstOfLongPromptsYieldsToChats(t *testing.T) {
+	g := newGate()
+	now := start
+	offer(g, &now, 50, plan(2), waiting(100*time.Millisecond))
+	late := waiting(time.Second)
+	if share := offer(g, &now, 5, chat(0), late); share != 1 {
+		t.Fatalf("%.2f of the chats were admitted while long prompts ran, want all", share)
+	}
+	admittedPlans := 0
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		chatVerdict := g.Decide(now, chat(0), late)
+		planVerdict := g.Decide(now, plan(2), waiting(100*time.Millisecond))
+		if planVerdict.Admitted {
+			admittedPlans++
+		}
+		if !chatVerdict.Admitted && planVerdict.Admitted {
+			t.Fatal("a chat was refused and a long prompt was let in")
+		}
+	}
+	if admittedPlans > 40 {
+		t.Fatalf("%d of 200 long prompts were let in while chats were late", admittedPlans)
+	}
+}
+
+// Load pattern: accounts of one rank send both kinds of work. The much larger
+// prompts make room first, since more callers are served for the same room.
+func TestSameRankLargerPromptsYieldFirst(t *testing.T) {
+	g := newGate()
+	now := start
+	for range 300 {
+		now = now.Add(10 * time.Millisecond)
+		g.Decide(now, chat(1), waiting(time.Second))
+		g.Decide(now, plan(1), waiting(100*time.Millisecond))
+	}
+	if share := offer(g, &now, 20, plan(1), waiting(100*time.Millisecond)); share > 0.5 {
+		t.Fatalf("%.2f of the large prompts were let in beside late small ones", share)
+	}
+}
+
+// Guards against work that stays shut out after the pressure has ended.
+func TestLessUrgentWorkReturnsAfterThePressure(t *testing.T) {
+	g := newGate()
+	now := start
+	offer(g, &now, 50, plan(2), waiting(0))
+	offer(g, &now, 50, chat(0), waiting(time.Second))
+	now = now.Add(5 * time.Second)
+	if share := offer(g, &now, 50, plan(2), waiting(0)); share < 1 {
+		t.Fatalf("%.2f of the long prompts were let in 5 s after the pressure, want all", share)
+	}
+}
+
+// Guards against a gateway that lets less urgent work in although all others see
+// urgent work late.
+func TestPressureOfPeersCounts(t *testing.T) {
+	g := newGate()
+	now := start
+	offer(g, &now, 20, plan(2), waiting(0))
+	k := Kind{Service: "pool", Route: "chat", Rank: 0}
+	g.Hear(now, "peer-1", k, Pressure{Size: 700, Offered: 10, Late: 5})
+	if share := offer(g, &now, 20, plan(2), waiting(0)); share > 0.2 {
+		t.Fatalf("%.2f of the long prompts were let in while a peer's chats were late", share)
+	}
+	g.Hear(now, "peer-1", Kind{Service: "other", Route: "chat"}, Pressure{Size: 700, Offered: 10, Late: 10})
+	now = now.Add(5 * time.Second)
+	if share := offer(g, &now, 20, plan(2), waiting(0)); share < 1 {
+		t.Fatalf("%.2f were let in; the pressure of another service counted", share)
+	}
+}
+
+// Guards against a prompt being refused for its own size on an idle endpoint.
+func TestLargePromptWithoutWaitIsAdmitted(t *testing.T) {
+	c := placement.Choice{Expected: 3 * time.Second, Wait: 0}
+	if v := newGate().Decide(start, plan(2), c); !v.Admitted {
+		t.Fatalf("%+v, want admission", v)
+	}
+}
--- /dev/null
+++ b/gateway/placement/placement_test.go
@@ -0,0 +1,283 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+const pool = "pool"
+
+// newPool returns a fleet of n engines in two zones.
+func newPool(n int) *Fleet {
+	f := NewFleet("zone-0")
+	for i := range n {
+		f.Put(Endpoint{
+			ID: fmt.Sprintf("engine-%d", i), Service: pool, Address: fmt.Sprintf("10.0.0.%d:1", i),
+			Zone: fmt.Sprintf("zone-%d", i%2), Slots: 64, MemoryTokens: 250_000, TokensPerEvent: 3, FetchRate: 200,
+		})
+	}
+	f.SetStrictestPause(pool, 250*time.Millisecond)
+	return f
+}
+
+func chatWork() *Work {
+	return &Work{
+		Service: pool, Streaming: true, PromptTokens: 700, OutputTokens: 250,
+		Parts:  []Part{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 600}},
+		Target: 400 * time.Millisecond, MaxPause: 250 * time.Millisecond,
+	}
+}
+
+func planWork(subject uint64) *Work {
+	return &Work{
+		Service: pool, Streaming: true, PromptTokens: 9000, OutputTokens: 50,
+		Parts:  []Part{{ID: 10, Tokens: 2500}, {ID: subject, Tokens: 3800}, {ID: subject << 32, Tokens: 2700}},
+		Target: 2 * time.Second, MaxPause: time.Second,
+	}
+}
+
+func choose(t *testing.T, f *Fleet, now time.Time, w *Work) Choice {
+	t.Helper()
+	c, ok := f.Choose(now, w)
+	if !ok {
+		t.Fatal("no endpoint was chosen")
+	}
+	return c
+}
+
+// Load pattern: many long prompts and many chats at once. Chats must not run
+// beside the prefill of long prompts, which delays their tokens.
+func TestChatsAndLongPromptsKeepApart(t *testing.T) {
+	f := newPool(12)
+	now := start
+	chats := make(map[string]bool)
+	for i := range 20 {
+		now = now.Add(20 * time.Millisecond)
+		w := chatWork()
+		c := choose(t, f, now, w)
+		f.Send(now, w, c).Started(now.Add(30 * time.Millisecond))
+		chats[c.Endpoint.ID] = true
+		p := planWork(uint64(100 + i))
+		c = choose(t, f, now, p)
+		f.Send(now, p, c)
+	}
+	beside := 0
+	for id := range chats {
+		if f.endpoints[id].own.Prefill >= 2*chunkTokens {
+			beside++
+		}
+	}
+	if beside > 0 {
+		t.Fatalf("%d of %d engines with chats have long prompts to read", beside, len(chats))
+	}
+}
+
+// Load pattern: a burst arrives within one report interval. Engines' own reports
+// would still show no load; what was sent must count.
+func TestBurstSpreadsByWhatWasSent(t *testing.T) {
+	f := newPool(4)
+	for i := range 40 {
+		w := planWork(uint64(100 + i))
+		f.Send(start, w, choose(t, f, start, w))
+	}
+	for id, e := range f.endpoints {
+		if e.own.Running < 6 || e.own.Running > 14 {
+			t.Errorf("%s has %d of 40 prompts, want about 10", id, e.own.Running)
+		}
+	}
+}
+
+// Load pattern: several gateways meet the same burst. A gateway must not choose
+// the engine that its peers have just filled.
+func TestLoadOfPeersCounts(t *testing.T) {
+	f := newPool(2)
+	first := choose(t, f, start, chatWork())
+	e := f.endpoints[first.Endpoint.ID]
+	f.PeerLoads(start, "peer", map[uint64]Load{e.hash: {Running: 20, Prefill: 40_000, Memory: 90_000}})
+	if c := choose(t, f, start, chatWork()); c.Endpoint.ID == first.Endpoint.ID {
+		t.Fatal("the engine that a peer has filled was chosen")
+	}
+	later := start.Add(peerLoadMaxAge + time.Millisecond)
+	if c := choose(t, f, later, chatWork()); c.Endpoint.ID != first.Endpoint.ID {
+		t.Fatal("a statement beyond its age still counted")
+	}
+}
+
+// Load pattern: one subject is asked for again and again. Its parts are read
+// once; other engines fetch them instead of reading them again.
+func TestHotSubjectIsReadOnceAndFetched(t *testing.T) {
+	f := newPool(6)
+	w := planWork(77)
+	c := choose(t, f, start, w)
+	f.Send(start, w, c).Started(start.Add(300 * time.Millisecond))
+	now := start.Add(time.Second)
+	second := choose(t, f, now, planWork(77))
+	if second.Uncached > 2700 {
+		t.Fatalf("%d tokens are to be read, want the request's own 2,700 only", second.Uncached)
+	}
+	f.endpoints[c.Endpoint.ID].own.Prefill = 60_000
+	elsewhere := choose(t, f, now, planWork(77))
+	if elsewhere.Endpoint.ID == c.Endpoint.ID {
+		t.Fatal("the engine with a long queue was chosen")
+	}
+	if elsewhere.FetchFrom != c.Endpoint.Address || elsewhere.Uncached > 2700 {
+		t.Fatalf("fetch from %q and %d tokens to read, want a fetch from %q", elsewhere.FetchFrom, elsewhere.Uncached, c.Endpoint.Address)
+	}
+}
+
+// Guards against a fetch from an engine that has not read the parts yet.
+func TestNoFetchBeforeThePartsWereRead(t *testing.T) {
+	f := newPool(6)
+	w := planWork(77)
+	c := choose(t, f, start, w)
+	f.Send(start, w, c)
+	f.endpoints[c.Endpoint.ID].own.Prefill = 500_000
+	if second := choose(t, f, start.Add(time.Millisecond), planWork(77)); second.FetchFrom != "" {
+		t.Fatalf("fetch from %q, which is still reading", second.FetchFrom)
+	}
+}
+
+// Guards against gateways that place the same subject on different engines
+// although nobody has told them of it.
+func TestGatewaysAgreeOnHomes(t *testing.T) {
+	a, b := newPool(12), newPool(12)
+	differ := 0
+	for i := range 200 {
+		w := planWork(uint64(1000 + i))
+		if choose(t, a, start, w).Endpoint.ID != choose(t, b, start, w).Endpoint.ID {
+			differ++
+		}
+	}
+	if differ > 0 {
+		t.Fatalf("%d of 200 subjects have different homes", differ)
+	}
+}
+
+// Guards against an engine's loss moving the homes of subjects that were not
+// there.
+func TestLossOfAnEngineMovesOnlyItsSubjects(t *testing.T) {
+	f := newPool(12)
+	before := make(map[uint64]string)
+	for i := uint64(1000); i < 1200; i++ {
+		before[i] = f.services[pool].homes(start, planWork(i)).first.ID
+	}
+	f.Remove("engine-3")
+	for i, home := range before {
+		now := f.services[pool].homes(start, planWork(i)).first.ID
+		if home != "engine-3" && now != home {
+			t.Fatalf("subject %d moved from %s to %s", i, home, now)
+		}
+	}
+}
+
+// Guards against new work for an endpoint that is leaving, was tried already, or
+// is judged unhealthy while others are not.
+func TestEndpointsThatTakeNothing(t *testing.T) {
+	f := newPool(3)
+	f.Drain("engine-0")
+	f.SetHealth("engine-1", 0, true)
+	for range 10 {
+		if c := choose(t, f, start, chatWork()); c.Endpoint.ID != "engine-2" {
+			t.Fatalf("%s was chosen", c.Endpoint.ID)
+		}
+	}
+	w := chatWork()
+	w.Excluded = []string{"engine-2"}
+	if c := choose(t, f, start, w); c.Endpoint.ID != "engine-1" {
+		t.Fatalf("%s was chosen, want the unhealthy engine rather than none", c.Endpoint.ID)
+	}
+	w.Excluded = []string{"engine-1", "engine-2"}
+	if _, ok := f.Choose(start, w); ok {
+		t.Fatal("an endpoint that is leaving was chosen")
+	}
+}
+
+// Guards against load that stays counted after requests have ended, whatever the
+// order of their events and of changes of the fleet.
+func TestLoadReturnsToZero(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	f := newPool(4)
+	now := start
+	var open []*Flight
+	for range 2000 {
+		now = now.Add(time.Duration(rng.IntN(30)) * time.Millisecond)
+		switch rng.IntN(5) {
+		case 0, 1:
+			w := chatWork()
+			if rng.IntN(2) == 0 {
+				w = planWork(uint64(rng.IntN(20)))
+			}
+			if c, ok := f.Choose(now, w); ok {
+				open = append(open, f.Send(now, w, c))
+			}
+		case 2:
+			if len(open) > 0 {
+				open[rng.IntN(len(open))].Started(now)
+			}
+		default:
+			if len(open) > 0 {
+				at := rng.IntN(len(open))
+				open[at].End()
+				open = append(open[:at], open[at+1:]...)
+			}
+		}
+	}
+	for _, flight := range open {
+		flight.End()
+		flight.End()
+	}
+	for id, e := range f.endpoints {
+		if e.own.Running != 0 || e.own.Prefill != 0 || e.own.Memory != 0 || e.own.Tight > 1e-6 || e.own.Tight < -1e-6 {
+			t.Errorf("%s still has load %+v", id, e.own)
+		}
+	}
+}
+
+// Guards against a slow engine that keeps its share of the work.
+func TestSlowEngineGetsLess(t *testing.T) {
+	f := newPool(3)
+	now := start
+	count := make(map[string]int)
+	for i := range 200 {
+		now = now.Add(50 * time.Millisecond)
+		w := planWork(uint64(5000 + i))
+		c := choose(t, f, now, w)
+		flight := f.Send(now, w, c)
+		took := c.Expected
+		if c.Endpoint.ID == "engine-1" {
+			took *= 5
+		}
+		flight.Started(now.Add(took))
+		flight.End()
+		if i >= 50 {
+			count[c.Endpoint.ID]++
+		}
+	}
+	if count["engine-1"] > 30 {
+		t.Fatalf("the slow engine got %d of 150 prompts", count["engine-1"])
+	}
+}
+
+func plainWork() *Work { return &Work{Service: "ledger", Target: 300 * time.Millisecond} }
+
+// Load pattern: many short calls to a plain service with few slots. They must
+// spread over the endpoints, those of other availability zones included.
+func TestPlainCallsFillSlotsEvenly(t *testing.T) {
+	f := NewFleet("zone-0")
+	for i := range 4 {
+		f.Put(Endpoint{ID: fmt.Sprintf("ledger-%d", i), Service: "ledger", Zone: fmt.Sprintf("zone-%d", i), Slots: 6})
+	}
+	for range 24 {
+		w := plainWork()
+		f.Send(start, w, choose(t, f, start, w))
+	}
+	for id, e := range f.endpoints {
+		if e.own.Running != 6 {
+			t.Errorf("%s has %d calls, want 6", id, e.own.Running)
+		}
+	}
+}
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -148,6 +148,12 @@
 	// net/http would add both; an answer has only the endpoint's own headers.
 	w.Header()["Date"] = nil
 	w.Header()["Content-Type"] = nil
+	if len(r.TransferEncoding) > 0 {
+		// net/http ignores a Content-Length beside chunks without telling. What
+		// follows such a request may be meant as part of it, so nothing more is
+		// read from the connection (RFC 9112, section 6.1).
+		w.Header().Set("Connection", "close")
+	}
 	defer x.finish()
 	if !x.resolve() || !x.readBody() {
 		return
--- /dev/null
+++ b/gateway/relay/relay_test.go
@@ -0,0 +1,440 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/routing"
+	"github.com/pistachiowind/pistachiowind/gateway/upstream"
+)
+
+// testProtocol uses short header names of its own.
+type testProtocol struct{}
+
+func (testProtocol) Request(h http.Header) Fields {
+	f := Fields{ID: h.Get("Id"), Key: h.Get("Key"), LastEventID: h.Get("Last")}
+	if ms, err := strconv.Atoi(h.Get("Left")); err == nil {
+		f.TimeLeft, f.HasDeadline = time.Duration(ms)*time.Millisecond, true
+	}
+	return f
+}
+
+func (testProtocol) Outgoing(h http.Header, o Outgoing) {
+	h.Del("Key")
+	h.Del("Left")
+	h.Set("Account", o.Account)
+	h.Set("Endpoint", o.EndpointID)
+	if o.LastEventID != "" {
+		h.Set("Last", o.LastEventID)
+	}
+}
+
+func (testProtocol) Answer(h http.Header) AnswerFields {
+	return AnswerFields{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+}
+
+// endpoint is a scripted back end: each accepted connection takes the next
+// answers of the script in turn. The answer "hang" keeps the connection silent,
+// "reset" resets it and "close" ends it; other answers are sent as they are, and
+// one that ends in "<cut>" is followed by a close.
+type endpoint struct {
+	t        *testing.T
+	listener net.Listener
+	mu       sync.Mutex
+	answers  []string
+	requests []string
+	closed   chan struct{}
+}
+
+func newEndpoint(t *testing.T, answers ...string) *endpoint {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &endpoint{t: t, listener: listener, answers: answers, closed: make(chan struct{}, 16)}
+	t.Cleanup(func() { listener.Close() })
+	go e.serve()
+	return e
+}
+
+func (e *endpoint) serve() {
+	for {
+		c, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		go e.converse(c)
+	}
+}
+
+func (e *endpoint) next() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.answers) == 0 {
+		return "close"
+	}
+	answer := e.answers[0]
+	e.answers = e.answers[1:]
+	return answer
+}
+
+func (e *endpoint) converse(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		var seen bytes.Buffer
+		req, err := http.ReadRequest(bufio.NewReader(io.TeeReader(reader, &seen)))
+		if err != nil {
+			e.closed <- struct{}{}
+			return
+		}
+		if _, err := io.ReadAll(req.Body); err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.requests = append(e.requests, seen.String())
+		e.mu.Unlock()
+		switch answer := e.next(); answer {
+		case "hang":
+			_, _ = reader.ReadByte()
+			e.closed <- struct{}{}
+			return
+		case "reset":
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		case "close":
+			return
+		default:
+			text, cut := strings.CutSuffix(answer, "<cut>")
+			if _, err := io.WriteString(c, text); err != nil || cut {
+				return
+			}
+		}
+	}
+}
+
+func (e *endpoint) seen() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.requests...)
+}
+
+// fakePlacer hands out endpoints in order and counts what it is told.
+type fakePlacer struct {
+	mu      sync.Mutex
+	targets []string
+	budget  int
+	results []Result
+	refusal *Refusal
+}
+
+func (p *fakePlacer) Admit(*placement.Work, Quest) (Ticket, *Refusal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.refusal != nil {
+		return nil, p.refusal
+	}
+	if len(p.targets) == 0 {
+		return nil, &Refusal{Reason: "no_endpoint", RetryAfter: time.Second}
+	}
+	target := p.targets[0]
+	p.targets = p.targets[1:]
+	return &fakeTicket{placer: p, target: target}, nil
+}
+
+func (p *fakePlacer) FirstAttempt(string, string) {}
+
+func (p *fakePlacer) AllowRetry(string, string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget--
+	return p.budget >= 0
+}
+
+type fakeTicket struct {
+	placer *fakePlacer
+	target string
+}
+
+func (t *fakeTicket) Choice() placement.Choice {
+	return placement.Choice{Endpoint: placement.Endpoint{ID: "e", Address: t.target}}
+}
+func (t *fakeTicket) Started() {}
+func (t *fakeTicket) Ended(r Result) {
+	t.placer.mu.Lock()
+	defer t.placer.mu.Unlock()
+	t.placer.results = append(t.placer.results, r)
+}
+
+type records struct {
+	mu   sync.Mutex
+	list []Record
+	done chan struct{}
+}
+
+func (r *records) Finished(record Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list = append(r.list, record)
+	r.done <- struct{}{}
+}
+
+func testTable() *routing.Table {
+	route := func(name string, kind routing.Kind, change func(*routing.Route)) routing.Route {
+		r := routing.Route{
+			Name: name, Host: "site.example", Prefix: "/" + name + "/", Kind: kind, MaxAttempts: 2,
+			Timeout: 5 * time.Second, Split: []routing.Share{{Service: "s", Weight: 1}},
+		}
+		if change != nil {
+			change(&r)
+		}
+		return r
+	}
+	return routing.Compile(routing.Config{
+		Version: 7,
+		Routes: []routing.Route{
+			route("read", routing.Idempotent, nil),
+			route("charge", routing.NonIdempotent, nil),
+			route("stream", routing.Streaming, nil),
+			route("resume", routing.Streaming, func(r *routing.Route) { r.Resumable = true }),
+			route("short", routing.Idempotent, func(r *routing.Route) { r.Timeout = 50 * time.Millisecond }),
+			route("open", routing.Idempotent, func(r *routing.Route) { r.Anonymous = true }),
+		},
+		Limits:   routing.Limits{MaxBodyBytes: 1000},
+		Accounts: []routing.Account{{Name: "acme", Keys: []string{"k1"}}},
+	})
+}
+
+// session is a relay in front of scripted endpoints.
+type session struct {
+	t       *testing.T
+	placer  *fakePlacer
+	records *records
+	server  *httptest.Server
+}
+
+func newSession(t *testing.T, table *routing.Table, endpoints ...*endpoint) *session {
+	s := &session{t: t, placer: &fakePlacer{budget: 10}, records: &records{done: make(chan struct{}, 64)}}
+	for _, e := range endpoints {
+		s.placer.targets = append(s.placer.targets, e.listener.Addr().String())
+	}
+	rl := New(Options{
+		Protocol: testProtocol{}, Table: func() *routing.Table { return table }, Placer: s.placer,
+		Pool: upstream.NewPool(upstream.Options{}), Observer: s.records,
+		PickService: func(r *routing.Route) string { return r.Split[0].Service },
+	})
+	s.server = httptest.NewServer(rl)
+	t.Cleanup(s.server.Close)
+	return s
+}
+
+// call sends raw bytes on a new connection and returns what comes back until the
+// gateway closes it. The request should ask for that.
+func (s *session) call(raw string) string {
+	s.t.Helper()
+	c, err := net.Dial("tcp", s.server.Listener.Addr().String())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, raw); err != nil {
+		s.t.Fatal(err)
+	}
+	if err := c.SetReadDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		s.t.Fatal(err)
+	}
+	b, err := io.ReadAll(c)
+	if err != nil {
+		return string(b) + "<" + "reset" + ">"
+	}
+	return string(b)
+}
+
+func request(method, path, body string, headers ...string) string {
+	lines := []string{method + " " + path + " HTTP/1.1", "Host: site.example", "Id: a1", "Key: k1", "Connection: close"}
+	lines = append(lines, headers...)
+	if body != "" {
+		lines = append(lines, fmt.Sprintf("Content-Length: %d", len(body)))
+	}
+	return strings.Join(lines, "\r\n") + "\r\n\r\n" + body
+}
+
+const whole = "HTTP/1.1 200 OK\r\nId: a1\r\nSigned: x\r\nContent-Length: 5\r\n\r\nhello"
+
+func chunked(events ...string) string {
+	var b strings.Builder
+	b.WriteString("HTTP/1.1 200 OK\r\nId: a1\r\nSigned: x\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for _, e := range events {
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", len(e), e)
+	}
+	return b.String()
+}
+
+const lastChunk = "0\r\n\r\n"
+
+// received shows an answer with its body decoded, since the sizes of chunks
+// depend on how the endpoint's bytes arrive.
+func received(raw string) string {
+	head, body, _ := strings.Cut(raw, "\r\n\r\n")
+	if !strings.Contains(head, "Transfer-Encoding: chunked") {
+		return raw
+	}
+	decoded, err := io.ReadAll(httputil.NewChunkedReader(strings.NewReader(body)))
+	return fmt.Sprintf("%s\n\n%s(end of body: %v)", head, decoded, err)
+}
+
+// Guards against changes of what callers and endpoints see in whole sessions:
+// the caller's bytes, the endpoints' bytes, the answer and the outcome.
+func TestSessions(t *testing.T) {
+	cases := []struct {
+		name      string
+		request   string
+		endpoints [][]string
+		budget    int
+	}{
+		{"read", request("GET", "/read/x?q=%2F", "", "Left: 1000", "Account: forged", "Te: trailers"), [][]string{{whole}}, 10},
+		{"charge_reset", request("POST", "/charge/x", "pay"), [][]string{{"reset"}, {whole}}, 10},
+		{"read_reset_retried", request("GET", "/read/x", ""), [][]string{{"reset"}, {whole}}, 10},
+		{"read_reset_budget_spent", request("GET", "/read/x", ""), [][]string{{"reset"}, {whole}}, 0},
+		{"charge_not_run_elsewhere", request("POST", "/charge/x", "pay"),
+			[][]string{{"HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"}, {whole}}, 10},
+		{"charge_not_run_budget_spent", request("POST", "/charge/x", "pay", "Left: 900"),
+			[][]string{{"HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"}, {whole}}, 0},
+		{"charge_503_without_statement", request("POST", "/charge/x", "pay"),
+			[][]string{{"HTTP/1.1 503 Service Unavailable\r\nId: a1\r\nSigned: x\r\nContent-Length: 0\r\n\r\n"}}, 10},
+		{"charge_failed", request("POST", "/charge/x", "pay"),
+			[][]string{{"HTTP/1.1 500 Internal Server Error\r\nId: a1\r\nSigned: y\r\nContent-Length: 4\r\n\r\noops"}, {whole}}, 10},
+		{"charge_truncated", request("POST", "/charge/x", "pay"),
+			[][]string{{"HTTP/1.1 200 OK\r\nId: a1\r\nSigned: x\r\nContent-Length: 9\r\n\r\nhello<cut>"}}, 10},
+		{"charge_spoiled", request("POST", "/charge/x", "pay"), [][]string{{"\x00\x01 not HTTP\r\n\r\n<cut>"}}, 10},
+		{"charge_unsigned", request("POST", "/charge/x", "pay"),
+			[][]string{{"HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 5\r\n\r\nhello"}}, 10},
+		{"read_encoded", request("GET", "/read/x", ""),
+			[][]string{{"HTTP/1.1 200 OK\r\nId: a1\r\nSigned: x\r\nContent-Encoding: gzip\r\nContent-Length: 5\r\n\r\nhello"}, {whole}}, 10},
+		{"answer_to_another_request_first", request("POST", "/charge/x", "pay"),
+			[][]string{{"HTTP/1.1 200 OK\r\nId: old\r\nSigned: z\r\nContent-Length: 3\r\n\r\nold" + whole}}, 10},
+		{"unframed", request("GET", "/read/x", ""),
+			[][]string{{"HTTP/1.1 200 OK\r\nId: a1\r\nSigned: x\r\nConnection: close\r\n\r\nhello<cut>"}}, 10},
+		{"stream", request("POST", "/stream/x", "ask"), [][]string{{chunked("id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n") + lastChunk}}, 10},
+		{"stream_broken", request("POST", "/stream/x", "ask"), [][]string{{chunked("id: 1\ndata: a\n\n", "id: 2\nda") + "<cut>"}, {whole}}, 10},
+		{"stream_resumed", request("POST", "/resume/x", "ask"),
+			[][]string{{chunked("id: 1\ndata: a\n\n", "id: 2\nda") + "<cut>"}, {chunked("id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n") + lastChunk}}, 10},
+		{"stream_broken_budget_spent", request("POST", "/resume/x", "ask"),
+			[][]string{{chunked("id: 1\ndata: a\n\n") + "<cut>"}, {chunked("id: 2\ndata: b\n\n") + lastChunk}}, 0},
+		{"unknown_route", request("GET", "/nowhere/x", ""), nil, 10},
+		{"unknown_key", strings.Replace(request("GET", "/read/x", ""), "Key: k1", "Key: k2", 1), nil, 10},
+		{"two_keys", request("GET", "/read/x", "", "Key: k2"), nil, 10},
+		{"anonymous", strings.Replace(request("GET", "/open/x", ""), "Key: k1", "Key: k2", 1), [][]string{{whole}}, 10},
+		{"no_endpoint", request("GET", "/read/x", "", "Left: 900"), nil, 10},
+		{"body_too_large", request("POST", "/charge/x", strings.Repeat("x", 1001)), nil, 10},
+		{"smuggled", "POST /charge/x HTTP/1.1\r\nHost: site.example\r\nId: a1\r\nKey: k1\r\nConnection: close\r\nContent-Length: 60\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			"3\r\npay\r\n0\r\n\r\nPOST /charge/y HTTP/1.1\r\nHost: site.example\r\n\r\n", [][]string{{whole}, {whole}}, 10},
+		{"timeout", request("GET", "/short/x", ""), [][]string{{"hang"}}, 10},
+	}
+	golden := goldie.New(t)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var endpoints []*endpoint
+			for _, answers := range c.endpoints {
+				endpoints = append(endpoints, newEndpoint(t, answers...))
+			}
+			s := newSession(t, testTable(), endpoints...)
+			s.placer.budget = c.budget
+			answer := s.call(c.request)
+			<-s.records.done
+			var b strings.Builder
+			b.WriteString("--- caller sends\n" + c.request + "\n--- caller receives\n" + received(answer) + "\n")
+			for i, e := range endpoints {
+				for _, seen := range e.seen() {
+					fmt.Fprintf(&b, "--- endpoint %d receives\n%s\n", i, seen)
+				}
+			}
+			r := s.records.list[0]
+			fmt.Fprintf(&b, "--- outcome\n%s status=%d attempts=%d results=%v\n", r.Result, r.Status, len(r.Attempts), s.placer.results)
+			golden.Assert(t, c.name, []byte(strings.ReplaceAll(b.String(), "\r", "")))
+		})
+	}
+}
+
+// Guards against work that goes on at an endpoint after its caller has left.
+func TestEndpointStopsWhenTheCallerLeaves(t *testing.T) {
+	e := newEndpoint(t, "hang")
+	s := newSession(t, testTable(), e)
+	c, err := net.Dial("tcp", s.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, request("POST", "/stream/x", "ask")); err != nil {
+		t.Fatal(err)
+	}
+	for len(e.seen()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Close()
+	<-e.closed
+	<-s.records.done
+	if r := s.records.list[0].Result; r != "caller_left" {
+		t.Fatalf("result %s, want caller_left", r)
+	}
+}
+
+// Guards against 401 or 404 from a gateway that knows no configuration yet: a
+// caller would not come back.
+func TestWithoutConfigurationTheAnswerIs503(t *testing.T) {
+	s := newSession(t, nil)
+	if answer := s.call(request("GET", "/read/x", "")); !strings.HasPrefix(answer, "HTTP/1.1 503 ") || !strings.Contains(answer, "Retry-After: ") {
+		t.Fatalf("answer %q", answer)
+	}
+}
+
+// Guards against a request that is hidden behind a body with two lengths: a
+// chunked body, and a Content-Length that covers what follows it.
+func TestNothingIsReadAfterARequestWithChunks(t *testing.T) {
+	e := newEndpoint(t, whole)
+	s := newSession(t, testTable(), e, e)
+	hidden := "POST /charge/y HTTP/1.1\r\nHost: site.example\r\nId: a2\r\nKey: k1\r\nContent-Length: 0\r\n\r\n"
+	body := "3\r\npay\r\n0\r\n\r\n" + hidden
+	s.call("POST /charge/x HTTP/1.1\r\nHost: site.example\r\nId: a1\r\nKey: k1\r\nTransfer-Encoding: chunked\r\n" +
+		fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)) + body)
+	if n := len(e.seen()); n != 1 {
+		t.Fatalf("%d requests reached the endpoint, want 1", n)
+	}
+}
+
+// Guards against a connection that is used again although bytes of a second
+// answer follow the first.
+func TestSecondAnswerEndsTheConnection(t *testing.T) {
+	e := newEndpoint(t, whole+whole, strings.ReplaceAll(whole, "hello", "other"))
+	s := newSession(t, testTable(), e, e)
+	for _, want := range []string{"hello", "other"} {
+		if answer := s.call(request("GET", "/read/x", "")); !strings.HasSuffix(answer, want) {
+			t.Fatalf("answer %q, want %q", answer, want)
+		}
+	}
+}
+
+// Guards against advice to return later than a caller honours: a third of the
+// time that it has left.
+func TestRetryAfterFitsTheTimeLeft(t *testing.T) {
+	s := newSession(t, testTable())
+	s.placer.refusal = &Refusal{Reason: "target_out_of_reach", RetryAfter: 10 * time.Second}
+	s.call(request("GET", "/read/x", "", "Left: 900"))
+	<-s.records.done
+	if after := s.records.list[0].RetryAfter; after > 300*time.Millisecond || after < 200*time.Millisecond {
+		t.Fatalf("Retry-After %v, want just below 300 ms", after)
+	}
+}
