Speak the platform's store with one client and one stand-in

Cause: the clients in storage spoke a protocol of our own stand-ins. Change: platform/ holds the only client of rows and objects; the stand-ins of the table and the object store speak the published calls, with a feed that waits; storage keeps the types and the classification of failures.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -34,9 +34,9 @@
 	"github.com/pistachiowind/pistachiowind/catalog"
 	"github.com/pistachiowind/pistachiowind/httpserver"
 	"github.com/pistachiowind/pistachiowind/lifecycle"
+	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/rpc"
 	"github.com/pistachiowind/pistachiowind/settings"
-	"github.com/pistachiowind/pistachiowind/storage"
 	"github.com/pistachiowind/pistachiowind/telemetry"
 )
 
@@ -66,8 +66,8 @@
 	// Models replaces the engine's own list when it is not empty.
 	Models []string
 
-	Table   *storage.Table
-	Objects *storage.Objects
+	Table   *platform.Rows
+	Objects *platform.Objects
 
 	Queue       queue.Options
 	Concurrency Concurrency
--- a/agent/claim/ledger.go
+++ b/agent/claim/ledger.go
@@ -9,7 +9,7 @@
 	"github.com/pistachiowind/pistachiowind/storage"
 )
 
-// Table is what the ledger needs of the table service; storage.Table is one.
+// Table is what the ledger needs of the table service; platform.Rows is one.
 type Table interface {
 	Get(ctx context.Context, key string) (storage.Row, error)
 	Put(ctx context.Context, key string, value []byte, expected storage.Revision) (storage.Row, error)
@@ -17,10 +17,10 @@
 	DeleteBatch(ctx context.Context, rows []storage.Row) error
 }
 
-// Objects is what the ledger needs of the object store; storage.Objects is one.
+// Objects is what the ledger needs of the object store; platform.Objects is one.
 type Objects interface {
-	Get(ctx context.Context, key string) ([]byte, storage.Revision, error)
-	Put(ctx context.Context, key string, value []byte) (storage.Revision, error)
+	Get(ctx context.Context, key string) ([]byte, error)
+	Put(ctx context.Context, key string, value []byte) error
 	Delete(ctx context.Context, key string) error
 }
 
@@ -145,7 +145,7 @@
 	case StepAskOwner:
 		return l.askOwner(ctx, a.Owner)
 	case StepFetchBody:
-		body, _, err := l.o.Objects.Get(ctx, a.Object)
+		body, err := l.o.Objects.Get(ctx, a.Object)
 		return Event{Body: body, Err: err}
 	}
 	timer := time.NewTimer(a.Pause)
--- a/agent/claim/serve.go
+++ b/agent/claim/serve.go
@@ -104,7 +104,7 @@
 	var err error
 	switch s.Step {
 	case SaveObject:
-		_, err = l.o.Objects.Put(ctx, s.Object, s.Body)
+		err = l.o.Objects.Put(ctx, s.Object, s.Body)
 	case SaveRow:
 		row, err = l.o.Table.Put(ctx, s.RowKey, s.Value, s.Expected)
 	case SaveRead:
--- a/agent/gate/keeper.go
+++ b/agent/gate/keeper.go
@@ -16,7 +16,7 @@
 	"github.com/pistachiowind/pistachiowind/storage"
 )
 
-// Table is what a Keeper needs of the table service; storage.Table is one.
+// Table is what a Keeper needs of the table service; platform.Rows is one.
 type Table interface {
 	Get(ctx context.Context, key string) (storage.Row, error)
 }
--- a/capacity/claims.go
+++ b/capacity/claims.go
@@ -7,6 +7,7 @@
 
 	"github.com/pistachiowind/pistachiowind/agent/claim"
 	"github.com/pistachiowind/pistachiowind/lease"
+	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/standin"
 	"github.com/pistachiowind/pistachiowind/storage"
@@ -47,8 +48,8 @@
 	defer site.Close()
 	wire := &Wire{}
 	ledger := claim.New(claim.Options{
-		Table:   storage.NewTable(storage.Options{URL: site.TableURL, Client: wire.Client(16)}),
-		Objects: storage.NewObjects(storage.Options{URL: site.ObjectsURL}),
+		Table:   platform.NewRows(storage.Options{URL: site.TableURL, Client: wire.Client(16)}),
+		Objects: platform.NewObjects(storage.Options{URL: site.ObjectsURL}),
 		Agent:   "agent-1", Address: "127.0.0.1:7002",
 	})
 	ctx, stop := context.WithCancel(context.Background())
--- a/capacity/propagation.go
+++ b/capacity/propagation.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/pistachiowind/pistachiowind/catalog"
+	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/standin"
 	"github.com/pistachiowind/pistachiowind/storage"
 )
@@ -214,7 +215,7 @@
 	s.stop = stop
 	client := (&Wire{}).Client(n)
 	for i := range n {
-		if err := s.add(i, storage.NewTable(storage.Options{URL: site.TableURL, Client: client})); err != nil {
+		if err := s.add(i, platform.NewRows(storage.Options{URL: site.TableURL, Client: client})); err != nil {
 			s.close()
 			return nil, err
 		}
@@ -228,7 +229,7 @@
 	return s, s.settle(siteVersion)
 }
 
-func (s *swarm) add(i int, table *storage.Table) error {
+func (s *swarm) add(i int, table *platform.Rows) error {
 	l := &light{address: fmt.Sprint(i), holder: catalog.NewHolder()}
 	peers := s.agentAddresses
 	if i >= s.routers {
--- a/capacity/static.go
+++ b/capacity/static.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiowind/pistachiowind/catalog"
+	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/router/selection"
 	"github.com/pistachiowind/pistachiowind/rpc"
 	"github.com/pistachiowind/pistachiowind/standin"
@@ -61,7 +62,7 @@
 	}
 	defer site.Close()
 	wire := &Wire{}
-	store := catalog.NewStore(storage.NewTable(storage.Options{URL: site.TableURL, Client: wire.Client(1)}))
+	store := catalog.NewStore(platform.NewRows(storage.Options{URL: site.TableURL, Client: wire.Client(1)}))
 	adoption, err := loadBytes(wire, store, 0)
 	if err != nil {
 		return err
--- a/capacity/subject.go
+++ b/capacity/subject.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/pistachiowind/pistachiowind/agent"
+	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/router"
 	"github.com/pistachiowind/pistachiowind/router/dispatch"
 	"github.com/pistachiowind/pistachiowind/settings"
@@ -130,7 +131,7 @@
 		CallersAddress:   loopback,
 		PeersAddress:     loopback,
 		AdminAddress:     loopback,
-		Table:            storage.NewTable(storage.Options{URL: c.TableURL, Client: s.table.Client(2)}),
+		Table:            platform.NewRows(storage.Options{URL: c.TableURL, Client: s.table.Client(2)}),
 		VMs:              storage.NewVMList(storage.Options{URL: c.VMsURL, Client: s.vms.Client(2)}),
 		PeerTransport:    s.peers.Wrap(dispatch.NewTransport()),
 		ReadyGrace:       -1,
@@ -154,8 +155,8 @@
 		PeersAddress:     loopback,
 		AdminAddress:     loopback,
 		EndpointURL:      c.EndpointURL,
-		Table:            storage.NewTable(storage.Options{URL: c.TableURL, Client: s.table.Client(2)}),
-		Objects:          storage.NewObjects(storage.Options{URL: c.ObjectsURL, Client: s.table.Client(2)}),
+		Table:            platform.NewRows(storage.Options{URL: c.TableURL, Client: s.table.Client(2)}),
+		Objects:          platform.NewObjects(storage.Options{URL: c.ObjectsURL, Client: s.table.Client(2)}),
 		Concurrency:      agent.Concurrency{Initial: c.Slots, Min: 1, Max: c.Slots},
 		PeerTransport:    s.peers.Wrap(dispatch.NewTransport()),
 		DrainTimeout:     time.Second,
--- a/catalog/rows.go
+++ b/catalog/rows.go
@@ -10,7 +10,7 @@
 	"github.com/pistachiowind/pistachiowind/storage"
 )
 
-// Table is what the store needs of the table service; storage.Table is one.
+// Table is what the store needs of the table service; platform.Rows is one.
 type Table interface {
 	Get(ctx context.Context, key string) (storage.Row, error)
 	Put(ctx context.Context, key string, value []byte, expected storage.Revision) (storage.Row, error)
--- a/cmd/pistachiowind-gateway/main.go
+++ b/cmd/pistachiowind-gateway/main.go
@@ -77,13 +77,13 @@
 	if err != nil {
 		return err
 	}
-	store := platform.NewStore(s.StoreAddress)
+	store := platform.StoreOptions(s.StoreAddress)
 	g := gateway.New(gateway.Options{
 		Settings:     s,
 		Protocol:     platform.Headers{},
 		ReadyPath:    platform.ReadyPath,
-		Config:       store.ConfigTable(),
-		Endpoints:    store.EndpointTable(),
+		Config:       platform.ConfigFeed(store),
+		Endpoints:    platform.EndpointFeed(store),
 		ConfigSink:   func(g *gateway.Gateway) follow.Sink { return platform.ConfigSink{Site: g} },
 		EndpointSink: func(g *gateway.Gateway) follow.Sink { return platform.EndpointSink{Site: g} },
 		Log:          log,
--- a/cmd/pistachiowind/catalog.go
+++ b/cmd/pistachiowind/catalog.go
@@ -13,6 +13,7 @@
 
 	"github.com/pistachiowind/pistachiowind/admin"
 	"github.com/pistachiowind/pistachiowind/catalog"
+	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/storage"
 )
 
@@ -83,7 +84,7 @@
 		if err != nil {
 			return err
 		}
-		store := catalog.NewStore(storage.NewTable(storage.Options{URL: *table}))
+		store := catalog.NewStore(platform.NewRows(storage.Options{URL: *table}))
 		accepted, err := store.Put(ctx, time.Now(), catalog.Change{ID: uuid.NewString(), By: *by, Catalog: c})
 		if err != nil {
 			return err
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/pistachiowind/pistachiowind/agent"
 	"github.com/pistachiowind/pistachiowind/agent/queue"
 	"github.com/pistachiowind/pistachiowind/peertls"
+	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/router"
 	"github.com/pistachiowind/pistachiowind/router/dispatch"
@@ -70,7 +71,7 @@
 		CallersAddress:   s.Listen.Callers,
 		PeersAddress:     s.Listen.Peers,
 		AdminAddress:     s.Listen.Admin,
-		Table:            storage.NewTable(storage.Options{URL: s.Platform.TableURL}),
+		Table:            platform.NewRows(storage.Options{URL: s.Platform.TableURL}),
 		Agents:           s.Agents,
 		MaxOpen:          s.Limits.MaxOpenRequests,
 		MaxBodyBytes:     int64(s.Limits.MaxBodyBytes),
@@ -115,8 +116,8 @@
 		EndpointURL:      s.Endpoint.URL,
 		Service:          s.Endpoint.Service,
 		Models:           s.Endpoint.Models,
-		Table:            storage.NewTable(storage.Options{URL: s.Platform.TableURL}),
-		Objects:          storage.NewObjects(storage.Options{URL: s.Platform.ObjectsURL}),
+		Table:            platform.NewRows(storage.Options{URL: s.Platform.TableURL}),
+		Objects:          platform.NewObjects(storage.Options{URL: s.Platform.ObjectsURL}),
 		Queue:            queue.Options{Capacity: s.Queue.MaxItems, PerAccount: s.Queue.MaxItemsPerAccount},
 		Concurrency:      agent.Concurrency(s.Concurrency),
 		PeerTLS:          security.server,
--- a/lease/competitor.go
+++ b/lease/competitor.go
@@ -8,7 +8,7 @@
 	"github.com/pistachiowind/pistachiowind/storage"
 )
 
-// Table is what a Competitor needs of the table service; storage.Table is one.
+// Table is what a Competitor needs of the table service; platform.Rows is one.
 type Table interface {
 	Get(ctx context.Context, key string) (storage.Row, error)
 	Put(ctx context.Context, key string, value []byte, expected storage.Revision) (storage.Row, error)
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -24,7 +24,7 @@
 	publishTimeout = 5 * time.Second
 )
 
-// Rows is what an Exchange needs of the table service; storage.Table is one.
+// Rows is what an Exchange needs of the table service; platform.Rows is one.
 type Rows interface {
 	Get(ctx context.Context, key string) (storage.Row, error)
 	Put(ctx context.Context, key string, value []byte, expected storage.Revision) (storage.Row, error)
--- a/router/router.go
+++ b/router/router.go
@@ -30,6 +30,7 @@
 	"github.com/pistachiowind/pistachiowind/catalog"
 	"github.com/pistachiowind/pistachiowind/httpserver"
 	"github.com/pistachiowind/pistachiowind/lifecycle"
+	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/router/dispatch"
 	"github.com/pistachiowind/pistachiowind/router/fleet"
 	"github.com/pistachiowind/pistachiowind/router/ingress"
@@ -61,7 +62,7 @@
 	PeersAddress     string
 	AdminAddress     string
 
-	Table *storage.Table
+	Table *platform.Rows
 	VMs   *storage.VMList
 	// Agents are fixed peer addresses, used besides the VM list.
 	Agents []string
--- a/storage/call.go
+++ b/storage/call.go
@@ -33,8 +33,8 @@
 	Timeout time.Duration
 }
 
-// caller sends bounded calls to one service and classifies their failures.
-type caller struct {
+// Caller sends bounded calls to one service and classifies their failures.
+type Caller struct {
 	base    string
 	client  http.Client
 	timeout time.Duration
@@ -42,8 +42,9 @@
 	observer Observer
 }
 
-func newCaller(o Options) caller {
-	c := caller{base: strings.TrimSuffix(o.URL, "/"), timeout: o.Timeout}
+// NewCaller returns a Caller; it opens no connection yet.
+func NewCaller(o Options) Caller {
+	c := Caller{base: strings.TrimSuffix(o.URL, "/"), timeout: o.Timeout}
 	if o.Client != nil {
 		c.client = *o.Client
 	}
@@ -56,84 +57,79 @@
 	return c
 }
 
-// call is one request to a service.
-type call struct {
-	operation Operation
-	method    string
-	path      string
-	query     url.Values
-	header    http.Header
-	body      []byte
-	// write states that the call changes state, so that a lost answer leaves
+// Call is one request to a service.
+type Call struct {
+	Operation Operation
+	Method    string
+	Path      string
+	Query     url.Values
+	Header    http.Header
+	Body      []byte
+	// Write states that the call changes state, so that a lost answer leaves
 	// its outcome unknown.
-	write bool
-	// limit bounds the answer's body in bytes.
-	limit int64
+	Write bool
+	// Limit bounds the answer's body in bytes.
+	Limit int64
 }
 
-// answer is a whole answer with a status below 300.
-type answer struct {
-	header http.Header
-	body   []byte
+// Answer is a whole answer with a status below 300.
+type Answer struct {
+	Header http.Header
+	Body   []byte
 }
 
-// revision returns the ETag without its quotes.
-func (a answer) revision() Revision {
-	return Revision(strings.Trim(a.header.Get("ETag"), `"`))
-}
-
-// do sends a call and reports its end to the observer.
-func (c *caller) do(ctx context.Context, k call) (answer, error) {
+// Do sends a call and reports its end to the observer.
+func (c *Caller) Do(ctx context.Context, k Call) (Answer, error) {
 	began := time.Now()
 	a, err := c.exchange(ctx, k)
 	if c.observer != nil {
-		c.observer.Called(string(k.operation), outcomeOf(err), time.Since(began))
+		c.observer.Called(string(k.Operation), outcomeOf(err), time.Since(began))
 	}
 	return a, err
 }
 
-func (c *caller) exchange(ctx context.Context, k call) (answer, error) {
+func (c *Caller) exchange(ctx context.Context, k Call) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	resp, err := c.send(ctx, k)
 	if err != nil {
-		return answer{}, err
+		return Answer{}, err
 	}
 	defer resp.Body.Close()
 	if err := statusError(resp, k); err != nil {
-		return answer{}, err
+		return Answer{}, err
 	}
-	body, err := readBounded(resp.Body, k.limit)
-	if err != nil && !k.write {
-		return answer{}, err
+	body, err := readBounded(resp.Body, k.Limit)
+	if err != nil && !k.Write {
+		return Answer{}, err
 	}
 	// The status of a write states its outcome; its body carries nothing more.
-	return answer{header: resp.Header, body: body}, nil
+	return Answer{Header: resp.Header, Body: body}, nil
 }
 
 // send performs the exchange up to the answer's head. Without a connection
 // nothing was sent, so the call certainly had no effect.
-func (c *caller) send(ctx context.Context, k call) (*http.Response, error) {
-	target := c.base + k.path
-	if len(k.query) > 0 {
-		target += "?" + k.query.Encode()
+func (c *Caller) send(ctx context.Context, k Call) (*http.Response, error) {
+	target := c.base + k.Path
+	if len(k.Query) > 0 {
+		target += "?" + k.Query.Encode()
 	}
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	req, err := http.NewRequestWithContext(ctx, k.method, target, bytes.NewReader(k.body))
+	req, err := http.NewRequestWithContext(ctx, k.Method, target, bytes.NewReader(k.Body))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrRejected, err)
 	}
-	for name, values := range k.header {
+	for name, values := range k.Header {
 		req.Header[name] = values
 	}
 	resp, err := c.client.Do(req)
 	if err == nil {
 		return resp, nil
 	}
-	if k.write && connected.Load() {
+	if k.Write && connected.Load() {
 		return nil, fmt.Errorf("%w: %v", ErrOutcomeUnknown, err)
 	}
 	return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
@@ -141,18 +137,20 @@
 
 // statusError maps the answer's status. 429 and 503 are sent before a write is
 // started; any other server error may come from a gateway after the write.
-func statusError(resp *http.Response, k call) error {
+func statusError(resp *http.Response, k Call) error {
 	status := resp.StatusCode
 	switch {
 	case status >= 200 && status < 300:
 		return nil
 	case status == http.StatusNotFound:
 		return ErrNotFound
+	case status == http.StatusGone:
+		return ErrGone
 	case status == http.StatusPreconditionFailed || status == http.StatusConflict:
 		return ErrConflict
 	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
 		return fmt.Errorf("%w: status %d", ErrUnavailable, status)
-	case status >= 500 && k.write:
+	case status >= 500 && k.Write:
 		return fmt.Errorf("%w: status %d", ErrOutcomeUnknown, status)
 	case status >= 500:
 		return fmt.Errorf("%w: status %d", ErrUnavailable, status)
@@ -171,26 +169,16 @@
 	return body, nil
 }
 
-func decodeAnswer(body []byte, into any) error {
+// Decode decodes an answer in JSON. The error is ErrUnavailable.
+func Decode(body []byte, into any) error {
 	if err := json.Unmarshal(body, into); err != nil {
 		return fmt.Errorf("%w: malformed answer: %v", ErrUnavailable, err)
 	}
 	return nil
 }
 
-// keyPath escapes each segment of a key. Empty segments and dot segments are
-// refused, because HTTP servers rewrite such paths and would address another row.
-func keyPath(prefix, key string) (string, error) {
-	segments := strings.Split(key, "/")
-	for i, s := range segments {
-		if s == "" || s == "." || s == ".." {
-			return "", fmt.Errorf("%w: key %q has an empty or dot segment", ErrRejected, key)
-		}
-		segments[i] = url.PathEscape(s)
-	}
-	return prefix + strings.Join(segments, "/"), nil
-}
-
-func quoted(r Revision) string {
-	return `"` + string(r) + `"`
+// Observed returns a Caller that reports its calls to o.
+func (c Caller) Observed(o Observer) Caller {
+	c.observer = o
+	return c
 }
--- a/storage/observer.go
+++ b/storage/observer.go
@@ -44,23 +44,7 @@
 	return "rejected"
 }
 
-// Observed returns a client of the same table that reports its calls to o.
-func (t *Table) Observed(o Observer) *Table {
-	c := t.caller
-	c.observer = o
-	return &Table{caller: c}
-}
-
-// Observed returns a client of the same store that reports its calls to o.
-func (s *Objects) Observed(o Observer) *Objects {
-	c := s.caller
-	c.observer = o
-	return &Objects{caller: c}
-}
-
 // Observed returns a client of the same list that reports its calls to o.
 func (l *VMList) Observed(o Observer) *VMList {
-	c := l.caller
-	c.observer = o
-	return &VMList{caller: c}
+	return &VMList{caller: l.caller.Observed(o)}
 }
--- a/storage/table.go
+++ b/storage/table.go
@@ -1,8 +1,8 @@
-// Package storage reaches the services that the site already runs: the
-// transactional table service, the object store, the VM list and the weight
-// store. Each adapter is one file, so that a change of the real protocol
-// touches one place. The packages that use a service declare the interface
-// that they need; the types here are shared between them.
+// Package storage defines what the product needs of the services that a site
+// already runs: rows under conditions, objects, the VM list and the weight store,
+// with errors that say whether a call had an effect. Package platform holds the
+// client of the rows and objects. The packages that use a service declare the
+// interface that they need; the types here are shared between them.
 package storage
 
 import (
@@ -17,6 +17,9 @@
 // expected one. The write did not take effect.
 var ErrConflict = errors.New("storage: revision conflict")
 
+// ErrGone means that the history that a call asked for is no longer kept.
+var ErrGone = errors.New("storage: history is gone")
+
 // ErrUnavailable means that the service refused the call or could not be
 // reached before the call was sent. A write with this error did not take effect.
 var ErrUnavailable = errors.New("storage: service unavailable")
@@ -41,3 +44,13 @@
 
 // MaxValueBytes bounds a row's value; larger writes are refused by the client.
 const MaxValueBytes = 400 << 10
+
+// MaxObjectBytes bounds one object; larger writes are refused by the client.
+const MaxObjectBytes = 16 << 20
+
+const (
+	// MaxListRows bounds one page of a listing.
+	MaxListRows = 100
+	// MaxDeleteRows bounds one transaction that deletes rows.
+	MaxDeleteRows = 25
+)
--- a/storage/vmlist.go
+++ b/storage/vmlist.go
@@ -40,12 +40,12 @@
 
 // VMList is a client of the platform's VM list. It is safe for concurrent use.
 type VMList struct {
-	caller caller
+	caller Caller
 }
 
 // NewVMList returns a client; it opens no connection yet.
 func NewVMList(o Options) *VMList {
-	return &VMList{caller: newCaller(o)}
+	return &VMList{caller: NewCaller(o)}
 }
 
 type vmListAnswer struct {
@@ -55,12 +55,12 @@
 // List returns all VMs. The list lags behind reality by seconds. Errors:
 // ErrUnavailable, ErrTooLarge.
 func (l *VMList) List(ctx context.Context) ([]VM, error) {
-	a, err := l.caller.do(ctx, call{operation: OpVMList, method: http.MethodGet, path: "/vms", limit: maxVMListBytes})
+	a, err := l.caller.Do(ctx, Call{Operation: OpVMList, Method: http.MethodGet, Path: "/vms", Limit: maxVMListBytes})
 	if err != nil {
 		return nil, fmt.Errorf("list VMs: %w", err)
 	}
 	var list vmListAnswer
-	if err := decodeAnswer(a.body, &list); err != nil {
+	if err := Decode(a.Body, &list); err != nil {
 		return nil, fmt.Errorf("list VMs: %w", err)
 	}
 	return list.VMs, nil
--- a/storage/weights.go
+++ b/storage/weights.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -36,7 +38,7 @@
 // Weights is a client of the rate-limited weight store. It is safe for
 // concurrent use.
 type Weights struct {
-	caller caller
+	caller Caller
 }
 
 // NewWeights returns a client. A zero timeout means DefaultWeightsTimeout.
@@ -44,7 +46,7 @@
 	if o.Timeout == 0 {
 		o.Timeout = DefaultWeightsTimeout
 	}
-	return &Weights{caller: newCaller(o)}
+	return &Weights{caller: NewCaller(o)}
 }
 
 // Fetch copies the weights of a model version to w and returns their size. On
@@ -57,7 +59,7 @@
 	if err != nil {
 		return 0, err
 	}
-	k := call{method: http.MethodGet, path: path}
+	k := Call{Method: http.MethodGet, Path: path}
 	resp, err := s.caller.send(ctx, k)
 	if err != nil {
 		return 0, fmt.Errorf("fetch weights %s/%s: %w", model, version, err)
@@ -92,3 +94,16 @@
 	}
 	return min(time.Duration(seconds)*time.Second, maxRetryAfter)
 }
+
+// keyPath escapes each segment of a key. Empty segments and dot segments are
+// refused, because HTTP servers rewrite such paths and would address another row.
+func keyPath(prefix, key string) (string, error) {
+	segments := strings.Split(key, "/")
+	for i, s := range segments {
+		if s == "" || s == "." || s == ".." {
+			return "", fmt.Errorf("%w: key %q has an empty or dot segment", ErrRejected, key)
+		}
+		segments[i] = url.PathEscape(s)
+	}
+	return prefix + strings.Join(segments, "/"), nil
+}
