--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -19,6 +19,10 @@
 	// changesWait is how long one call waits for a change. Longer waits save
 	// calls; a connection that goes silent is found by TCP keep-alive.
 	changesWait = 15 * time.Second
+	// gather is the pause after an answer with changes, so that the changes of a
+	// moment, such as a rolling release, take one call. It is a small part of the
+	// time within which a change must be in force.
+	gather = 300 * time.Millisecond
 	// callSlack is added to the wait before a call counts as failed.
 	callSlack = 2 * time.Second
 	// listTimeout bounds a listing.
@@ -89,6 +93,9 @@
 		case err == nil:
 			f.succeeded()
 			f.deliver(page, listed)
+			if listed && len(page.Rows) > 0 {
+				f.sleep(ctx, gather)
+			}
 			version, listed = page.Version, true
 			backoff = minBackoff
 		case errors.Is(err, ErrHistoryGone):
