--- a/gateway/admission/gate.go
+++ b/gateway/admission/gate.go
@@ -13,8 +13,10 @@
 	// shedGain turns the late share of more urgent work into the share of less
 	// urgent work that is refused: at a third, nothing less urgent is served.
 	shedGain = 3.0
-	// servedShare is the admitted share from which a kind of work counts as served.
-	servedShare = 0.1
+	// yieldTime is how long work that was let in must have been the last of its
+	// kind before more urgent work may be refused for lack of room. What it takes
+	// from the engines lasts about as long.
+	yieldTime = 5 * time.Second
 	// minOffered is the number of requests below which a share tells nothing.
 	minOffered = 3.0
 	// negligible is the count below which a kind of work is forgotten.
@@ -41,21 +43,20 @@
 type Pressure struct {
 	// Size is the typical number of prompt tokens.
 	Size float64
-	// Offered and Late are numbers of requests that fade with time.
+	// Offered and Late are numbers of requests that fade with time; Late ones were
+	// expected to be late.
 	Offered, Late float64
 }
 
 type faded struct {
 	Pressure
-	// admitted is the number of requests that were let in; it fades too.
-	admitted float64
-	at       time.Time
+	lastAdmitted time.Time
+	at           time.Time
 }
 
 func (f *faded) fade(now time.Time) {
 	factor := math.Exp(-float64(now.Sub(f.at)) / float64(memory))
 	f.Offered *= factor
-	f.admitted *= factor
 	f.Late *= factor
 	f.at = now
 }
@@ -93,26 +94,23 @@
 		v = Verdict{Reason: MoreUrgentRefused, RetryAfter: memory/2 + time.Duration(g.rng.Int64N(int64(memory)))}
 	}
 	if v.Admitted {
-		f.admitted++
+		f.lastAdmitted = now
 	}
 	return v
 }
 
 // shed draws whether a request makes room for more urgent work.
 func (g *Gate) shed(now time.Time, k Kind, size float64) bool {
-	share := g.lateBefore(now, k, size)
-	return share > 0 && g.rng.Float64() < shedGain*share
+	share := g.shareBefore(now, k, size)
+	return share > 0 && g.rng.Float64() < share
 }
 
-// lessUrgentServed reports whether this gateway lately admitted an appreciable
-// share of a kind of work that goes after the given one.
+// lessUrgentServed reports whether this gateway lately admitted work that goes
+// after the given one.
 func (g *Gate) lessUrgentServed(now time.Time, k Kind, size float64) bool {
 	for other, f := range g.own {
-		if other.Service != k.Service || !goesBefore(k.Rank, size, other.Rank, f.Size) {
-			continue
-		}
-		f.fade(now)
-		if f.Offered >= minOffered && f.admitted > servedShare*f.Offered {
+		recent := !f.lastAdmitted.IsZero() && now.Sub(f.lastAdmitted) < yieldTime
+		if recent && other.Service == k.Service && goesBefore(k.Rank, size, other.Rank, f.Size) {
 			return true
 		}
 	}
@@ -137,16 +135,17 @@
 	return f
 }
 
-// lateBefore returns the largest late share among the kinds of work that
-// go before the given one.
-func (g *Gate) lateBefore(now time.Time, k Kind, size float64) float64 {
+// shareBefore returns the share of the given kind of work that makes room for the
+// kinds that go before it.
+func (g *Gate) shareBefore(now time.Time, k Kind, size float64) float64 {
 	worst := 0.0
 	consider := func(other Kind, otherSize float64) {
 		if other.Service != k.Service || !goesBefore(other.Rank, otherSize, k.Rank, size) {
 			return
 		}
-		if offered, late := g.total(now, other); offered >= minOffered {
-			worst = max(worst, late/offered)
+		sum := g.total(now, other)
+		if sum.Offered >= minOffered {
+			worst = max(worst, shedGain*sum.Late/sum.Offered)
 		}
 	}
 	for other, f := range g.own {
@@ -173,10 +172,11 @@
 }
 
 // total sums what this gateway and its peers say of a kind.
-func (g *Gate) total(now time.Time, k Kind) (offered, late float64) {
+func (g *Gate) total(now time.Time, k Kind) Pressure {
+	var sum Pressure
 	if f := g.own[k]; f != nil {
 		f.fade(now)
-		offered, late = f.Offered, f.Late
+		sum = f.Pressure
 	}
 	for peer, f := range g.heard[k] {
 		f.fade(now)
@@ -184,10 +184,10 @@
 			delete(g.heard[k], peer)
 			continue
 		}
-		offered += f.Offered
-		late += f.Late
+		sum.Offered += f.Offered
+		sum.Late += f.Late
 	}
-	return offered, late
+	return sum
 }
 
 // Own calls report for each kind of work of which this gateway expected some to be late.
