Search requests that crash endpoints; ask peers while the store is away

Cause: nothing stopped a request that crashes each endpoint that runs it; a gateway that started during an outage of the store knew no configuration; a read at an endpoint that hangs used up its deadline. Change: gateway/crashes, shared by statements; a twirp call for the state of the site; a second attempt for reads after some times the usual time. An endpoint's own failure is no suspicion of a crash.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/gateway/admission"
+	"github.com/pistachiowind/pistachiowind/gateway/crashes"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
@@ -24,6 +25,12 @@
 	// allowanceShare is the part of the retry allowance that is handed out; the
 	// rest covers gateways that start while others still run.
 	allowanceShare = 0.7
+	// condemnedRetryAfter is the advice for a request that crashes endpoints.
+	condemnedRetryAfter = 30 * time.Second
+	// patienceFactor and minPatience: of plain calls, about 1 in 100 takes five
+	// times the mean.
+	patienceFactor = 5
+	minPatience    = 50 * time.Millisecond
 	// ratioShare is the part of the retry ratio that is used.
 	ratioShare = 0.9
 )
@@ -39,6 +46,7 @@
 	budgets  map[string]*budget.Budget
 	flights  map[*ticket]struct{}
 	table    *routing.Table
+	crashes  *crashes.Table
 	rng      *rand.Rand
 	settings Settings
 	// listed states that the endpoints were read once.
@@ -53,6 +61,7 @@
 		registry: registry.New(),
 		budgets:  make(map[string]*budget.Budget),
 		flights:  make(map[*ticket]struct{}),
+		crashes:  crashes.New(),
 		rng:      rng,
 		settings: s,
 	}
@@ -63,6 +72,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
+	if d.crashes.Condemned(now, q.Request) {
+		return nil, &relay.Refusal{Reason: "condemned", RetryAfter: condemnedRetryAfter}
+	}
 	choice, found := d.fleet.Choose(now, w)
 	if !found {
 		return nil, &relay.Refusal{Reason: "no_endpoint", RetryAfter: admission.NoEndpointRetryAfter}
@@ -80,7 +92,7 @@
 	if !verdict.Admitted {
 		return nil, &relay.Refusal{Reason: verdict.Reason, RetryAfter: verdict.RetryAfter}
 	}
-	t := &ticket{dispatcher: d, choice: choice, flight: d.fleet.Send(now, w, choice), sentAt: now, streaming: w.Streaming}
+	t := &ticket{dispatcher: d, request: q.Request, target: w.Target, choice: choice, flight: d.fleet.Send(now, w, choice), sentAt: now, streaming: w.Streaming}
 	d.health.Sent(now, choice.Endpoint.ID)
 	d.flights[t] = struct{}{}
 	return t, nil
@@ -225,6 +237,8 @@
 // ticket is an attempt under way. It implements relay.Ticket.
 type ticket struct {
 	dispatcher *dispatcher
+	request    crashes.Fingerprint
+	target     time.Duration
 	choice     placement.Choice
 	flight     *placement.Flight
 	sentAt     time.Time
@@ -235,6 +249,12 @@
 // Choice implements relay.Ticket.
 func (t *ticket) Choice() placement.Choice { return t.choice }
 
+// Patience implements relay.Ticket: some times the expected service time, and at
+// least half of the target, so that a second endpoint can still meet it.
+func (t *ticket) Patience() time.Duration {
+	return max(patienceFactor*t.choice.Expected, t.target/2, minPatience)
+}
+
 // relative is the time since the send in units of what was expected, as a
 // duration: requests of different sizes become comparable.
 func (t *ticket) relative(now time.Time) time.Duration {
@@ -266,11 +286,19 @@
 	kinds := map[relay.Result]health.Kind{
 		relay.Whole:       health.Success,
 		relay.Broken:      health.Failure,
+		relay.Erring:      health.Failure,
 		relay.Unreachable: health.Failure,
 		relay.Rejected:    health.Refusal,
 	}
+	now := time.Now()
+	switch r {
+	case relay.Whole:
+		d.crashes.Succeeded(t.request)
+	case relay.Broken:
+		d.crashes.Broke(crashes.Observation{Request: t.request, Endpoint: placement.Hash(t.choice.Endpoint.ID), At: now})
+	}
 	kind, counts := kinds[r]
 	if counts {
-		d.health.Record(time.Now(), health.Observation{Endpoint: t.choice.Endpoint.ID, Kind: kind, Sent: t.sentAt})
+		d.health.Record(now, health.Observation{Endpoint: t.choice.Endpoint.ID, Kind: kind, Sent: t.sentAt})
 	}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/gateway/admission"
+	"github.com/pistachiowind/pistachiowind/gateway/crashes"
 	"github.com/pistachiowind/pistachiowind/gateway/peers"
 	"github.com/pistachiowind/pistachiowind/gateway/peers/wire"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
@@ -164,7 +165,11 @@
 			Late:    float32(r.Late),
 		})
 	})
-	return &wire.Statement{Loads: loads, Placements: placements, Pressures: pressures}
+	var suspects []*wire.Suspect
+	for _, o := range d.crashes.Reports(now) {
+		suspects = append(suspects, &wire.Suspect{Request: uint64(o.Request), Endpoint: o.Endpoint})
+	}
+	return &wire.Statement{Loads: loads, Placements: placements, Pressures: pressures, Suspects: suspects}
 }
 
 // heard takes a peer's statement.
@@ -184,6 +189,9 @@
 			Size: float64(r.Size), Offered: float64(r.Offered), Late: float64(r.Late),
 		})
 	}
+	for _, suspect := range s.Suspects {
+		d.crashes.Hear(crashes.Observation{Request: crashes.Fingerprint(suspect.Request), Endpoint: suspect.Endpoint, At: now})
+	}
 	for _, p := range s.Placements {
 		d.fleet.PeerPlacement(now, p.Endpoint, placement.Part{ID: p.Part, Tokens: int(p.Tokens)})
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,8 @@
 //	├── endpoints    follows the directory of endpoints
 //	├── connections  closes idle connections to endpoints
 //	├── peers        exchanges loads with other gateways
+//	├── peer state   answers gateways that start while the store is away
+//	├── ask peers    asks them, after a start without the store
 //	├── health       renews the judgement of the endpoints
 //	└── log          writes log lines
 package gateway
@@ -170,7 +172,10 @@
 		{"health", g.refreshHealth},
 	}
 	if g.o.Settings.Listen.Peers != "" {
-		services = append(services, serviceFunc{"peers", newExchange(g, time.Now()).serve})
+		services = append(services,
+			serviceFunc{"peers", newExchange(g, time.Now()).serve},
+			serviceFunc{"peer state", g.servePeers},
+			serviceFunc{"ask peers", g.askPeers})
 	}
 	for _, s := range services {
 		supervisor.Add(s)
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -158,6 +158,9 @@
 	at   time.Time
 }
 
+// Hash is how gateways name an endpoint to each other.
+func Hash(id string) uint64 { return xxhash.Sum64String(id) }
+
 // Fleet is the set of endpoints with what is known of their load.
 type Fleet struct {
 	zone      string
@@ -236,7 +239,7 @@
 	f.Remove(e.ID)
 	added := &endpoint{
 		Endpoint: e,
-		hash:     xxhash.Sum64String(e.ID),
+		hash:     Hash(e.ID),
 		peers:    make(map[string]peerLoad),
 		cache:    newPartCache(e.MemoryTokens),
 		slowness: 1,
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -14,6 +14,9 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pistachiowind/pistachiowind/gateway/crashes"
 	"github.com/pistachiowind/pistachiowind/gateway/outcome"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
@@ -57,7 +60,10 @@
 
 // Quest is what the placement needs to know beyond the work.
 type Quest struct {
-	Route    string
+	Route string
+	// Request identifies what the request runs, for the search of requests that
+	// crash endpoints.
+	Request  crashes.Fingerprint
 	Account  string
 	TimeLeft time.Duration
 	// Further is true for attempts after the first.
@@ -67,6 +73,9 @@
 // Ticket is a placed attempt.
 type Ticket interface {
 	Choice() placement.Choice
+	// Patience is the time after which a repeatable plain request is tried
+	// elsewhere.
+	Patience() time.Duration
 	// Started notes the first event or the head of a plain answer.
 	Started()
 	// Ended notes the result of the attempt.
@@ -84,6 +93,8 @@
 	Neutral
 	// Broken answers did not come, were spoiled or ended early.
 	Broken
+	// Erring endpoints answered with a failure of their own.
+	Erring
 	// Rejected requests were not run.
 	Rejected
 	// Unreachable endpoints did not accept a connection.
@@ -121,17 +132,18 @@
 // exchange is one request of a caller.
 type exchange struct {
 	*Relay
-	w       http.ResponseWriter
-	r       *http.Request
-	arrived time.Time
-	table   *routing.Table
-	route   *routing.Route
-	account string
-	rank    int
-	fields  Fields
-	body    []byte
-	work    placement.Work
-	record  Record
+	w           http.ResponseWriter
+	r           *http.Request
+	arrived     time.Time
+	table       *routing.Table
+	route       *routing.Route
+	account     string
+	rank        int
+	fields      Fields
+	body        []byte
+	work        placement.Work
+	record      Record
+	fingerprint crashes.Fingerprint
 	// deadline is the earlier of the caller's and the route's.
 	deadline time.Time
 	state    outcome.State
@@ -279,14 +291,38 @@
 		MaxUnsent:   maxUnsent,
 	}
 	x.events.lastID = x.fields.LastEventID
+	x.fingerprint = x.identify()
 	for x.attempt(ctx, service) {
 	}
 }
 
+// identify hashes what the request runs: the same request of the same account has
+// the same fingerprint at every gateway.
+func (x *exchange) identify() crashes.Fingerprint {
+	h := xxhash.New()
+	for _, s := range []string{x.r.Method, x.r.Host, x.r.RequestURI, x.account} {
+		// Writing to a hash does not fail.
+		_, _ = h.WriteString(s)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(x.body)
+	return crashes.Fingerprint(h.Sum64())
+}
+
+// limited returns a context for one attempt. A plain request that may be repeated
+// does not wait for its whole time at an endpoint that hangs.
+func (x *exchange) limited(ctx context.Context, t Ticket) (context.Context, context.CancelFunc) {
+	last := x.state.Sent+1 >= x.state.MaxAttempts
+	if x.route.Kind != routing.Idempotent || last {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, t.Patience())
+}
+
 // attempt makes one attempt and reports whether another should follow.
 func (x *exchange) attempt(ctx context.Context, service string) bool {
 	further := len(x.record.Attempts) > 0
-	quest := Quest{Route: x.route.Name, Account: x.account, TimeLeft: time.Until(x.deadline), Further: further}
+	quest := Quest{Route: x.route.Name, Request: x.fingerprint, Account: x.account, TimeLeft: time.Until(x.deadline), Further: further}
 	ticket, refusal := x.o.Placer.Admit(&x.work, quest)
 	if refusal != nil {
 		x.noEndpoint(refusal)
@@ -305,7 +341,9 @@
 		Load:     choice.Load,
 	})
 	began := time.Now()
-	end := x.send(ctx, ticket)
+	attemptCtx, cancel := x.limited(ctx, ticket)
+	end := x.send(ctx, attemptCtx, ticket)
+	cancel()
 	last := &x.record.Attempts[len(x.record.Attempts)-1]
 	last.Took, last.Result = time.Since(began), end.name
 	if end.err != nil {
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -173,7 +173,8 @@
 func (t *fakeTicket) Choice() placement.Choice {
 	return placement.Choice{Endpoint: placement.Endpoint{ID: "e", Address: t.target}}
 }
-func (t *fakeTicket) Started() {}
+func (t *fakeTicket) Patience() time.Duration { return 200 * time.Millisecond }
+func (t *fakeTicket) Started()                {}
 func (t *fakeTicket) Ended(r Result) {
 	t.placer.mu.Lock()
 	defer t.placer.mu.Unlock()
@@ -343,6 +344,7 @@
 		{"body_too_large", request("POST", "/charge/x", strings.Repeat("x", 1001)), nil, 10},
 		{"smuggled", "POST /charge/x HTTP/1.1\r\nHost: site.example\r\nId: a1\r\nKey: k1\r\nConnection: close\r\nContent-Length: 60\r\nTransfer-Encoding: chunked\r\n\r\n" +
 			"3\r\npay\r\n0\r\n\r\nPOST /charge/y HTTP/1.1\r\nHost: site.example\r\n\r\n", [][]string{{whole}, {whole}}, 10},
+		{"read_hangs_elsewhere", request("GET", "/read/x", ""), [][]string{{"hang"}, {whole}}, 10},
 		{"timeout", request("GET", "/short/x", ""), [][]string{{"hang"}}, 10},
 	}
 	golden := goldie.New(t)
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -20,9 +20,9 @@
 )
 
 // send forwards the request to the placed endpoint and, for a success, the
-// answer to the caller.
-func (x *exchange) send(ctx context.Context, t Ticket) ending {
-	answer, err := x.o.Pool.RoundTrip(ctx, t.Choice().Endpoint.Address, x.outgoing(t))
+// answer to the caller. The attempt's context may end before that of the request.
+func (x *exchange) send(ctx, attempt context.Context, t Ticket) ending {
+	answer, err := x.o.Pool.RoundTrip(attempt, t.Choice().Endpoint.Address, x.outgoing(t))
 	if err != nil {
 		return x.exchangeFailed(ctx, t, err)
 	}
@@ -141,7 +141,7 @@
 	}
 	answer.Finish()
 	if answer.StatusCode >= http.StatusInternalServerError {
-		t.Ended(Broken)
+		t.Ended(Erring)
 		return ending{kind: outcome.Failed, name: fmt.Sprintf("endpoint_failed_%d", answer.StatusCode), answer: answer, body: body}
 	}
 	t.Ended(Whole)
--- /dev/null
+++ b/gateway/sitestate.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/gateway/peers/wire"
+	"github.com/pistachiowind/pistachiowind/gateway/registry"
+	"github.com/pistachiowind/pistachiowind/gateway/routing"
+)
+
+const (
+	// askPeersAfter is how long a starting gateway waits for the store before it
+	// asks other gateways, and the pause between two rounds.
+	askPeersAfter = 400 * time.Millisecond
+	// askPeerTimeout bounds the answer of one gateway.
+	askPeerTimeout = 500 * time.Millisecond
+)
+
+// peerServer answers gateways that start while the store does not. It implements
+// wire.Peer.
+type peerServer struct{ gateway *Gateway }
+
+// State implements wire.Peer.
+func (p peerServer) State(context.Context, *wire.StateRequest) (*wire.SiteState, error) {
+	state := &wire.SiteState{}
+	table := p.gateway.table.Load()
+	if table == nil {
+		return state, nil
+	}
+	entries, listed := p.gateway.dispatcher.entries()
+	var err error
+	if state.Config, err = json.Marshal(table.Config); err != nil {
+		return nil, fmt.Errorf("encode configuration: %w", err)
+	}
+	if state.Endpoints, err = json.Marshal(entries); err != nil {
+		return nil, fmt.Errorf("encode endpoints: %w", err)
+	}
+	state.Listed = listed
+	return state, nil
+}
+
+func (d *dispatcher) entries() (entries []registry.Entry, listed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.registry.Entries(func(e registry.Entry) { entries = append(entries, e) })
+	return entries, d.listed
+}
+
+// servePeers answers other gateways until ctx ends.
+func (g *Gateway) servePeers(ctx context.Context) error {
+	listener, err := net.Listen("tcp", g.o.Settings.Listen.Peers)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: wire.NewPeerServer(peerServer{g}), ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() {
+		// The listener ends with the process; its error tells nothing more.
+		_ = server.Close()
+	})
+	defer stop()
+	return server.Serve(listener)
+}
+
+// askPeers fetches the state of the site from the seeds while the store has not
+// answered since the start.
+func (g *Gateway) askPeers(ctx context.Context) error {
+	seeds := peerSeeds(g.o.Settings)
+	ticker := time.NewTicker(askPeersAfter)
+	defer ticker.Stop()
+	for !g.informed() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		for _, seed := range seeds {
+			if seed != g.o.Settings.Listen.Peers && !g.informed() {
+				g.askPeer(ctx, seed)
+			}
+		}
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (g *Gateway) informed() bool {
+	return g.table.Load() != nil && g.dispatcher.isListed()
+}
+
+func (g *Gateway) askPeer(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, askPeerTimeout)
+	defer cancel()
+	client := wire.NewPeerProtobufClient("http://"+address, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}})
+	state, err := client.State(ctx, &wire.StateRequest{})
+	if err != nil {
+		g.log.Warn().Str("peer", address).Err(err).Msg("peer not reached for the state of the site")
+		return
+	}
+	if err := g.adoptState(state); err != nil {
+		g.log.Warn().Str("peer", address).Err(err).Msg("state of a peer not usable")
+		return
+	}
+	g.log.Info().Str("peer", address).Bool("listed", state.Listed).Msg("state of the site taken from a peer")
+}
+
+// adoptState takes what a peer knows. A configuration is adopted only if it is
+// newer than the one in force, and entries only before the store was read.
+func (g *Gateway) adoptState(state *wire.SiteState) error {
+	if len(state.Config) == 0 {
+		return nil
+	}
+	var config routing.Config
+	if err := json.Unmarshal(state.Config, &config); err != nil {
+		return fmt.Errorf("decode configuration: %w", err)
+	}
+	var entries []registry.Entry
+	if err := json.Unmarshal(state.Endpoints, &entries); err != nil {
+		return fmt.Errorf("decode endpoints: %w", err)
+	}
+	g.ConfigSeen(config)
+	if state.Listed && !g.dispatcher.isListed() {
+		g.EndpointsListed(entries)
+	}
+	return nil
+}
