Serve the gateway's metrics

Cause: operators had the gateway's log lines but no counters or histograms. Change: telemetry.Gateway with the exporter of the other roles, on the address of the settings; the log tells when a table of the store was first reached.

--- a/cmd/pistachiowind-gateway/main.go
+++ b/cmd/pistachiowind-gateway/main.go
@@ -77,17 +77,33 @@
 	if err != nil {
 		return err
 	}
+	provider, err := telemetry.New(telemetry.Options{
+		Role: "gateway", Name: s.Name, Region: s.Region, AvailabilityZone: s.AvailabilityZone,
+	})
+	if err != nil {
+		return err
+	}
+	metrics, err := telemetry.NewGateway(provider)
+	if err != nil {
+		return err
+	}
+	metrics.DroppedLogs.Observe(func(set func(int64, telemetry.NoLabels)) {
+		set(int64(writer.Dropped()), telemetry.NoLabels{})
+	})
 	store := platform.StoreOptions(s.StoreAddress)
 	g := gateway.New(gateway.Options{
 		Settings:     s,
 		Protocol:     platform.Headers{},
 		ReadyPath:    platform.ReadyPath,
-		Config:       platform.ConfigFeed(store),
-		Endpoints:    platform.EndpointFeed(store),
+		Config:       platform.ConfigFeed(store, metrics),
+		Endpoints:    platform.EndpointFeed(store, metrics),
 		ConfigSink:   func(g *gateway.Gateway) follow.Sink { return platform.ConfigSink{Site: g} },
 		EndpointSink: func(g *gateway.Gateway) follow.Sink { return platform.EndpointSink{Site: g} },
 		Log:          log,
-		Rand:         mathrand.New(mathrand.NewPCG(seed(), seed())),
+		Metrics:      *metrics,
+
+		MetricsHandler: provider.Handler(),
+		Rand:           mathrand.New(mathrand.NewPCG(seed(), seed())),
 	})
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -160,20 +160,20 @@
 func (d *dispatcher) apply(now time.Time, changes []registry.Change) {
 	for _, c := range changes {
 		switch c.State {
-		case "gone":
+		case registry.StateGone:
 			d.fleet.Remove(c.Entry.ID)
 			d.health.Leave(now, c.Entry.ID)
-		case "draining":
+		case registry.StateDraining:
 			d.put(now, c.Entry)
 			d.fleet.Drain(c.Entry.ID)
-		case "restarted":
+		case registry.StateRestarted:
 			d.fleet.Remove(c.Entry.ID)
 			d.health.Leave(now, c.Entry.ID)
 			d.put(now, c.Entry)
 			if c.Entry.Draining {
 				d.fleet.Drain(c.Entry.ID)
 			}
-		case "ready":
+		case registry.StateReady:
 			d.put(now, c.Entry)
 		}
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -82,6 +82,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	interval := x.state.Interval(now)
+	x.gateway.peers.Store(int64(x.state.Known(now)))
 	statement := x.gateway.dispatcher.statement(now, now.Add(-placementRepeat*interval))
 	datagram, err := x.state.Compose(now, statement)
 	if err != nil {
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -63,8 +63,8 @@
 	Changed(rows []Row)
 	// Lost notes the first failed call after a successful one.
 	Lost(cause error)
-	// Regained notes the first successful call after a failed one; the rows of
-	// that call follow.
+	// Regained notes the first successful call, and the first one after a failed
+	// one; the rows of that call follow.
 	Regained()
 }
 
@@ -74,6 +74,8 @@
 	sink   Sink
 	rng    *rand.Rand
 	lost   bool
+	// reached states that the store has answered once.
+	reached bool
 }
 
 // New returns a Follower. The random source spreads the retries of many
@@ -137,8 +139,8 @@
 }
 
 func (f *Follower) succeeded() {
-	if f.lost {
-		f.lost = false
+	if f.lost || !f.reached {
+		f.lost, f.reached = false, true
 		f.sink.Regained()
 	}
 }
--- a/gateway/follow/follow_test.go
+++ b/gateway/follow/follow_test.go
@@ -72,7 +72,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		source, sink := play(t, page(5, 3), page(9, 1), page(9, 0))
 		expect(t, source.calls, "list", "changes since 5", "changes since 9", "changes since 9")
-		expect(t, sink.heard, "listed 3", "changed 1")
+		expect(t, sink.heard, "regained", "listed 3", "changed 1")
 	})
 }
 
@@ -82,7 +82,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		source, sink := play(t, page(5, 3), fails(ErrHistoryGone), page(20, 2), page(21, 1))
 		expect(t, source.calls, "list", "changes since 5", "list", "changes since 20", "changes since 21")
-		expect(t, sink.heard, "listed 3", "listed 2", "changed 1")
+		expect(t, sink.heard, "regained", "listed 3", "listed 2", "changed 1")
 	})
 }
 
@@ -93,7 +93,7 @@
 		down := fails(errors.New("connection refused"))
 		began := time.Now()
 		_, sink := play(t, page(5, 1), down, down, down, down, page(8, 2))
-		expect(t, sink.heard, "listed 1", "lost", "regained", "changed 2")
+		expect(t, sink.heard, "regained", "listed 1", "lost", "regained", "changed 2")
 		if waited := time.Since(began); waited < 500*time.Millisecond || waited > 4*maxBackoff {
 			t.Fatalf("4 failures took %v", waited)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,15 +3,15 @@
 //
 //	gateway
 //	├── callers      HTTP listener, package relay
-//	├── ready        readiness and metrics listener
+//	├── ready        readiness listener
+//	├── metrics      metrics listener
 //	├── config       follows the operators' configuration
 //	├── endpoints    follows the directory of endpoints
 //	├── connections  closes idle connections to endpoints
 //	├── peers        exchanges loads with other gateways
 //	├── peer state   answers gateways that start while the store is away
 //	├── ask peers    asks them, after a start without the store
-//	├── health       renews the judgement of the endpoints
-//	└── log          writes log lines
+//	└── health       renews the judgement of the endpoints
 package gateway
 
 import (
@@ -20,6 +20,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +32,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
 	"github.com/pistachiowind/pistachiowind/gateway/upstream"
+	"github.com/pistachiowind/pistachiowind/telemetry"
 )
 
 const (
@@ -57,10 +59,10 @@
 	ConfigSink, EndpointSink func(*Gateway) follow.Sink
 	Log                      zerolog.Logger
 	Rand                     *rand.Rand
-	// Metrics may be nil.
-	Metrics http.Handler
-	// Finished, if not nil, is told of each request.
-	Finished func(relay.Record)
+	// Metrics records; the zero value records nothing.
+	Metrics telemetry.Gateway
+	// MetricsHandler serves the metrics; nil for none.
+	MetricsHandler http.Handler
 }
 
 // Gateway is the role.
@@ -73,6 +75,9 @@
 	callers    *http.Server
 	idle       *idleCloser
 	draining   atomic.Bool
+	// stores holds the state of the way to each table of the store.
+	stores sync.Map
+	peers  atomic.Int64
 	// grace is the time from SIGTERM to SIGKILL in nanoseconds.
 	grace atomic.Int64
 }
@@ -81,7 +86,10 @@
 func New(o Options) *Gateway {
 	g := &Gateway{o: o, log: o.Log, dispatcher: newDispatcher(o.Settings, o.Rand)}
 	g.grace.Store(int64(o.Settings.GracePeriod()))
-	g.pool = upstream.NewPool(upstream.Options{})
+	g.pool = upstream.NewPool(upstream.Options{Dialed: func(_ string, err error) {
+		o.Metrics.Connections.Add(1, telemetry.OKLabels(err == nil))
+	}})
+	g.watch()
 	g.idle = newIdleCloser(g.idleTimeout)
 	g.callers = &http.Server{
 		Handler: relay.New(relay.Options{
@@ -165,12 +173,16 @@
 	}})
 	seed := func() *rand.Rand { return rand.New(rand.NewPCG(g.o.Rand.Uint64(), g.o.Rand.Uint64())) }
 	readyServer := &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerTimeout}
+	defer readyServer.Close()
 	services := []serviceFunc{
 		{"config", follow.New(g.o.Config, g.o.ConfigSink(g), seed()).Serve},
 		{"endpoints", follow.New(g.o.Endpoints, g.o.EndpointSink(g), seed()).Serve},
 		{"connections", g.pool.Sweep},
 		{"health", g.refreshHealth},
 	}
+	if g.o.MetricsHandler != nil && g.o.Settings.Listen.Metrics != "" {
+		services = append(services, serviceFunc{"metrics", g.serveMetrics})
+	}
 	if g.o.Settings.Listen.Peers != "" {
 		services = append(services,
 			serviceFunc{"peers", newExchange(g, time.Now()).serve},
@@ -196,7 +208,7 @@
 	stop()
 	<-ended
 	g.log.Info().Msg("stopped")
-	return readyServer.Close()
+	return nil
 }
 
 // drain takes the gateway out of rotation, finishes the requests in progress
@@ -282,6 +294,7 @@
 		r.DirectoryLost()
 		return nil
 	})
+	g.stores.Store(table, false)
 	g.log.Warn().Str("table", table).Err(cause).Msg("store lost")
 }
 
@@ -291,7 +304,8 @@
 		r.DirectoryBack(now)
 		return nil
 	})
-	g.log.Info().Str("table", table).Msg("store regained")
+	g.stores.Store(table, true)
+	g.log.Info().Str("table", table).Msg("store reached")
 }
 
 // Undecodable notes a row that was left out.
@@ -305,11 +319,3 @@
 			Int64("born", c.Entry.Born).Str("state", c.State).Msg("endpoint changed")
 	}
 }
-
-// Finished implements relay.Observer.
-func (g *Gateway) Finished(r relay.Record) {
-	if g.o.Finished != nil {
-		g.o.Finished(r)
-	}
-	logRecord(g.log, r)
-}
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -37,10 +37,20 @@
 // Incarnation returns the identity of this start of the endpoint.
 func (e Entry) Incarnation() Incarnation { return Incarnation{ID: e.ID, Born: e.Born} }
 
-// Change is an added, replaced or removed entry, for the log.
+// States of entries in a Change.
+const (
+	StateReady    = "ready"
+	StateDraining = "draining"
+	// StateRestarted entries have the id of an earlier start of an endpoint.
+	StateRestarted = "restarted"
+	// StateLapsed entries are missing and are kept for the grace.
+	StateLapsed = "lapsed"
+	StateGone   = "gone"
+)
+
+// Change is an added, replaced or removed entry.
 type Change struct {
 	Entry Entry
-	// State is "ready", "draining", "lapsed", "gone" or "restarted".
 	State string
 }
 
@@ -78,14 +88,14 @@
 func (r *Registry) Put(e Entry) (Change, bool) {
 	old := r.records[e.ID]
 	r.records[e.ID] = &record{entry: e}
-	state := "ready"
+	state := StateReady
 	if e.Draining {
-		state = "draining"
+		state = StateDraining
 	}
 	switch {
 	case old == nil:
 	case old.entry.Born != e.Born:
-		state = "restarted"
+		state = StateRestarted
 	case old.entry == e && old.removeAt.IsZero():
 		return Change{}, false
 	}
@@ -101,10 +111,10 @@
 	}
 	if now.Before(r.graceEnd) && !rec.entry.Draining {
 		rec.removeAt = r.graceEnd
-		return Change{Entry: rec.entry, State: "lapsed"}, true
+		return Change{Entry: rec.entry, State: StateLapsed}, true
 	}
 	delete(r.records, id)
-	return Change{Entry: rec.entry, State: "gone"}, true
+	return Change{Entry: rec.entry, State: StateGone}, true
 }
 
 // Replace applies a whole listing of the directory.
@@ -136,7 +146,7 @@
 			continue
 		}
 		delete(r.records, id)
-		changes = append(changes, Change{Entry: rec.entry, State: "gone"})
+		changes = append(changes, Change{Entry: rec.entry, State: StateGone})
 	}
 	return changes
 }
--- a/telemetry/labels.go
+++ b/telemetry/labels.go
@@ -144,3 +144,10 @@
 		attribute.String("code", strconv.Itoa(int(l.Code))),
 	}
 }
+
+// RouteLabels name a route of the configuration and a result of its requests.
+type RouteLabels struct{ Route, Result string }
+
+func (l RouteLabels) pairs() []attribute.KeyValue {
+	return []attribute.KeyValue{attribute.String("route", l.Route), attribute.String("result", l.Result)}
+}
--- a/telemetry/pages_test.go
+++ b/telemetry/pages_test.go
@@ -34,7 +34,11 @@
 	if _, err := telemetry.NewAgent(agent); err != nil {
 		t.Fatal(err)
 	}
-	for _, d := range append(router.Definitions(), agent.Definitions()...) {
+	gateway := newProvider(t)
+	if _, err := telemetry.NewGateway(gateway); err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range slices.Concat(router.Definitions(), agent.Definitions(), gateway.Definitions()) {
 		byName[d.Name] = d
 		if d.Kind == telemetry.KindHistogram {
 			for _, suffix := range []string{"_bucket", "_count", "_sum"} {
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -113,6 +113,7 @@
 	}
 	section("Router", func(p *telemetry.Provider) (any, error) { return telemetry.NewRouter(p) })
 	section("Agent", func(p *telemetry.Provider) (any, error) { return telemetry.NewAgent(p) })
+	section("Gateway", func(p *telemetry.Provider) (any, error) { return telemetry.NewGateway(p) })
 	goldie.New(t, goldie.WithFixtureDir("../docs"), goldie.WithNameSuffix(".md")).Assert(t, "metrics", page.Bytes())
 }
 
@@ -154,6 +155,7 @@
 		t.Error("second instance shows the first one's metric")
 	}
 	recordAll(t, telemetry.Router{})
+	recordAll(t, telemetry.Gateway{})
 }
 
 // Guards against log lines for lasting states.
