Split the retry allowance by the gateways heard; free router from agent

Cause: each gateway took an eighth of the shared allowance, so 29 of them could spend 3.6 times of it; the router imported the agent for one constant. Change: the part shrinks with the largest number of gateways heard and never grows back, since those not heard may be cut off; an account gets half of a gateway's part; the name of the lease moves to package lease. Ruled out: a lease of tokens in the store, which costs calls and fails with it. Measured: budget and import tests fail without the changes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -45,9 +45,6 @@
 	DefaultDrainTimeout = 5 * time.Minute
 
 	supervisorTimeout = 5 * time.Second
-
-	// PlacementLease is the lease whose holder orders models and roles.
-	PlacementLease = "placement"
 )
 
 // Options configure an Agent. Name, PeersAddress, AdminAddress, EndpointURL,
--- a/agent/build.go
+++ b/agent/build.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiowind/pistachiowind/agent/intake"
 	"github.com/pistachiowind/pistachiowind/agent/worker"
 	"github.com/pistachiowind/pistachiowind/httpserver"
+	"github.com/pistachiowind/pistachiowind/lease"
 	"github.com/pistachiowind/pistachiowind/peertls"
 	"github.com/pistachiowind/pistachiowind/quarantine"
 	"github.com/pistachiowind/pistachiowind/rpc"
@@ -35,7 +36,7 @@
 		Limiter:   a.limiter(),
 		Execution: a.executionOptions(),
 	})
-	a.gate = gate.NewKeeper(gate.Options{Table: a.opts.Table, Executor: backend, Lease: PlacementLease})
+	a.gate = gate.NewKeeper(gate.Options{Table: a.opts.Table, Executor: backend, Lease: lease.Placement})
 	a.monitor = &monitor{
 		backend: backend,
 		worker:  a.worker,
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -49,6 +49,8 @@
 	crashes  *crashes.Table
 	rng      *rand.Rand
 	settings Settings
+	// gateways is the largest number of gateways that were heard at a time.
+	gateways int
 	// listed states that the endpoints were read once.
 	listed bool
 }
@@ -115,11 +117,11 @@
 func (d *dispatcher) budget(service string) *budget.Budget {
 	b := d.budgets[service]
 	if b == nil {
-		burst := max(int(d.settings.RetryAllowance*allowanceShare/fewGateways), 1)
+		account, total := d.bursts()
 		b = budget.New(budget.Options{
 			Fraction:     d.settings.RetryRatio * ratioShare,
-			AccountBurst: burst,
-			TotalBurst:   burst,
+			AccountBurst: account,
+			TotalBurst:   total,
 			RedirectCost: 1,
 		})
 		d.budgets[service] = b
@@ -127,6 +129,28 @@
 	return b
 }
 
+// bursts returns this gateway's part of the retry allowance, for one account and
+// in total. An account gets half, so that one that fails leaves the others some.
+func (d *dispatcher) bursts() (account, total int) {
+	part := d.settings.RetryAllowance * allowanceShare / float64(max(d.gateways, fewGateways))
+	total = max(int(part), 1)
+	return max(total/2, 1), total
+}
+
+// setGateways notes how many gateways share the retry allowance. The number only
+// rises: those that are not heard may be cut off and go on spending.
+func (d *dispatcher) setGateways(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n <= max(d.gateways, fewGateways) {
+		return
+	}
+	d.gateways = n
+	for _, b := range d.budgets {
+		b.Resize(d.bursts())
+	}
+}
+
 // reload takes the retry limits of new settings if they differ.
 func (d *dispatcher) reload(s Settings) {
 	d.mu.Lock()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -82,7 +82,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	interval := x.state.Interval(now)
-	x.gateway.peers.Store(int64(x.state.Known(now)))
+	known := x.state.Known(now)
+	x.gateway.peers.Store(int64(known))
+	x.gateway.dispatcher.setGateways(known + 1)
 	statement := x.gateway.dispatcher.statement(now, now.Add(-placementRepeat*interval))
 	datagram, err := x.state.Compose(now, statement)
 	if err != nil {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -32,6 +32,9 @@
 	format        = 1
 )
 
+// Placement is the lease whose holder orders models and roles.
+const Placement = "placement"
+
 // RowKey returns the row of the lease with this name.
 func RowKey(name string) string { return rowPrefix + name }
 
--- a/router/budget/budget.go
+++ b/router/budget/budget.go
@@ -132,6 +132,24 @@
 	return true
 }
 
+// Resize changes the bursts. What is left beyond the new bursts is lost; what is
+// left below them stays as it is.
+func (b *Budget) Resize(accountBurst, totalBurst int) {
+	b.options.AccountBurst = max(accountBurst, 1)
+	b.options.TotalBurst = max(totalBurst, 1)
+	b.total.resize(b.options.TotalBurst)
+	for _, name := range b.accounts.Keys() {
+		if a, ok := b.accounts.Peek(name); ok {
+			a.resize(b.options.AccountBurst)
+		}
+	}
+}
+
+func (b *bucket) resize(burst int) {
+	b.burst = int64(burst) * unitsPerToken
+	b.units = min(b.units, b.burst)
+}
+
 // Left returns the share of the router's own tokens that is left, 0 to 1.
 func (b *Budget) Left() float64 {
 	return float64(b.total.units) / float64(b.total.burst)
--- a/router/budget/budget_test.go
+++ b/router/budget/budget_test.go
@@ -144,3 +144,23 @@
 		hedger.Observe("chat", time.Duration(i%100)*time.Millisecond)
 	}
 }
+
+// Guards against a fleet that spends more than its shared allowance because its
+// members still hold the bursts of a smaller fleet.
+func TestResizeTakesWhatIsBeyondTheNewBurst(t *testing.T) {
+	b := budget.New(budget.Options{Fraction: 0.2, AccountBurst: 10, TotalBurst: 10, RedirectCost: 1})
+	b.Resize(2, 3)
+	spent := 0
+	for _, account := range []string{"a", "b", "c", "d"} {
+		for b.Spend(account, budget.Retry) {
+			spent++
+		}
+	}
+	if spent != 3 {
+		t.Fatalf("%d tokens spent, want 3", spent)
+	}
+	b.Resize(20, 20)
+	if b.Spend("a", budget.Retry) {
+		t.Fatal("a larger burst handed out tokens that were not earned")
+	}
+}
--- /dev/null
+++ b/router/imports_test.go
@@ -0,0 +1,21 @@
+package router_test
+
+import (
+	"os/exec"
+	"strings"
+	"testing"
+)
+
+// Guards against a router that depends on the agent's implementation: what both
+// use is a package of its own.
+func TestRouterDoesNotImportAgent(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", ".").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	for _, path := range strings.Fields(string(out)) {
+		if strings.HasSuffix(path, "/pistachiowind/agent") || strings.Contains(path, "/pistachiowind/agent/") {
+			t.Errorf("router depends on %s", path)
+		}
+	}
+}
--- a/router/placement.go
+++ b/router/placement.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/pistachiowind/pistachiowind/agent"
+	"github.com/pistachiowind/pistachiowind/lease"
 	"github.com/pistachiowind/pistachiowind/router/dispatch"
 	"github.com/pistachiowind/pistachiowind/router/fleet"
 	"github.com/pistachiowind/pistachiowind/router/planner"
@@ -17,7 +17,7 @@
 		Tuning:      r.opts.Placement,
 		Name:        r.opts.Name,
 		Incarnation: r.incarnation,
-		Lease:       agent.PlacementLease,
+		Lease:       lease.Placement,
 		Table:       r.opts.Table,
 		Fleet:       placementFleet{r.fleet},
 		Catalog:     r.catalog,
--- a/router/planner/site_test.go
+++ b/router/planner/site_test.go
@@ -213,7 +213,7 @@
 	await(t, "engine 0 runs requests", func() bool { return s.engines[0].Stats().Completed > 0 })
 	s.stop[first]()
 	<-s.ended[first]
-	row, err := platform.NewRows(s.table).Get(t.Context(), lease.RowKey(agent.PlacementLease))
+	row, err := platform.NewRows(s.table).Get(t.Context(), lease.RowKey(lease.Placement))
 	if err != nil || strings.Contains(string(row.Value), fmt.Sprintf("router-%d", first)) {
 		t.Fatalf("the lease row after the holder has drained: %s, %v", row.Value, err)
 	}
@@ -231,7 +231,7 @@
 
 	client := rpc.NewAgentProtobufClient("http://"+s.agents[0].PeersAddress(), http.DefaultClient)
 	resp, err := client.Order(t.Context(), &rpc.OrderRequest{
-		Lease: agent.PlacementLease, FencingNumber: 1, OrderId: "late",
+		Lease: lease.Placement, FencingNumber: 1, OrderId: "late",
 		Order: &rpc.OrderRequest_UnloadModel{UnloadModel: &rpc.UnloadModel{Model: "b"}},
 	})
 	if err != nil || resp.GetDone() || resp.GetCode() != uint32(resultcode.FencingNumberOld) {
--- a/sessions/lease_test.go
+++ b/sessions/lease_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/sebdah/goldie/v2"
 
-	"github.com/pistachiowind/pistachiowind/agent"
 	"github.com/pistachiowind/pistachiowind/agent/endpoint"
 	"github.com/pistachiowind/pistachiowind/agent/gate"
 	"github.com/pistachiowind/pistachiowind/lease"
@@ -43,7 +42,7 @@
 	began := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 	return &leaseSession{
 		t: t, began: began, now: began, table: table, engine: engine,
-		keeper: gate.NewKeeper(gate.Options{Table: table, Executor: endpoint.NewEngine(engineServer.URL), Lease: agent.PlacementLease}),
+		keeper: gate.NewKeeper(gate.Options{Table: table, Executor: endpoint.NewEngine(engineServer.URL), Lease: lease.Placement}),
 	}
 }
 
@@ -61,7 +60,7 @@
 		}
 		var row storage.Row
 		var err error
-		key := lease.RowKey(agent.PlacementLease)
+		key := lease.RowKey(lease.Placement)
 		if a.Write {
 			row, err = s.table.Put(s.t.Context(), key, a.Value, a.Expected)
 			s.print("%s writes %s: %s", name, a.Value, result(err))
@@ -94,7 +93,7 @@
 func (s *leaseSession) order(name, model string, number uint64) {
 	s.t.Helper()
 	resp, err := s.keeper.Order(s.t.Context(), &rpc.OrderRequest{
-		Lease: agent.PlacementLease, FencingNumber: number, OrderId: name + "-" + model,
+		Lease: lease.Placement, FencingNumber: number, OrderId: name + "-" + model,
 		Order: &rpc.OrderRequest_LoadModel{LoadModel: &rpc.LoadModel{Model: model}},
 	})
 	if err != nil {
