Name the end of time as the cause of a closed attempt

Cause: requests that ran out of time were logged with 'use of closed network connection', which hides why the gateway closed it.

--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -343,6 +343,10 @@
 	began := time.Now()
 	attemptCtx, cancel := x.limited(ctx, ticket)
 	end := x.send(ctx, attemptCtx, ticket)
+	if end.err != nil && attemptCtx.Err() != nil {
+		// The connection was closed for this reason; its own error hides it.
+		end.err = attemptCtx.Err()
+	}
 	cancel()
 	last := &x.record.Attempts[len(x.record.Attempts)-1]
 	last.Took, last.Result = time.Since(began), end.name
