--- a/cmd/pistachiowind-gateway/main.go
+++ b/cmd/pistachiowind-gateway/main.go
@@ -30,13 +30,15 @@
 	memoryShare = 0.6
 	// gcPercent trades processor time for a small heap.
 	gcPercent = 60
+	// role names the process in logs and metrics.
+	role = "gateway"
 	// defaultLogLines bounds the log lines a second.
 	defaultLogLines = 400
 )
 
 func main() {
 	app := kingpin.New("pistachiowind-gateway", "Routes requests to endpoints by the operators' profiles.")
-	path := app.Flag("settings", "Settings file (JSON).").Envar("PISTACHIOWIND_NODE_FILE").Required().String()
+	path := app.Flag("settings", "Settings file (JSON).").Envar(platform.SettingsVariable).Required().String()
 	check := app.Flag("check", "Check the settings and exit.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	settings, err := gateway.LoadSettings(*path)
@@ -53,67 +55,83 @@
 	}
 }
 
+// run serves until SIGTERM or SIGINT.
 func run(path string, s gateway.Settings) error {
 	limitMemory(s)
 	debug.SetGCPercent(gcPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	writer, endLog := startLog(s)
+	defer endLog()
+	log, err := telemetry.NewLogger(writer, telemetry.LogOptions{Role: role, Name: s.Name})
+	if err != nil {
+		return err
+	}
+	g, err := build(s, log, writer)
+	if err != nil {
+		return err
+	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go func() {
+		for range hangups {
+			reload(path, g, log)
+		}
+	}()
+	return g.Serve(ctx)
+}
+
+// startLog writes log lines to standard output until the returned function is
+// called, which waits for the lines that were taken.
+func startLog(s gateway.Settings) (*telemetry.BoundedWriter, func()) {
 	lines := s.LogLinesPerS
 	if lines == 0 {
 		lines = defaultLogLines
 	}
 	writer := telemetry.NewBoundedWriter(lines, time.Now)
-	logCtx, endLog := context.WithCancel(context.Background())
-	logEnded := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
 	go func() {
-		defer close(logEnded)
-		_ = writer.Serve(logCtx, os.Stdout)
-	}()
-	defer func() {
-		endLog()
-		<-logEnded
+		defer close(ended)
+		// It ends with the context, which is no failure.
+		_ = writer.Serve(ctx, os.Stdout)
 	}()
-	log, err := telemetry.NewLogger(writer, telemetry.LogOptions{Role: "gateway", Name: s.Name})
-	if err != nil {
-		return err
+	return writer, func() {
+		cancel()
+		<-ended
 	}
+}
+
+// build connects a gateway to the platform and to its metrics.
+func build(s gateway.Settings, log zerolog.Logger, writer *telemetry.BoundedWriter) (*gateway.Gateway, error) {
 	provider, err := telemetry.New(telemetry.Options{
-		Role: "gateway", Name: s.Name, Region: s.Region, AvailabilityZone: s.AvailabilityZone,
+		Role: role, Name: s.Name, Region: s.Region, AvailabilityZone: s.AvailabilityZone,
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	metrics, err := telemetry.NewGateway(provider)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	metrics.DroppedLogs.Observe(func(set func(int64, telemetry.NoLabels)) {
 		set(int64(writer.Dropped()), telemetry.NoLabels{})
 	})
 	store := platform.StoreOptions(s.StoreAddress)
-	g := gateway.New(gateway.Options{
-		Settings:     s,
-		Protocol:     platform.Headers{},
-		ReadyPath:    platform.ReadyPath,
-		Config:       platform.ConfigFeed(store, metrics),
-		Endpoints:    platform.EndpointFeed(store, metrics),
-		ConfigSink:   func(g *gateway.Gateway) follow.Sink { return platform.ConfigSink{Site: g} },
-		EndpointSink: func(g *gateway.Gateway) follow.Sink { return platform.EndpointSink{Site: g} },
-		Log:          log,
-		Metrics:      *metrics,
-
+	return gateway.New(gateway.Options{
+		Settings:       s,
+		Protocol:       platform.Headers{},
+		ReadyPath:      platform.ReadyPath,
+		Config:         platform.ConfigFeed(store, metrics),
+		Endpoints:      platform.EndpointFeed(store, metrics),
+		ConfigSink:     func(g *gateway.Gateway) follow.Sink { return platform.ConfigSink{Site: g} },
+		EndpointSink:   func(g *gateway.Gateway) follow.Sink { return platform.EndpointSink{Site: g} },
+		Log:            log,
+		Metrics:        *metrics,
 		MetricsHandler: provider.Handler(),
 		Rand:           mathrand.New(mathrand.NewPCG(seed(), seed())),
-	})
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	go func() {
-		for range hangups {
-			reload(path, g, log)
-		}
-	}()
-	return g.Serve(ctx)
+	}), nil
 }
 
 func limitMemory(s gateway.Settings) {
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -14,7 +14,9 @@
 
 	"github.com/pistachiowind/pistachiowind/admin"
 	"github.com/pistachiowind/pistachiowind/catalog"
+	"github.com/pistachiowind/pistachiowind/platform"
 	"github.com/pistachiowind/pistachiowind/standin"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 // Keys of examples/.
@@ -300,13 +302,11 @@
 // claims counts the claim rows in the table.
 func (s *site) claims() int {
 	s.t.Helper()
-	var page struct {
-		Rows []struct{} `json:"rows"`
-	}
-	if err := get(s.table.url("address")+"/-/rows-get?tableName=pistachiowind&part=&from=claim/&to=claim0", &page); err != nil {
+	rows, _, err := platform.NewRows(storage.Options{URL: s.table.url("address")}).List(s.t.Context(), "claim/", "", storage.MaxListRows)
+	if err != nil {
 		s.t.Fatal(err)
 	}
-	return len(page.Rows)
+	return len(rows)
 }
 
 // version returns the catalog version in force in a process.
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,197 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/pistachiowind/pistachiowind/gateway/follow"
+	"github.com/pistachiowind/pistachiowind/gateway/registry"
+	"github.com/pistachiowind/pistachiowind/gateway/relay"
+	"github.com/pistachiowind/pistachiowind/gateway/routing"
+)
+
+// plainProtocol signs nothing and names nothing, which suffices for one endpoint.
+type plainProtocol struct{}
+
+func (plainProtocol) Request(h http.Header) relay.Fields   { return relay.Fields{ID: h.Get("Id")} }
+func (plainProtocol) Outgoing(http.Header, relay.Outgoing) {}
+func (plainProtocol) Answer(h http.Header) relay.AnswerFields {
+	return relay.AnswerFields{Signed: true}
+}
+
+// fakeSource lists at once, or fails for ever.
+type fakeSource struct{ down bool }
+
+func (s fakeSource) List(context.Context) (follow.Page, error) {
+	if s.down {
+		return follow.Page{}, errors.New("store is down")
+	}
+	return follow.Page{Version: 1}, nil
+}
+
+func (s fakeSource) Changes(ctx context.Context, _ int64, _ time.Duration) (follow.Page, error) {
+	<-ctx.Done()
+	return follow.Page{}, ctx.Err()
+}
+
+// fakeSink tells the gateway of a fixed site on the first listing.
+type fakeSink struct {
+	gateway *Gateway
+	listed  func(*Gateway)
+}
+
+func (s fakeSink) Listed([]follow.Row)  { s.listed(s.gateway) }
+func (s fakeSink) Changed([]follow.Row) {}
+func (s fakeSink) Lost(error)           {}
+func (s fakeSink) Regained()            {}
+
+func testConfig(version int64) routing.Config {
+	return routing.Config{
+		Version: version,
+		Routes: []routing.Route{{Name: "r", Host: "site.example", Prefix: "/x/", Kind: routing.NonIdempotent, MaxAttempts: 1,
+			Timeout: 10 * time.Second, Split: []routing.Share{{Service: "s", Weight: 1}}}},
+		Services: []routing.Service{{Name: "s"}},
+	}
+}
+
+func freePort(t *testing.T, host string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// start runs a gateway in front of one endpoint until the test ends. The returned
+// function asks it to drain and waits for its end.
+func start(t *testing.T, s Settings, endpoint string, down bool) (*Gateway, func()) {
+	t.Helper()
+	s.AvailabilityZone, s.GracePeriodS, s.RetryRatio, s.RetryAllowance = "z", 3, 0.2, 56
+	s.Listen.Callers, s.Listen.Ready = freePort(t, "127.0.0.1"), freePort(t, "127.0.0.1")
+	g := New(Options{
+		Settings: s, Protocol: plainProtocol{}, ReadyPath: "/ready", Log: zerolog.Nop(), Rand: rand.New(rand.NewPCG(1, 2)),
+		Config: fakeSource{down}, Endpoints: fakeSource{down},
+		ConfigSink: func(g *Gateway) follow.Sink {
+			return fakeSink{g, func(g *Gateway) { g.ConfigSeen(testConfig(5)) }}
+		},
+		EndpointSink: func(g *Gateway) follow.Sink {
+			return fakeSink{g, func(g *Gateway) {
+				g.EndpointsListed([]registry.Entry{{ID: "e", Service: "s", Address: endpoint, Zone: "z", Slots: 4}})
+			}}
+		},
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- g.Serve(ctx) }()
+	finish := func() {
+		stop()
+		if err := <-ended; err != nil {
+			t.Errorf("end: %v", err)
+		}
+		ended <- nil
+	}
+	t.Cleanup(finish)
+	return g, finish
+}
+
+func readiness(g *Gateway) int {
+	resp, err := http.Get("http://" + g.o.Settings.Listen.Ready + "/ready")
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+func awaitReadiness(t *testing.T, g *Gateway, want int) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); readiness(g) != want; {
+		if time.Now().After(end) {
+			t.Fatalf("readiness %d, want %d", readiness(g), want)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Guards against a shutdown that cuts off a request in progress, or that goes on
+// counting as ready.
+func TestDrainFinishesRequestsInProgress(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-release
+		io.WriteString(w, "done")
+	}))
+	defer endpoint.Close()
+	g, finish := start(t, Settings{}, endpoint.Listener.Addr().String(), false)
+	awaitReadiness(t, g, http.StatusOK)
+	answer := make(chan string, 1)
+	go func() {
+		req, _ := http.NewRequest("POST", "http://"+g.o.Settings.Listen.Callers+"/x/y", nil)
+		req.Host = "site.example"
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			answer <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		b, err := io.ReadAll(resp.Body)
+		if err != nil {
+			b = []byte(err.Error())
+		}
+		answer <- string(b)
+	}()
+	<-arrived
+	ended := make(chan struct{})
+	go func() { finish(); close(ended) }()
+	awaitReadiness(t, g, http.StatusServiceUnavailable)
+	close(release)
+	if got := <-answer; got != "done" {
+		t.Fatalf("answer %q", got)
+	}
+	<-ended
+}
+
+// Guards against a configuration that reverts within the life of a process.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	g := New(Options{Rand: rand.New(rand.NewPCG(1, 2)), Log: zerolog.Nop()})
+	for _, version := range []int64{5, 3, 5, 9, 8} {
+		g.ConfigSeen(testConfig(version))
+	}
+	if v := g.table.Load().Version; v != 9 {
+		t.Fatalf("version %d in force, want 9", v)
+	}
+}
+
+// Guards against a gateway that starts during an outage of the store and knows
+// nothing although others do, and against one without any information that
+// counts as ready.
+func TestStartWithoutTheStoreTakesTheStateOfAPeer(t *testing.T) {
+	first := Settings{Listen: Listen{Peers: freePort(t, "127.0.0.1")}}
+	informed, _ := start(t, first, "127.0.0.1:9", false)
+	awaitReadiness(t, informed, http.StatusOK)
+	_, port, err := net.SplitHostPort(first.Listen.Peers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	alone, _ := start(t, Settings{}, "127.0.0.1:9", true)
+	late, _ := start(t, Settings{Listen: Listen{Peers: "127.0.0.2:" + port}, PeerSeeds: []string{first.Listen.Peers}}, "127.0.0.1:9", true)
+	awaitReadiness(t, late, http.StatusOK)
+	if v := late.table.Load().Version; v != 5 {
+		t.Fatalf("version %d from the peer, want 5", v)
+	}
+	if code := readiness(alone); code != http.StatusServiceUnavailable {
+		t.Fatalf("readiness %d without any information", code)
+	}
+}
--- /dev/null
+++ b/telemetry/boundedlog_test.go
@@ -0,0 +1,50 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/telemetry"
+)
+
+// Guards against a log that blocks its process when nobody reads it, and against
+// lines that are lost without a count.
+func TestBoundedWriterNeverBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := telemetry.NewBoundedWriter(10_000, time.Now)
+		for i := range 5000 {
+			fmt.Fprintf(w, "line %d\n", i)
+		}
+		var out bytes.Buffer
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		if err := w.Serve(ctx, &out); err == nil {
+			t.Error("no error after the end of the context")
+		}
+		written := strings.Count(out.String(), "\n")
+		if uint64(written)+w.Dropped() != 5000 || written == 0 || w.Dropped() == 0 {
+			t.Errorf("%d lines written, %d dropped of 5,000", written, w.Dropped())
+		}
+	})
+}
+
+// Guards against a burst of lines that takes the processor time of the requests.
+func TestBoundedWriterLimitsTheRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := telemetry.NewBoundedWriter(100, time.Now)
+		for range 3 {
+			for range 150 {
+				fmt.Fprintln(w, "line")
+			}
+			time.Sleep(time.Second)
+		}
+		if w.Dropped() != 150 {
+			t.Errorf("%d lines dropped, want 150", w.Dropped())
+		}
+	})
+}
