Bound the memory for request bodies

Cause: bodies are held whole, up to 4 MiB each, and nothing bounded their sum on VMs of 112 MB. Change: a request beyond 0.3 of the memory limit is refused before its body is read. Measured: TestBodiesBeyondTheMemoryAreRefused; without the bound the second request is forwarded.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,6 +44,8 @@
 	// leaveRotation is how long new connections are still accepted after SIGTERM:
 	// the balancer asks once a second and needs two misses.
 	leaveRotation = 2500 * time.Millisecond
+	// bodyMemoryShare is the part of the memory limit that request bodies may take.
+	bodyMemoryShare = 0.3
 	// killMargin is how long before SIGKILL the last connections are closed.
 	killMargin = 300 * time.Millisecond
 )
@@ -99,6 +101,7 @@
 			Pool:        g.pool,
 			Observer:    g,
 			PickService: g.dispatcher.pickService,
+			BodyMemory:  int64(float64(o.Settings.MemoryMB) * bodyMemoryShare * 1e6),
 		}),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/gateway/crashes"
@@ -37,6 +38,11 @@
 	bodyTimeout = 10 * time.Second
 	// defaultMaxBody applies while the configuration states no bound.
 	defaultMaxBody = 4 << 20
+	// bodyMemoryRetryAfter is the advice when too many bodies are held; most are
+	// passed on within a second.
+	bodyMemoryRetryAfter = time.Second
+	// unknownBodyPart divides the largest size for bodies without a length.
+	unknownBodyPart = 8
 	// freshForUnsafe is the age up to which an idle connection is used for a
 	// request that must not be repeated: an endpoint may drop it without notice.
 	freshForUnsafe = 1500 * time.Millisecond
@@ -117,11 +123,16 @@
 	Observer Observer
 	// PickService draws a service of a split route.
 	PickService func(*routing.Route) string
+	// BodyMemory bounds the request bodies held at a time, in bytes; a request
+	// beyond it is refused before its body is read. Zero means no bound.
+	BodyMemory int64
 }
 
 // Relay is an http.Handler.
 type Relay struct {
 	o Options
+	// held is the number of bytes reserved for request bodies.
+	held atomic.Int64
 }
 
 // New returns a Relay.
@@ -130,15 +141,17 @@
 // exchange is one request of a caller.
 type exchange struct {
 	*Relay
-	w           http.ResponseWriter
-	r           *http.Request
-	arrived     time.Time
-	table       *routing.Table
-	route       *routing.Route
-	account     string
-	rank        int
-	fields      Fields
-	body        []byte
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time
+	table   *routing.Table
+	route   *routing.Route
+	account string
+	rank    int
+	fields  Fields
+	body    []byte
+	// reserved is what the body takes of the relay's memory for bodies.
+	reserved    int64
 	work        placement.Work
 	record      Record
 	fingerprint crashes.Fingerprint
@@ -165,7 +178,11 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer x.finish()
-	if !x.resolve() || !x.readBody() {
+	if !x.resolve() || !x.reserveBody() {
+		return
+	}
+	defer x.releaseBody()
+	if !x.readBody() {
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
@@ -227,16 +244,38 @@
 	x.deadline = x.arrived.Add(left)
 }
 
+// reserveBody takes room for the body, or refuses the request. A body of unknown
+// length takes a part of the largest size until it was read; few are that large.
+func (x *exchange) reserveBody() bool {
+	size := x.r.ContentLength
+	if size < 0 {
+		size = x.bodyLimit() / unknownBodyPart
+	}
+	if total := x.held.Add(size); x.o.BodyMemory > 0 && total > x.o.BodyMemory {
+		x.held.Add(-size)
+		x.refuse(&Refusal{Reason: "body_memory", RetryAfter: bodyMemoryRetryAfter})
+		return false
+	}
+	x.reserved = size
+	return true
+}
+
+func (x *exchange) releaseBody() { x.held.Add(-x.reserved) }
+
+func (x *exchange) bodyLimit() int64 {
+	if limit := x.table.Limits.MaxBodyBytes; limit > 0 {
+		return limit
+	}
+	return defaultMaxBody
+}
+
 // readBody reads the whole body, so that the request can be framed anew and sent
 // again.
 func (x *exchange) readBody() bool {
 	if x.r.ContentLength == 0 {
 		return true
 	}
-	limit := x.table.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
+	limit := x.bodyLimit()
 	if x.r.ContentLength > limit {
 		x.fail(http.StatusRequestEntityTooLarge, "body_too_large", nil)
 		return false
@@ -266,6 +305,8 @@
 		x.record.Cause = err.Error()
 	}
 	x.body = body
+	x.held.Add(int64(len(body)) - x.reserved)
+	x.reserved = int64(len(body))
 	return true
 }
 
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -225,6 +225,7 @@
 	t       *testing.T
 	placer  *fakePlacer
 	records *records
+	relay   *Relay
 	server  *httptest.Server
 }
 
@@ -233,12 +234,12 @@
 	for _, e := range endpoints {
 		s.placer.targets = append(s.placer.targets, e.listener.Addr().String())
 	}
-	rl := New(Options{
+	s.relay = New(Options{
 		Protocol: testProtocol{}, Table: func() *routing.Table { return table }, Placer: s.placer,
 		Pool: upstream.NewPool(upstream.Options{}), Observer: s.records,
 		PickService: func(r *routing.Route) string { return r.Split[0].Service },
 	})
-	s.server = httptest.NewServer(rl)
+	s.server = httptest.NewServer(s.relay)
 	t.Cleanup(s.server.Close)
 	return s
 }
@@ -429,6 +430,38 @@
 	}
 }
 
+// Guards against bodies that together exceed the memory of a small VM, and
+// against memory that stays reserved after requests have ended.
+func TestBodiesBeyondTheMemoryAreRefused(t *testing.T) {
+	e := newEndpoint(t, "hang", whole)
+	s := newSession(t, testTable(), e, e)
+	s.relay.o.BodyMemory = 1500
+	first, err := net.Dial("tcp", s.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	body := strings.Repeat("x", 900)
+	if _, err := io.WriteString(first, request("POST", "/charge/x", body)); err != nil {
+		t.Fatal(err)
+	}
+	for len(e.seen()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if answer := s.call(request("POST", "/charge/x", body)); !strings.HasPrefix(answer, "HTTP/1.1 503 ") {
+		t.Fatalf("answer %q, want a refusal", answer)
+	}
+	first.Close()
+	<-s.records.done
+	<-s.records.done
+	if answer := s.call(request("POST", "/charge/x", body)); !strings.HasPrefix(answer, "HTTP/1.1 200 ") {
+		t.Fatalf("answer %q after the first request ended", answer)
+	}
+	<-s.records.done
+	if held := s.relay.held.Load(); held != 0 {
+		t.Fatalf("%d bytes are still reserved", held)
+	}
+}
+
 // Guards against advice to return later than a caller honours: a third of the
 // time that it has left.
 func TestRetryAfterFitsTheTimeLeft(t *testing.T) {
