Learn from requests that never started at an engine

Only requests that started were learned from, so a flooded engine looked fast. Change: a request that ends without a start counts as at least that slow.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -305,7 +305,8 @@
 	d := t.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	t.flight.End()
+	now := time.Now()
+	t.flight.End(now)
 	delete(d.flights, t)
 	kinds := map[relay.Result]health.Kind{
 		relay.Whole:       health.Success,
@@ -314,7 +315,6 @@
 		relay.Unreachable: health.Failure,
 		relay.Rejected:    health.Refusal,
 	}
-	now := time.Now()
 	switch r {
 	case relay.Whole:
 		d.crashes.Succeeded(t.request)
--- a/gateway/placement/flight.go
+++ b/gateway/placement/flight.go
@@ -108,11 +108,16 @@
 	return float64(now.Sub(fl.sentAt)) / max(float64(fl.expected), float64(startTime))
 }
 
-// End notes the end of the request, however it ended.
-func (fl *Flight) End() {
+// End notes the end of the request, however it ended. One that had not started
+// by then shows how long a start takes at least; without it, only the fast starts
+// of a slow endpoint would count.
+func (fl *Flight) End(now time.Time) {
 	if fl.ended {
 		return
 	}
 	fl.ended = true
+	if ratio := fl.Ratio(now); !fl.started && ratio > 1 {
+		fl.endpoint.observe(now, ratio)
+	}
 	fl.endpoint.own.add(fl.load, -1)
 }
--- a/gateway/placement/placement_test.go
+++ b/gateway/placement/placement_test.go
@@ -221,14 +221,14 @@
 		default:
 			if len(open) > 0 {
 				at := rng.IntN(len(open))
-				open[at].End()
+				open[at].End(now)
 				open = append(open[:at], open[at+1:]...)
 			}
 		}
 	}
 	for _, flight := range open {
-		flight.End()
-		flight.End()
+		flight.End(now)
+		flight.End(now)
 	}
 	for id, e := range f.endpoints {
 		if e.own.Running != 0 || e.own.Prefill != 0 || e.own.Memory != 0 || e.own.Tight > 1e-6 || e.own.Tight < -1e-6 {
@@ -252,7 +252,7 @@
 			took *= 5
 		}
 		flight.Started(now.Add(took))
-		flight.End()
+		flight.End(now)
 		if i >= 50 {
 			count[c.Endpoint.ID]++
 		}
@@ -262,6 +262,43 @@
 	}
 }
 
+// share places 150 prompts one after the other and returns how many each engine
+// got. Callers give up on the engine stuck after five times the expected time.
+func share(t *testing.T, stuck string) map[string]int {
+	t.Helper()
+	f := newPool(3)
+	now := start
+	count := make(map[string]int)
+	for i := range 150 {
+		now = now.Add(50 * time.Millisecond)
+		w := planWork(uint64(5000 + i))
+		c := choose(t, f, now, w)
+		count[c.Endpoint.ID]++
+		flight := f.Send(now, w, c)
+		if c.Endpoint.ID == stuck {
+			flight.End(now.Add(5 * c.Expected))
+			continue
+		}
+		flight.Started(now.Add(c.Expected))
+		flight.End(now.Add(c.Expected))
+	}
+	return count
+}
+
+// Load pattern: callers give up on an engine that is too slow to start their
+// requests. If only its fast starts counted, it would look as fast as the others.
+func TestEngineThatCallersGiveUpOnGetsLess(t *testing.T) {
+	favourite, most := "", 0
+	for id, n := range share(t, "") {
+		if n > most {
+			favourite, most = id, n
+		}
+	}
+	if n := share(t, favourite)[favourite]; n > most/2 {
+		t.Fatalf("%s got %d of 150 prompts although callers gave up on it, %d without", favourite, n, most)
+	}
+}
+
 func plainWork() *Work { return &Work{Service: "ledger", Target: 300 * time.Millisecond} }
 
 // Load pattern: many short calls to a plain service with few slots. They must
