Pass nothing on from a connection that was just closed

Change: the listener remembers closed connections; their requests are dropped before they are passed on. Measured: the test fails without the check.

--- /dev/null
+++ b/gateway/conn.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// callerConn is a caller's connection that remembers that it was closed here.
+type callerConn struct {
+	net.Conn
+	closed atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
+
+// callerListener accepts callerConns.
+type callerListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: c}, nil
+}
+
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// connClosed reports whether the connection of a request was closed here before
+// its handler began. net/http counts a connection as idle until it has read the
+// whole head of a request, so a close of idle connections, at a drain or after
+// the idle time, can meet a request that was just read. Such a request must not
+// be passed on, since its answer cannot be.
+func connClosed(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*callerConn)
+	return ok && c.closed.Load()
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,11 +101,13 @@
 			Pool:        g.pool,
 			Observer:    g,
 			PickService: g.dispatcher.pickService,
+			ConnClosed:  connClosed,
 			BodyMemory:  int64(float64(o.Settings.MemoryMB) * bodyMemoryShare * 1e6),
 		}),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         g.idle.changed,
+		ConnContext:       withConn,
 	}
 	return g
 }
@@ -197,7 +199,7 @@
 	}
 	ended := supervisor.ServeBackground(running)
 	failed := make(chan error, 2)
-	go func() { failed <- g.callers.Serve(callers) }()
+	go func() { failed <- g.callers.Serve(callerListener{callers}) }()
 	go func() { failed <- readyServer.Serve(ready) }()
 	g.log.Info().Str("callers", g.o.Settings.Listen.Callers).Msg("started")
 	select {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -195,3 +195,27 @@
 		t.Fatalf("readiness %d without any information", code)
 	}
 }
+
+// Guards against a request that is passed on although the gateway has just closed
+// its connection as idle: its answer could not be delivered.
+func TestRequestOnAClosedConnectionIsNotPassedOn(t *testing.T) {
+	g, _ := start(t, Settings{}, "127.0.0.1:9", false)
+	awaitReadiness(t, g, http.StatusOK)
+	near, far := net.Pipe()
+	defer far.Close()
+	c := &callerConn{Conn: near}
+	handle := func() (aborted bool) {
+		defer func() { aborted = recover() != nil }()
+		r := httptest.NewRequest("POST", "http://site.example/x/y", nil)
+		r = r.WithContext(withConn(r.Context(), c))
+		g.callers.Handler.ServeHTTP(httptest.NewRecorder(), r)
+		return false
+	}
+	if handle() {
+		t.Fatal("a request on an open connection was dropped")
+	}
+	c.Close()
+	if !handle() {
+		t.Fatal("a request on a closed connection was handled")
+	}
+}
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -113,7 +113,7 @@
 	RetryAfter time.Duration
 }
 
-// Options configure a Relay. All fields are required.
+// Options configure a Relay. Fields are required unless they say otherwise.
 type Options struct {
 	Protocol Protocol
 	// Table returns the configuration in force, nil while none is known.
@@ -123,6 +123,9 @@
 	Observer Observer
 	// PickService draws a service of a split route.
 	PickService func(*routing.Route) string
+	// ConnClosed reports whether the connection of a request was closed before its
+	// handler began; nil means never.
+	ConnClosed func(context.Context) bool
 	// BodyMemory bounds the request bodies held at a time, in bytes; a request
 	// beyond it is refused before its body is read. Zero means no bound.
 	BodyMemory int64
@@ -178,6 +181,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer x.finish()
+	if rl.o.ConnClosed != nil && rl.o.ConnClosed(r.Context()) {
+		x.abort("connection_closed")
+	}
 	if !x.resolve() || !x.reserveBody() {
 		return
 	}
