Forget services without endpoints or configuration

Cause: the last read of the change found a map that grows with the service names of foreign directory entries, and an assignment without effect. Change: the fleet drops a service with its last endpoint unless the configuration set its pauses; the assignment is gone. Measured: the test fails without the change (1,001 services kept of 1,000 foreign ones).

--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -220,6 +220,11 @@
 			break
 		}
 	}
+	// Entries of other writers may name any service; only what the configuration
+	// set is kept without endpoints.
+	if len(s.members) == 0 && math.IsInf(s.strictestPause, 1) {
+		delete(f.services, e.Service)
+	}
 }
 
 // SetHealth sets the judgement of an endpoint: weight from 0 to 1, and whether
--- a/gateway/placement/placement_test.go
+++ b/gateway/placement/placement_test.go
@@ -318,3 +318,16 @@
 		}
 	}
 }
+
+// Guards against memory that grows with the service names of foreign entries.
+func TestServicesWithoutEndpointsAreForgotten(t *testing.T) {
+	f := newPool(1)
+	for i := range 1000 {
+		f.Put(Endpoint{ID: "foreign", Service: fmt.Sprintf("service-%d", i)})
+	}
+	f.Remove("foreign")
+	f.Remove("engine-0")
+	if len(f.services) != 1 || f.services[pool] == nil {
+		t.Fatalf("%d services are kept, want the configured one", len(f.services))
+	}
+}
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -199,7 +199,6 @@
 // finish writes the record also when the connection is being aborted.
 func (x *exchange) finish() {
 	x.record.Total = time.Since(x.arrived)
-	x.record.Status = max(x.record.Status, 0)
 	x.o.Observer.Finished(x.record)
 }
 
