Order requests by route within the rank of their account

Cause: a client account's rank takes precedence over the route's, and on the users' sites every account has one. The gateway then ignored the rank of the route: chats, questions and plans of an account competed as equals, at the gate (but for their size) and in the engines' queues. Change: a priority is the rank of the account, then the rank of the route. The gate, the statements between gateways and the engines use it. TestCrowdOfOneAccountYieldsByTheRankOfTheRoute fails without it (1.00 let in).

--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/routing"
 )
 
 const (
@@ -34,7 +35,7 @@
 	// Route is the name of the route.
 	Route     string
 	Streaming bool
-	Rank      int
+	Priority  routing.Priority
 	// Prompt is the number of prompt tokens.
 	Prompt int
 	Target time.Duration
@@ -63,7 +64,7 @@
 		return Verdict{Admitted: true}
 	}
 	slack := standardSlack
-	if r.Rank == 0 {
+	if r.Priority.Rank == 0 {
 		slack = urgentSlack
 	}
 	limit := time.Duration(slack * float64(r.Target))
--- a/gateway/admission/gate.go
+++ b/gateway/admission/gate.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/pistachiowind/pistachiowind/gateway/routing"
 )
 
 const (
@@ -22,7 +24,7 @@
 	// negligible is the count below which a kind of work is forgotten.
 	negligible = 0.05
 	// sizeRatio is the ratio of typical prompt sizes from which the larger of two
-	// kinds of work of the same rank is refused first.
+	// kinds of work of the same priority is refused first.
 	sizeRatio = 2.0
 	// sizeSmoothing is the weight of the newest prompt in a typical size.
 	sizeSmoothing = 0.05
@@ -35,8 +37,8 @@
 type Kind struct {
 	Service string
 	// Route is the name of the route.
-	Route string
-	Rank  int
+	Route    string
+	Priority routing.Priority
 }
 
 // Pressure tells how much of a kind of work was expected to be late.
@@ -84,7 +86,7 @@
 	if !r.Streaming || r.Further || v.Reason == OutOfTime {
 		return v
 	}
-	k := Kind{Service: r.Service, Route: r.Route, Rank: r.Rank}
+	k := Kind{Service: r.Service, Route: r.Route, Priority: r.Priority}
 	f := g.note(now, k, float64(r.Prompt), !v.Admitted)
 	yields := g.lessUrgentServed(now, k, f.Size)
 	switch {
@@ -110,7 +112,7 @@
 func (g *Gate) lessUrgentServed(now time.Time, k Kind, size float64) bool {
 	for other, f := range g.own {
 		recent := !f.lastAdmitted.IsZero() && now.Sub(f.lastAdmitted) < yieldTime
-		if recent && other.Service == k.Service && goesBefore(k.Rank, size, other.Rank, f.Size) {
+		if recent && other.Service == k.Service && goesBefore(k.Priority, size, other.Priority, f.Size) {
 			return true
 		}
 	}
@@ -140,7 +142,7 @@
 func (g *Gate) shareBefore(now time.Time, k Kind, size float64) float64 {
 	worst := 0.0
 	consider := func(other Kind, otherSize float64) {
-		if other.Service != k.Service || !goesBefore(other.Rank, otherSize, k.Rank, size) {
+		if other.Service != k.Service || !goesBefore(other.Priority, otherSize, k.Priority, size) {
 			return
 		}
 		sum := g.total(now, other)
@@ -163,10 +165,11 @@
 	return worst
 }
 
-// goesBefore reports whether work of a rank and size is served before other work.
-func goesBefore(rank int, size float64, otherRank int, otherSize float64) bool {
-	if rank != otherRank {
-		return rank < otherRank
+// goesBefore reports whether work of a priority and size is served before other
+// work.
+func goesBefore(p routing.Priority, size float64, other routing.Priority, otherSize float64) bool {
+	if p != other {
+		return p.Before(other)
 	}
 	return otherSize >= sizeRatio*size
 }
--- a/gateway/admission/gate_test.go
+++ b/gateway/admission/gate_test.go
@@ -6,20 +6,21 @@
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/routing"
 )
 
 var start = time.Unix(1_800_000_000, 0)
 
 func chat(rank int) Request {
 	return Request{
-		Service: "pool", Route: "chat", Streaming: true, Rank: rank, Prompt: 700,
+		Service: "pool", Route: "chat", Streaming: true, Priority: routing.Priority{Rank: rank}, Prompt: 700,
 		Target: 400 * time.Millisecond, TimeLeft: 15 * time.Second,
 	}
 }
 
 func plan(rank int) Request {
 	return Request{
-		Service: "pool", Route: "plan", Streaming: true, Rank: rank, Prompt: 9000,
+		Service: "pool", Route: "plan", Streaming: true, Priority: routing.Priority{Rank: rank}, Prompt: 9000,
 		Target: 2 * time.Second, TimeLeft: 8 * time.Second,
 	}
 }
@@ -117,6 +118,23 @@
 	}
 }
 
+// Load pattern: a crowd of the same account sends questions and chats of about the
+// same size. The route of lower rank makes room for the other one.
+func TestCrowdOfOneAccountYieldsByTheRankOfTheRoute(t *testing.T) {
+	g := newGate()
+	now := start
+	question := chat(1)
+	question.Route, question.Priority.RouteRank = "question", 1
+	for range 300 {
+		now = now.Add(10 * time.Millisecond)
+		g.Decide(now, chat(1), waiting(time.Second))
+		g.Decide(now, question, waiting(100*time.Millisecond))
+	}
+	if share := offer(g, &now, 20, question, waiting(100*time.Millisecond)); share > 0.5 {
+		t.Fatalf("%.2f of the questions were let in beside late chats of the same account", share)
+	}
+}
+
 // Guards against work that stays shut out after the pressure has ended.
 func TestLessUrgentWorkReturnsAfterThePressure(t *testing.T) {
 	g := newGate()
@@ -135,7 +153,7 @@
 	g := newGate()
 	now := start
 	offer(g, &now, 20, plan(2), waiting(0))
-	k := Kind{Service: "pool", Route: "chat", Rank: 0}
+	k := Kind{Service: "pool", Route: "chat"}
 	g.Hear(now, "peer-1", k, Pressure{Size: 700, Offered: 10, Late: 5})
 	if share := offer(g, &now, 20, plan(2), waiting(0)); share > 0.2 {
 		t.Fatalf("%.2f of the long prompts were let in while a peer's chats were late", share)
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -85,7 +85,7 @@
 		Service:   w.Service,
 		Route:     q.Route,
 		Streaming: w.Streaming,
-		Rank:      w.Rank,
+		Priority:  q.Priority,
 		Prompt:    w.PromptTokens,
 		Target:    w.Target,
 		TimeLeft:  q.TimeLeft,
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/peers"
 	"github.com/pistachiowind/pistachiowind/gateway/peers/wire"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/routing"
 )
 
 const (
@@ -160,12 +161,13 @@
 			return
 		}
 		pressures = append(pressures, &wire.Pressure{
-			Service: k.Service,
-			Kind:    k.Route,
-			Rank:    uint32(max(k.Rank, 0)),
-			Size:    uint32(r.Size),
-			Offered: float32(r.Offered),
-			Late:    float32(r.Late),
+			Service:   k.Service,
+			Kind:      k.Route,
+			Rank:      uint32(max(k.Priority.Rank, 0)),
+			RouteRank: uint32(max(k.Priority.RouteRank, 0)),
+			Size:      uint32(r.Size),
+			Offered:   float32(r.Offered),
+			Late:      float32(r.Late),
 		})
 	})
 	var suspects []*wire.Suspect
@@ -187,7 +189,7 @@
 	defer d.mu.Unlock()
 	d.fleet.PeerLoads(now, s.Sender, loads)
 	for _, r := range s.Pressures {
-		k := admission.Kind{Service: r.Service, Route: r.Kind, Rank: int(r.Rank)}
+		k := admission.Kind{Service: r.Service, Route: r.Kind, Priority: routing.Priority{Rank: int(r.Rank), RouteRank: int(r.RouteRank)}}
 		d.gate.Hear(now, s.Sender, k, admission.Pressure{
 			Size: float64(r.Size), Offered: float64(r.Offered), Late: float64(r.Late),
 		})
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -15,7 +15,8 @@
 		Str("route", r.Route).
 		Str("service", r.Service).
 		Str("account", r.Account).
-		Int("rank", r.Rank).
+		Int("rank", r.Priority.Rank).
+		Int("route_rank", r.Priority.RouteRank).
 		Int64("config", r.ConfigVersion).
 		Str("result", r.Result).
 		Int("status", r.Status).
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -33,7 +33,6 @@
 	Parts []Part
 	// Target is the time to the first event, MaxPause the longest pause after it.
 	Target, MaxPause time.Duration
-	Rank             int
 	// Excluded lists the endpoints that were already tried.
 	Excluded []string
 }
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -26,7 +26,6 @@
 		Parts:        x.fields.Parts,
 		Target:       x.route.Target,
 		MaxPause:     x.route.MaxPause,
-		Rank:         x.rank,
 	}
 	x.state = outcome.State{
 		Repeatable:  x.route.Repeatable() || x.route.Resumable,
@@ -65,7 +64,7 @@
 // attempt makes one attempt and reports whether another should follow.
 func (x *exchange) attempt(ctx context.Context, service string) bool {
 	further := len(x.record.Attempts) > 0
-	quest := Quest{Route: x.route.Name, Request: x.fingerprint, Account: x.account, TimeLeft: time.Until(x.deadline), Further: further}
+	quest := Quest{Route: x.route.Name, Priority: x.priority, Request: x.fingerprint, Account: x.account, TimeLeft: time.Until(x.deadline), Further: further}
 	ticket, refusal := x.o.Placer.Admit(&x.work, quest)
 	if refusal != nil {
 		x.noEndpoint(refusal)
--- a/gateway/relay/protocol.go
+++ b/gateway/relay/protocol.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/routing"
 )
 
 // Fields is what a caller states of its request.
@@ -27,7 +28,7 @@
 	EndpointID string
 	Account    string
 	Streaming  bool
-	Rank       int
+	Priority   routing.Priority
 	// FetchFrom is the address of an endpoint that holds more of the prompt in
 	// its cache; empty for none.
 	FetchFrom string
--- a/gateway/relay/record.go
+++ b/gateway/relay/record.go
@@ -4,13 +4,14 @@
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/routing"
 )
 
 // Record is the line about one finished request.
 type Record struct {
 	ID, Route, Service, Account string
 	ConfigVersion               int64
-	Rank                        int
+	Priority                    routing.Priority
 	// Result names the outcome, such as "delivered" or "refused_overload".
 	Result string
 	Status int
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -68,6 +68,7 @@
 	// Request identifies what the request runs, for the search of requests that
 	// crash endpoints.
 	Request  crashes.Fingerprint
+	Priority routing.Priority
 	Account  string
 	TimeLeft time.Duration
 	// Further is true for attempts after the first.
@@ -144,15 +145,15 @@
 // exchange is one request of a caller.
 type exchange struct {
 	*Relay
-	w       http.ResponseWriter
-	r       *http.Request
-	arrived time.Time
-	table   *routing.Table
-	route   *routing.Route
-	account string
-	rank    int
-	fields  Fields
-	body    []byte
+	w        http.ResponseWriter
+	r        *http.Request
+	arrived  time.Time
+	table    *routing.Table
+	route    *routing.Route
+	account  string
+	priority routing.Priority
+	fields   Fields
+	body     []byte
 	// reserved is what the body takes of the relay's memory for bodies.
 	reserved    int64
 	work        placement.Work
@@ -217,7 +218,7 @@
 		return false
 	}
 	x.record.Route = x.route.Name
-	x.rank = x.route.Rank
+	x.priority = x.route.Priority(nil)
 	if x.table.NeedsKey(x.route) {
 		account := x.table.Account(x.fields.Key)
 		if account == nil {
@@ -225,11 +226,9 @@
 			return false
 		}
 		x.account = account.Name
-		if account.Rank != nil {
-			x.rank = *account.Rank
-		}
+		x.priority = x.route.Priority(account)
 	}
-	x.record.Account, x.record.Rank = x.account, x.rank
+	x.record.Account, x.record.Priority = x.account, x.priority
 	x.setDeadline()
 	return true
 }
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -64,7 +64,7 @@
 		EndpointID: t.Choice().Endpoint.ID,
 		Account:    x.account,
 		Streaming:  x.route.Kind == routing.Streaming,
-		Rank:       x.rank,
+		Priority:   x.priority,
 		FetchFrom:  t.Choice().FetchFrom,
 	}
 	if x.headSent {
--- a/gateway/routing/routing_test.go
+++ b/gateway/routing/routing_test.go
@@ -75,3 +75,19 @@
 		t.Errorf("pauses %v", pauses)
 	}
 }
+
+// Guards against routes that lose their order because their callers' accounts
+// have ranks.
+func TestAccountsRankBeforeRoutes(t *testing.T) {
+	urgent, usual := &Account{Rank: rank(0)}, &Account{Rank: rank(1)}
+	chat, plan := &Route{Rank: 0}, &Route{Rank: 2}
+	ordered := []Priority{chat.Priority(urgent), plan.Priority(urgent), chat.Priority(usual), plan.Priority(usual), plan.Priority(nil)}
+	for i := 1; i < len(ordered); i++ {
+		if !ordered[i-1].Before(ordered[i]) || ordered[i].Before(ordered[i-1]) {
+			t.Errorf("%+v is not before %+v", ordered[i-1], ordered[i])
+		}
+	}
+	if p := chat.Priority(&Account{}); p != chat.Priority(nil) {
+		t.Errorf("an account without a rank has priority %+v", p)
+	}
+}
