Number the gateway's failures; keep the configured limits on heads

Cause: callers of the gateway got empty bodies for its own failures, the log had a reason but no number, a refusal's line lacked the expected time and the load that decided it, and heads were bounded by a fixed 64 KiB and 10 s whatever the configuration said. Change: failures of the gateway's own have the JSON body and the numbers of docs/errors.md (2012, 2013 and 1015 are new); a refusal for lack of room has status 429 as that page says, others 503. The line of a refusal has its inputs with their age. Connections keep headerTimeoutMs and idleTimeoutMs of the configuration in force, larger heads get 431. Tests: golden lines and sessions; TestConnectionsKeepTheLimitsInForce fails when the head's limit does not begin (closed before 3s). The golden session no_endpoint depended on the machine's speed (a third of the time left, rounded); it has more time left now, and TestRetryAfterFitsTheTimeLeft keeps that bound. TestBodiesBeyondTheMemoryAreRefused expects 429 and the code now.

--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -53,6 +53,9 @@
 	Admitted   bool
 	Reason     string
 	RetryAfter time.Duration
+	// Share is the part of the work of this kind that made room for more urgent
+	// work, from 0; 1 or more means all.
+	Share float64
 }
 
 // Judge decides about a request for which c is the best endpoint.
--- a/gateway/admission/gate.go
+++ b/gateway/admission/gate.go
@@ -92,8 +92,8 @@
 	switch {
 	case yields:
 		v = Verdict{Admitted: true}
-	case v.Admitted && g.shed(now, k, f.Size):
-		v = Verdict{Reason: MoreUrgentRefused, RetryAfter: memory/2 + time.Duration(g.rng.Int64N(int64(memory)))}
+	case v.Admitted:
+		v = g.makeRoom(now, k, f.Size)
 	}
 	if v.Admitted {
 		f.lastAdmitted = now
@@ -101,10 +101,15 @@
 	return v
 }
 
-// shed draws whether a request makes room for more urgent work.
-func (g *Gate) shed(now time.Time, k Kind, size float64) bool {
+// makeRoom draws whether a request makes room for more urgent work. The advice to
+// return is spread, so that the refused do not come back as one crowd.
+func (g *Gate) makeRoom(now time.Time, k Kind, size float64) Verdict {
 	share := g.shareBefore(now, k, size)
-	return share > 0 && g.rng.Float64() < share
+	if share <= 0 || g.rng.Float64() >= share {
+		return Verdict{Admitted: true, Share: share}
+	}
+	after := memory/2 + time.Duration(g.rng.Int64N(int64(memory)))
+	return Verdict{Reason: MoreUrgentRefused, RetryAfter: after, Share: share}
 }
 
 // lessUrgentServed reports whether this gateway lately admitted work that goes
--- a/gateway/admission/gate_test.go
+++ b/gateway/admission/gate_test.go
@@ -147,6 +147,19 @@
 	}
 }
 
+// Guards against a refusal whose line cannot tell the engineer how much of such
+// work was refused.
+func TestRefusalStatesTheShareThatMadeRoom(t *testing.T) {
+	g := newGate()
+	now := start
+	offer(g, &now, 20, plan(2), waiting(0))
+	g.Hear(now, "peer-1", Kind{Service: "pool", Route: "chat"}, Pressure{Size: 700, Offered: 10, Late: 10})
+	v := g.Decide(now, plan(2), waiting(0))
+	if v.Admitted || v.Share < 1 {
+		t.Fatalf("%+v, want a refusal of all such work", v)
+	}
+}
+
 // Guards against a gateway that lets less urgent work in although all others see
 // urgent work late.
 func TestPressureOfPeersCounts(t *testing.T) {
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -6,10 +6,23 @@
 	"sync/atomic"
 )
 
-// callerConn is a caller's connection that remembers that it was closed here.
+// callerConn is a caller's connection that remembers that it was closed here and
+// tells when the head of a request begins.
 type callerConn struct {
 	net.Conn
 	closed atomic.Bool
+	// waits states that the next byte begins a head.
+	waits      atomic.Bool
+	headBegins func(net.Conn)
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.waits.Swap(false) {
+		c.headBegins(c)
+	}
+	return n, err
 }
 
 // Close implements net.Conn.
@@ -19,7 +32,10 @@
 }
 
 // callerListener accepts callerConns.
-type callerListener struct{ net.Listener }
+type callerListener struct {
+	net.Listener
+	headBegins func(net.Conn)
+}
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
@@ -27,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c}, nil
+	return &callerConn{Conn: c, headBegins: l.headBegins}, nil
 }
 
 type connKey struct{}
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -92,7 +92,7 @@
 		Further:   q.Further,
 	}, choice)
 	if !verdict.Admitted {
-		return nil, &relay.Refusal{Reason: verdict.Reason, RetryAfter: verdict.RetryAfter}
+		return nil, &relay.Refusal{Reason: verdict.Reason, RetryAfter: verdict.RetryAfter, Choice: &choice, Share: verdict.Share}
 	}
 	t := &ticket{dispatcher: d, request: q.Request, target: w.Target, choice: choice, flight: d.fleet.Send(now, w, choice), sentAt: now, streaming: w.Streaming}
 	d.health.Sent(now, choice.Endpoint.ID)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,11 +36,11 @@
 )
 
 const (
-	// headerTimeout bounds the head of a request. It exceeds what operators
-	// configure, which callers keep to.
+	// headerTimeout bounds the head of a request to the listeners that are not
+	// for callers.
 	headerTimeout = 10 * time.Second
-	// maxHeaderBytes bounds the head of a request.
-	maxHeaderBytes = 64 << 10
+	// maxHeadBytes bounds what is read of a head whatever operators allow.
+	maxHeadBytes = 1 << 20
 	// leaveRotation is how long new connections are still accepted after SIGTERM:
 	// the balancer asks once a second and needs two misses.
 	leaveRotation = 2500 * time.Millisecond
@@ -75,7 +75,7 @@
 	table      atomic.Pointer[routing.Table]
 	pool       *upstream.Pool
 	callers    *http.Server
-	idle       *idleCloser
+	conns      *connLimits
 	draining   atomic.Bool
 	// stores holds the state of the way to each table of the store.
 	stores sync.Map
@@ -92,7 +92,7 @@
 		o.Metrics.Connections.Add(1, telemetry.OKLabels(err == nil))
 	}})
 	g.watch()
-	g.idle = newIdleCloser(g.idleTimeout)
+	g.conns = newConnLimits(g.limits)
 	g.callers = &http.Server{
 		Handler: relay.New(relay.Options{
 			Protocol:    o.Protocol,
@@ -104,19 +104,20 @@
 			ConnClosed:  connClosed,
 			BodyMemory:  int64(float64(o.Settings.MemoryMB) * bodyMemoryShare * 1e6),
 		}),
-		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         g.idle.changed,
-		ConnContext:       withConn,
+		MaxHeaderBytes: maxHeadBytes,
+		ConnState:      g.conns.changed,
+		ConnContext:    withConn,
 	}
 	return g
 }
 
-func (g *Gateway) idleTimeout() time.Duration {
-	if t := g.table.Load(); t != nil && t.Limits.IdleTimeout > 0 {
-		return t.Limits.IdleTimeout
+// limits returns what the configuration in force allows callers; zero values
+// while none is known.
+func (g *Gateway) limits() routing.Limits {
+	if t := g.table.Load(); t != nil {
+		return t.Limits
 	}
-	return time.Minute
+	return routing.Limits{}
 }
 
 // Reload takes new settings. Addresses stay as they were at the start; the grace
@@ -199,7 +200,7 @@
 	}
 	ended := supervisor.ServeBackground(running)
 	failed := make(chan error, 2)
-	go func() { failed <- g.callers.Serve(callerListener{callers}) }()
+	go func() { failed <- g.callers.Serve(callerListener{callers, g.conns.headBegins}) }()
 	go func() { failed <- readyServer.Serve(ready) }()
 	g.log.Info().Str("callers", g.o.Settings.Listen.Callers).Msg("started")
 	select {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -23,6 +24,9 @@
 		Int64("left_ms", ms(r.TimeLeft)).
 		Int64("first_ms", ms(r.FirstEvent)).
 		Int64("total_ms", ms(r.Total))
+	if r.Code != 0 {
+		event = event.Uint32("code", uint32(r.Code))
+	}
 	if r.Cause != "" {
 		event = event.Str("cause", r.Cause)
 	}
@@ -32,6 +36,17 @@
 	if r.Events > 0 {
 		event = event.Int("events", r.Events).Int64("max_pause_ms", ms(r.MaxPause))
 	}
+	if r.Refusal != nil && r.Refusal.Choice != nil {
+		c := r.Refusal.Choice
+		event = event.Dict("refused", zerolog.Dict().
+			Str("endpoint", c.Endpoint.ID).
+			Int64("expected_ms", ms(c.Expected)).
+			Int64("wait_ms", ms(c.Wait)).
+			Int("running", c.Load.Running).
+			Int("prefill", c.Load.Prefill).
+			Int64("load_age_ms", ms(c.LoadAge)).
+			Float64("share", math.Round(r.Refusal.Share*100)/100))
+	}
 	if len(r.Attempts) > 0 {
 		attempts := zerolog.Arr()
 		for _, a := range r.Attempts {
@@ -44,7 +59,8 @@
 				Int("fetched", a.Fetched).
 				Int("running", a.Load.Running).
 				Float64("tight", a.Load.Tight).
-				Int("prefill", a.Load.Prefill))
+				Int("prefill", a.Load.Prefill).
+				Int64("load_age_ms", ms(a.LoadAge)))
 		}
 		event = event.Array("attempts", attempts)
 	}
--- /dev/null
+++ b/gateway/log_test.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/pistachiowind/pistachiowind/gateway/admission"
+	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/relay"
+	"github.com/pistachiowind/pistachiowind/gateway/routing"
+	"github.com/pistachiowind/pistachiowind/resultcode"
+)
+
+// Guards against a line that lacks what decided a request, or whose fields are
+// renamed while docs/OPERATIONS.md still tells operators to look for them.
+func TestRequestLines(t *testing.T) {
+	busy := placement.Load{Running: 14, Tight: 3.5, Prefill: 15120, Memory: 90000}
+	records := []relay.Record{
+		{
+			ID: "refused", Route: "ask", Service: "pool", Account: "acme", ConfigVersion: 10,
+			Priority: routing.Priority{Rank: 1, RouteRank: 2}, Result: admission.MoreUrgentRefused, Status: 429, Code: resultcode.MoreUrgentWork,
+			TimeLeft: 5537 * time.Millisecond, Total: time.Millisecond, RetryAfter: 985 * time.Millisecond,
+			Refusal: &relay.Refusal{
+				Choice: &placement.Choice{Endpoint: placement.Endpoint{ID: "e1"}, Expected: 783 * time.Millisecond, Wait: 500 * time.Millisecond, Load: busy, LoadAge: 60 * time.Millisecond},
+				Share:  0.5,
+			},
+		},
+		{
+			ID: "unanswered", Route: "debit", Service: "ledger", Result: "unanswered", Status: 502, Code: resultcode.OutcomeUnknown, Cause: "read answer: EOF",
+			TimeLeft: 900 * time.Millisecond, Total: 43 * time.Millisecond,
+			Attempts: []relay.Attempt{{Endpoint: "e2", Expected: 55 * time.Millisecond, Took: 42 * time.Millisecond, Result: "unanswered"}},
+		},
+		{
+			ID: "resumed", Route: "chat", Service: "pool", Account: "acme", ConfigVersion: 10, Result: "delivered", Status: 200,
+			TimeLeft: 15 * time.Second, FirstEvent: 240 * time.Millisecond, Total: 3 * time.Second, Events: 81, MaxPause: 265 * time.Millisecond,
+			Attempts: []relay.Attempt{
+				{Endpoint: "e1", Expected: 349 * time.Millisecond, Took: time.Second, Uncached: 2083, Load: busy, LoadAge: 60 * time.Millisecond, Result: "stream_broken"},
+				{Endpoint: "e3", Expected: 100 * time.Millisecond, Took: 2 * time.Second, Fetched: 1800, Uncached: 283, Result: "delivered"},
+			},
+		},
+	}
+	var lines bytes.Buffer
+	for _, r := range records {
+		logRecord(zerolog.New(&lines), r)
+	}
+	goldie.New(t).Assert(t, "request_lines", lines.Bytes())
+}
--- a/gateway/placement/cache.go
+++ b/gateway/placement/cache.go
@@ -88,7 +88,8 @@
 // PeerPlacement notes that a peer has sent a shared part to an endpoint.
 func (f *Fleet) PeerPlacement(now time.Time, endpoint uint64, p Part) {
 	if e := f.byHash[endpoint]; e != nil {
-		e.cache.use(p, now.Add(peerReadTime), e.load(now).Memory)
+		load, _ := e.load(now)
+		e.cache.use(p, now.Add(peerReadTime), load.Memory)
 	}
 }
 
--- a/gateway/placement/cost.go
+++ b/gateway/placement/cost.go
@@ -59,8 +59,8 @@
 )
 
 func (f *Fleet) estimate(now time.Time, s *service, e *endpoint, w *Work, homes homes) (Choice, float64) {
-	load := e.load(now)
-	c := Choice{Endpoint: e.Endpoint, Load: load}
+	load, age := e.load(now)
+	c := Choice{Endpoint: e.Endpoint, Load: load, LoadAge: age}
 	cost := 0.0
 	if w.Streaming {
 		cost = s.streamCost(&c, e, w, homes)
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -270,8 +270,10 @@
 	Fetched   int
 	// Free states that the endpoint has a free slot and memory.
 	Free bool
-	// Load is the load that was assumed.
-	Load Load
+	// Load is the load that was assumed, and LoadAge the age of the oldest of the
+	// peers' statements in it.
+	Load    Load
+	LoadAge time.Duration
 }
 
 // Choose returns the cheapest endpoint of the service; false when no endpoint
@@ -313,15 +315,19 @@
 	return false
 }
 
-// load sums the own work and the recent statements of the peers.
-func (e *endpoint) load(now time.Time) Load {
+// load sums the own work and the recent statements of the peers. It returns the
+// age of the oldest of these statements, too.
+func (e *endpoint) load(now time.Time) (Load, time.Duration) {
 	sum := e.own
+	oldest := time.Duration(0)
 	for name, p := range e.peers {
-		if now.Sub(p.at) > peerLoadMaxAge {
+		age := now.Sub(p.at)
+		if age > peerLoadMaxAge {
 			delete(e.peers, name)
 			continue
 		}
 		sum.add(p.load, 1)
+		oldest = max(oldest, age)
 	}
-	return sum
+	return sum, oldest
 }
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -81,6 +81,7 @@
 		Uncached: choice.Uncached,
 		Fetched:  choice.Fetched,
 		Load:     choice.Load,
+		LoadAge:  choice.LoadAge,
 	})
 	began := time.Now()
 	attemptCtx, cancel := x.limited(ctx, ticket)
--- a/gateway/relay/protocol.go
+++ b/gateway/relay/protocol.go
@@ -73,3 +73,17 @@
 	}
 	return out
 }
+
+// headBytes returns the size of a request's head as the caller would usually
+// write it.
+func headBytes(r *http.Request) int {
+	const lineEnd, separator, spaces = 2, 2, 2
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + spaces + lineEnd
+	size += len("Host") + separator + len(r.Host) + lineEnd
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + separator + len(v) + lineEnd
+		}
+	}
+	return size + lineEnd
+}
--- a/gateway/relay/record.go
+++ b/gateway/relay/record.go
@@ -5,6 +5,7 @@
 
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
+	"github.com/pistachiowind/pistachiowind/resultcode"
 )
 
 // Record is the line about one finished request.
@@ -15,6 +16,8 @@
 	// Result names the outcome, such as "delivered" or "refused_overload".
 	Result string
 	Status int
+	// Code is the numbered code of a failure of the gateway's own; zero otherwise.
+	Code resultcode.Code
 	// Cause is the last failure; empty when there was none.
 	Cause    string
 	Attempts []Attempt
@@ -23,7 +26,9 @@
 	FirstEvent, Total time.Duration
 	TimeLeft          time.Duration
 	RetryAfter        time.Duration
-	Events            int
+	// Refusal holds the inputs of a refusal; nil for other results.
+	Refusal *Refusal
+	Events  int
 	// MaxPause is the longest time between two events.
 	MaxPause time.Duration
 }
@@ -34,7 +39,9 @@
 	Expected time.Duration
 	Uncached int
 	Fetched  int
-	Load     placement.Load
+	// Load is what was assumed; LoadAge is the age of the peers' statements in it.
+	Load    placement.Load
+	LoadAge time.Duration
 	// Took is the time until the attempt ended.
 	Took time.Duration
 	// Result is the outcome of the attempt.
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/gateway/outcome"
@@ -120,7 +121,7 @@
 		answer.Abort()
 	}
 	t.Ended(Rejected)
-	return ending{kind: outcome.NotRun, name: fmt.Sprintf("endpoint_rejected_%d", status)}
+	return ending{kind: outcome.NotRun, name: rejectedPrefix + strconv.Itoa(status)}
 }
 
 // plain reads the whole answer and delivers it.
@@ -142,7 +143,7 @@
 	answer.Finish()
 	if answer.StatusCode >= http.StatusInternalServerError {
 		t.Ended(Erring)
-		return ending{kind: outcome.Failed, name: fmt.Sprintf("endpoint_failed_%d", answer.StatusCode), answer: answer, body: body}
+		return ending{kind: outcome.Failed, name: failedPrefix + strconv.Itoa(answer.StatusCode), answer: answer, body: body}
 	}
 	t.Ended(Whole)
 	x.record.FirstEvent = time.Since(x.arrived)
--- a/resultcode/code.go
+++ b/resultcode/code.go
@@ -24,6 +24,7 @@
 	UnknownService         Code = 1012
 	UnsupportedParameter   Code = 1013
 	UnknownRoute           Code = 1014
+	HeaderTooLarge         Code = 1015
 )
 
 // Codes 2000 to 2999: capacity. The request did not run; a later one may.
@@ -39,6 +40,8 @@
 	QueueDelayTooHigh    Code = 2009
 	AttemptTableFull     Code = 2010
 	ConcurrencyLimitHeld Code = 2011
+	TimeTooShort         Code = 2012
+	MoreUrgentWork       Code = 2013
 )
 
 // Codes 3000 to 3999: the endpoint or the way to it failed.
@@ -93,7 +96,7 @@
 
 var table = []Info{
 	{MalformedBody, "malformed_body", http.StatusBadRequest, "The body is not valid JSON or lacks a required field; correct the request."},
-	{BodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, "The body is larger than 4 MiB."},
+	{BodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, "The body is larger than the limit, 4 MiB by default."},
 	{BodyTimeout, "body_timeout", http.StatusRequestTimeout, "The body did not arrive within 10 s."},
 	{UnknownModel, "unknown_model", http.StatusNotFound, "No endpoint serves the model."},
 	{UnknownProfile, "unknown_profile", http.StatusBadRequest, "The catalog has no profile of this name."},
@@ -106,6 +109,7 @@
 	{UnknownService, "unknown_service", http.StatusNotFound, "The catalog has no service of this name."},
 	{UnsupportedParameter, "unsupported_parameter", http.StatusBadRequest, "The request uses a parameter that the router does not support."},
 	{UnknownRoute, "unknown_route", http.StatusNotFound, "The path or method does not exist."},
+	{HeaderTooLarge, "header_too_large", http.StatusRequestHeaderFieldsTooLarge, "The head of the request is larger than the operators allow."},
 	{QueueFull, "queue_full", http.StatusTooManyRequests, "Every queue that could take the request is full."},
 	{TargetOutOfReach, "target_out_of_reach", http.StatusTooManyRequests, "The expected wait exceeds what the profile's target allows."},
 	{Displaced, "displaced", http.StatusTooManyRequests, "A more urgent request took the place of the waiting request."},
@@ -117,9 +121,11 @@
 	{QueueDelayTooHigh, "queue_delay_too_high", http.StatusTooManyRequests, "The queue delay is above its target and the request's tier is refused."},
 	{AttemptTableFull, "attempt_table_full", http.StatusTooManyRequests, "The agent has reached its bound on attempts."},
 	{ConcurrencyLimitHeld, "concurrency_limit_held", http.StatusTooManyRequests, "The endpoint's concurrency limit is reached for this class."},
+	{TimeTooShort, "time_too_short", http.StatusTooManyRequests, "The expected wait exceeds the time that the request has left."},
+	{MoreUrgentWork, "more_urgent_work", http.StatusTooManyRequests, "More urgent work of the service would be late; the room goes to it first."},
 	{EndpointFailed, "endpoint_failed", http.StatusBadGateway, "The endpoint failed before a whole answer existed."},
 	{StreamInterrupted, "stream_interrupted", http.StatusBadGateway, "The stream broke and could not be continued; the answer is incomplete."},
-	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, "The request may have run; send it again with the same Idempotency-Key to learn the outcome."},
+	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, "The request may have run. Where Idempotency-Key is supported, send it again with the same key to learn the outcome."},
 	{RequestCondemned, "request_condemned", http.StatusUnprocessableEntity, "The request crashed endpoints and is refused for a while."},
 	{EndpointRefused, "endpoint_refused", http.StatusBadGateway, "The endpoint refused the request before running it."},
 	{KeyInProgress, "key_in_progress", http.StatusConflict, "An earlier request with the same Idempotency-Key is still running."},
--- a/router/ingress/events.go
+++ b/router/ingress/events.go
@@ -102,7 +102,7 @@
 	if !s.opened {
 		return writeRefusal(s.c, err)
 	}
-	body, encodeErr := json.Marshal(newErrorBody(err, s.requestID))
+	body, encodeErr := json.Marshal(err.Body(s.requestID))
 	if encodeErr != nil {
 		return encodeErr
 	}
--- a/router/ingress/refusal.go
+++ b/router/ingress/refusal.go
@@ -13,36 +13,6 @@
 	"github.com/pistachiowind/pistachiowind/resultcode"
 )
 
-// errorBody is a refusal in the OpenAI error shape with the fields of this
-// router beside it.
-type errorBody struct {
-	Error errorDetail `json:"error"`
-}
-
-type errorDetail struct {
-	Message string `json:"message"`
-	// Type is the name of the result code.
-	Type  string  `json:"type"`
-	Param *string `json:"param"`
-	// Code is the number of the result code; OpenAI clients expect a string.
-	Code      string               `json:"code"`
-	Execution resultcode.Execution `json:"execution"`
-	// RetryAfterMS is the time after which to come back; absent when not known.
-	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
-	RequestID    string `json:"request_id,omitempty"`
-}
-
-func newErrorBody(err *resultcode.Error, requestID string) errorBody {
-	return errorBody{Error: errorDetail{
-		Message:      err.Message,
-		Type:         err.Code.String(),
-		Code:         strconv.FormatUint(uint64(err.Code), 10),
-		Execution:    err.Verdict(),
-		RetryAfterMS: err.RetryAfter.Milliseconds(),
-		RequestID:    requestID,
-	}}
-}
-
 // refuse answers a request that has not been answered yet.
 func (s *Server) refuse(c echo.Context, err *resultcode.Error) error {
 	s.opts.Observer.Refused(err)
@@ -58,7 +28,7 @@
 	if c.Request().ProtoMajor == 1 && bodyUnread(err.Code) {
 		h.Set("Connection", "close")
 	}
-	return c.JSON(resultcode.Lookup(err.Code).Status, newErrorBody(err, h.Get(RequestIDHeader)))
+	return c.JSON(resultcode.Lookup(err.Code).Status, err.Body(h.Get(RequestIDHeader)))
 }
 
 // bodyUnread reports whether the rest of the body may still be on its way, so
