Make baselines of placement and admission selectable by a setting

Change: placement_rule (cheapest, fewest_in_flight, random) and admission_rule (yield_to_urgent, deadline_only), checked, changed by SIGHUP.

--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -58,11 +58,18 @@
 	Share float64
 }
 
-// Judge decides about a request for which c is the best endpoint.
-func Judge(r Request, c Choice) Verdict {
+func judgeDeadline(r Request, c Choice) Verdict {
 	if c.Expected >= r.TimeLeft {
 		return Verdict{Reason: OutOfTime, RetryAfter: max(c.Expected-r.TimeLeft, minRetryAfter)}
 	}
+	return Verdict{Admitted: true}
+}
+
+// Judge decides about a request for which c is the best endpoint.
+func Judge(r Request, c Choice) Verdict {
+	if v := judgeDeadline(r, c); !v.Admitted {
+		return v
+	}
 	if !r.Streaming || r.Further || r.Target <= 0 {
 		return Verdict{Admitted: true}
 	}
--- a/gateway/admission/gate.go
+++ b/gateway/admission/gate.go
@@ -68,8 +68,9 @@
 // less urgent, so that the room goes to the urgent first. A Gate is not safe
 // for concurrent use.
 type Gate struct {
-	rng *rand.Rand
-	own map[Kind]*faded
+	rng  *rand.Rand
+	rule Rule
+	own  map[Kind]*faded
 	// heard is by kind and peer.
 	heard map[Kind]map[string]*faded
 }
@@ -79,9 +80,15 @@
 	return &Gate{rng: rng, own: make(map[Kind]*faded), heard: make(map[Kind]map[string]*faded)}
 }
 
+// SetRule changes the rule.
+func (g *Gate) SetRule(r Rule) { g.rule = r }
+
 // Decide judges a request. Work that would be late is refused only when work that
 // is less urgent is refused already; until then it presses the latter out.
 func (g *Gate) Decide(now time.Time, r Request, c Choice) Verdict {
+	if g.rule == DeadlineOnly {
+		return judgeDeadline(r, c)
+	}
 	v := Judge(r, c)
 	if !r.Streaming || r.Further || v.Reason == OutOfTime {
 		return v
--- a/gateway/admission/gate_test.go
+++ b/gateway/admission/gate_test.go
@@ -135,6 +135,19 @@
 	}
 }
 
+// Guards against a baseline that silently measures the usual rule.
+func TestDeadlineOnlyAdmitsWhatIsLate(t *testing.T) {
+	g := newGate()
+	g.SetRule(DeadlineOnly)
+	now := start
+	if share := offer(g, &now, 50, chat(1), waiting(5*time.Second)); share < 1 {
+		t.Fatalf("%.2f of late chats were admitted, want all", share)
+	}
+	if share := offer(g, &now, 50, plan(2), waiting(9*time.Second)); share > 0 {
+		t.Fatalf("%.2f were admitted beyond their deadline", share)
+	}
+}
+
 // Guards against work that stays shut out after the pressure has ended.
 func TestLessUrgentWorkReturnsAfterThePressure(t *testing.T) {
 	g := newGate()
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -56,10 +56,14 @@
 }
 
 func newDispatcher(s Settings, rng *rand.Rand) *dispatcher {
+	fleet := placement.NewFleet(s.AvailabilityZone)
+	fleet.SetRule(s.PlacementRule, rng)
+	gate := admission.NewGate(rng)
+	gate.SetRule(s.AdmissionRule)
 	return &dispatcher{
-		fleet:    placement.NewFleet(s.AvailabilityZone),
+		fleet:    fleet,
 		health:   health.New(health.Options{Window: 5 * time.Second, OpenTime: 2 * time.Second, MaxOpenTime: 8 * time.Second, RampTime: 3 * time.Second}),
-		gate:     admission.NewGate(rng),
+		gate:     gate,
 		registry: registry.New(),
 		budgets:  make(map[string]*budget.Budget),
 		flights:  make(map[*ticket]struct{}),
@@ -159,6 +163,8 @@
 		clear(d.budgets)
 	}
 	d.settings = s
+	d.fleet.SetRule(s.PlacementRule, d.rng)
+	d.gate.SetRule(s.AdmissionRule)
 }
 
 // refresh renews the judgement of the endpoints.
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -11,6 +11,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -113,6 +114,9 @@
 	endpoints map[string]*endpoint
 	byHash    map[uint64]*endpoint
 	services  map[string]*service
+	// rule is empty for Cheapest; rng is for the baselines.
+	rule Rule
+	rng  *rand.Rand
 	// placements are the latest ones of this gateway, oldest first.
 	placements []Placement
 }
@@ -299,6 +303,7 @@
 			continue
 		}
 		c, cost := f.estimate(now, s, e, w, homes)
+		cost = f.ruled(e, cost)
 		if cost < bestCost {
 			best, bestCost = c, cost
 		}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -9,6 +9,8 @@
 	"os"
 	"time"
 
+	"github.com/pistachiowind/pistachiowind/gateway/admission"
+	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 )
 
@@ -36,6 +38,12 @@
 	// LogLinesPerS bounds the log; further lines are counted and dropped. The
 	// default is 400.
 	LogLinesPerS int `json:"log_lines_per_s,omitempty"`
+	// PlacementRule chooses endpoints: "cheapest", the default, or for
+	// measurements "fewest_in_flight" or "random".
+	PlacementRule placement.Rule `json:"placement_rule,omitempty"`
+	// AdmissionRule decides who is refused: "yield_to_urgent", the default, or for
+	// measurements "deadline_only".
+	AdmissionRule admission.Rule `json:"admission_rule,omitempty"`
 }
 
 // Listen holds the addresses on which a gateway accepts connections.
@@ -100,6 +108,9 @@
 	require(s.RetryWindowS > 0, "retry_window_s", "must be positive")
 	require(s.RetryAllowance >= 0, "retry_allowance", "must not be negative")
 	require(s.LogLinesPerS >= 0, "log_lines_per_s", "must not be negative")
+	placementErr, admissionErr := s.PlacementRule.Check(), s.AdmissionRule.Check()
+	require(placementErr == nil, "placement_rule", fmt.Sprint(placementErr))
+	require(admissionErr == nil, "admission_rule", fmt.Sprint(admissionErr))
 	address("listen.callers", s.Listen.Callers, false)
 	address("listen.ready", s.Listen.Ready, false)
 	address("listen.metrics", s.Listen.Metrics, true)
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -37,6 +37,8 @@
 		{"retry_allowance", -1},
 		{"store_address", "store:9001"},
 		{"log_lines_per_s", -5},
+		{"placement_rule", "chepest"},
+		{"admission_rule", "none"},
 		{"unknown_field", 1},
 		{"peer_seeds", []string{"nowhere"}},
 		{"listen", map[string]string{"callers": "127.0.0.1:1"}},
