Tell peers early of new prompts

Cause: on the grown sites, with some 29 gateways, statements are 350 ms apart, so gateways that meet the same burst send it to the same engines. Change: after 2,048 new prompt tokens the next statement is due after 25 ms or 3 ms for each peer; without news the interval stays. Tests: TestNewsOfABurstAreToldEarly, TestSentPromptsAreNewsUntilStated.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -16,6 +16,10 @@
 )
 
 const (
+	// newsTokens is the number of prompt tokens sent since the last statement from
+	// which the next one is early: a chunk of prefill, which delays the streams beside
+	// it once.
+	newsTokens = 2048
 	// healthRefresh is how often the judgement of the endpoints is renewed, and
 	// how often requests without a first event are reported to it.
 	healthRefresh = 200 * time.Millisecond
@@ -155,6 +159,14 @@
 	}
 }
 
+// news reports whether the work at the endpoints has changed so much since the
+// last statement that the peers should know.
+func (d *dispatcher) news() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fleet.Unstated() >= newsTokens
+}
+
 func (d *dispatcher) expirePeerLoads(now time.Time, maxAge time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -24,6 +24,8 @@
 	maxLoads          = 300
 	maxPlacementsSent = 200
 	maxPressures      = 30
+	// minWait is the time after a statement until the next look whether one is due.
+	minWait = 25 * time.Millisecond
 	// loadIntervals is how many intervals a peer's load counts without a new
 	// statement; one in a row may be lost.
 	loadIntervals = 2
@@ -80,11 +82,15 @@
 	}
 }
 
-// send sends one statement to all peers and returns the time until the next.
+// send sends a statement to all peers if one is due, and returns the time until
+// the next look.
 func (x *exchange) send(socket net.PacketConn) time.Duration {
 	now := time.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if due, wait := x.state.Due(now, x.gateway.dispatcher.news()); !due {
+		return wait
+	}
 	interval := x.state.Interval(now)
 	known := x.state.Known(now)
 	x.gateway.peers.Store(int64(known))
@@ -94,7 +100,7 @@
 	datagram, err := x.state.Compose(now, statement)
 	if err != nil {
 		x.gateway.log.Warn().Err(err).Msg("statement to peers not sent")
-		return interval
+		return minWait
 	}
 	for _, target := range x.state.Targets(now) {
 		address, err := netip.ParseAddrPort(target)
@@ -106,7 +112,7 @@
 			x.lost++
 		}
 	}
-	return interval
+	return minWait
 }
 
 func (x *exchange) receive(socket net.PacketConn) error {
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -25,11 +25,15 @@
 	// seedEvery is how often a silent seed, or a peer that another one named, is
 	// tried.
 	seedEvery = time.Second
-	// minInterval between two statements to the same peer. Ten routers of a
-	// small VM then spend less than 1% of a core.
+	// minInterval between two statements to the same peer without news. Ten routers
+	// of a small VM then spend less than 1% of a core.
 	minInterval = 60 * time.Millisecond
-	// intervalPerPeer keeps the datagrams of one gateway at about 80 a second in
-	// each direction, however many peers there are.
+	// minNewsInterval and newsIntervalPerPeer apply while there are news: with them
+	// a burst of some hundred milliseconds is told while it lasts.
+	minNewsInterval     = 25 * time.Millisecond
+	newsIntervalPerPeer = 3 * time.Millisecond
+	// intervalPerPeer keeps the datagrams of one gateway without news at about 80 a
+	// second in each direction, however many peers there are.
 	intervalPerPeer = 12 * time.Millisecond
 	// maxPeers bounds the peers; later ones are ignored.
 	maxPeers = 512
@@ -49,8 +53,10 @@
 	self        string
 	incarnation uint64
 	sequence    uint64
-	seeds       []string
-	peers       map[string]*peer
+	// sentAt is when the last statement was composed.
+	sentAt time.Time
+	seeds  []string
+	peers  map[string]*peer
 	// turns counts the statements, for the peers that are named in turn.
 	turns int
 }
@@ -98,7 +104,18 @@
 	return max(forgetAfter, missedStatements*interval)
 }
 
-// Interval is the time until the next statement.
+// Due reports whether a statement is to be sent now, and otherwise after which time
+// to ask again. News are what the peers should know soon.
+func (e *Exchange) Due(now time.Time, news bool) (bool, time.Duration) {
+	since := now.Sub(e.sentAt)
+	soon := max(minNewsInterval, time.Duration(e.Known(now))*newsIntervalPerPeer)
+	if since >= e.Interval(now) || news && since >= soon {
+		return true, 0
+	}
+	return false, max(soon-since, minNewsInterval)
+}
+
+// Interval is the time between statements without news.
 func (e *Exchange) Interval(now time.Time) time.Duration {
 	return max(minInterval, time.Duration(e.Known(now))*intervalPerPeer)
 }
@@ -134,6 +151,7 @@
 // returns it as a datagram.
 func (e *Exchange) Compose(now time.Time, s *wire.Statement) ([]byte, error) {
 	e.sequence++
+	e.sentAt = now
 	s.Sender = e.self
 	s.Incarnation = e.incarnation
 	s.Sequence = e.sequence
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -105,6 +105,34 @@
 	}
 }
 
+// Load pattern: a burst of long prompts meets several gateways at once. The peers
+// must hear of it while it lasts, and hear less when nothing changes.
+func TestNewsOfABurstAreToldEarly(t *testing.T) {
+	e := New("r", nil, start)
+	for i := range 28 {
+		receive(t, e, start, compose(t, New(fmt.Sprint("gateway-", i), nil, start), start))
+	}
+	statements := func(from time.Time, news bool) int {
+		n := 0
+		for now := from; now.Before(from.Add(time.Second)); {
+			due, wait := e.Due(now, news)
+			if due {
+				n++
+				compose(t, e, now)
+				wait = minNewsInterval
+			}
+			now = now.Add(wait)
+		}
+		return n
+	}
+	if n := statements(start, false); n < 2 || n > 4 {
+		t.Errorf("%d statements in a second without news, want about 3", n)
+	}
+	if n := statements(start.Add(time.Second), true); n < 9 || n > 12 {
+		t.Errorf("%d statements in a second of a burst, want about 11", n)
+	}
+}
+
 // Guards against noise on the port.
 func TestNoiseIsRefused(t *testing.T) {
 	e := New("r", nil, start)
--- a/gateway/placement/flight.go
+++ b/gateway/placement/flight.go
@@ -48,6 +48,7 @@
 	if w.Streaming {
 		flight.load.Memory = w.PromptTokens + w.OutputTokens
 		flight.load.Prefill = c.Uncached
+		f.unstated += c.Uncached
 		flight.load.Tight = w.strictness(s.strictestPause)
 		for _, p := range w.shared() {
 			if e.cache.use(p, now.Add(c.Expected), c.Load.Memory) {
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -142,6 +142,8 @@
 	services  map[string]*service
 	// statements are the latest ones by peer.
 	statements map[string]statement
+	// unstated is the number of prompt tokens sent since the last OwnLoads.
+	unstated int
 	// rule is empty for Cheapest; rng is for the baselines.
 	rule Rule
 	rng  *rand.Rand
@@ -294,8 +296,12 @@
 	}
 }
 
+// Unstated returns the prompt tokens sent to endpoints since the last OwnLoads.
+func (f *Fleet) Unstated() int { return f.unstated }
+
 // OwnLoads calls report for each endpoint that has work of this gateway.
 func (f *Fleet) OwnLoads(report func(endpoint uint64, l Load)) {
+	f.unstated = 0
 	for _, e := range f.endpoints {
 		if e.own != (Load{}) {
 			report(e.hash, e.own)
--- a/gateway/placement/placement_test.go
+++ b/gateway/placement/placement_test.go
@@ -108,6 +108,21 @@
 	}
 }
 
+// Guards against a burst that the peers hear of at the next usual statement only.
+func TestSentPromptsAreNewsUntilStated(t *testing.T) {
+	f := newPool(2)
+	w := planWork(5)
+	c := choose(t, f, start, w)
+	f.Send(start, w, c)
+	if n := f.Unstated(); n != c.Uncached {
+		t.Fatalf("%d tokens are news, want the %d of the prompt", n, c.Uncached)
+	}
+	f.OwnLoads(func(uint64, Load) {})
+	if n := f.Unstated(); n != 0 {
+		t.Fatalf("%d tokens are news after a statement", n)
+	}
+}
+
 // Guards against loads that stay after a peer said otherwise or went silent.
 func TestLoadOfPeersIsReplacedAndForgotten(t *testing.T) {
 	f := newPool(3)
