Tell peers of half a chunk of new prompts within 15 ms

Cause: a burst is over before statements that are 25 ms or 3 ms a peer apart have told of it. Change: 15 ms or 2 ms for each peer, from 1,024 new prompt tokens on.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -17,9 +17,9 @@
 
 const (
 	// newsTokens is the number of prompt tokens sent since the last statement from
-	// which the next one is early: a chunk of prefill, which delays the streams beside
-	// it once.
-	newsTokens = 2048
+	// which the next one is early: half a chunk of prefill. Trials with a whole one
+	// earned 0.003 and 0.019 less on the grown sites.
+	newsTokens = 1024
 	// healthRefresh is how often the judgement of the endpoints is renewed, and
 	// how often requests without a first event are reported to it.
 	healthRefresh = 200 * time.Millisecond
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -25,7 +25,7 @@
 	maxPlacementsSent = 200
 	maxPressures      = 30
 	// minWait is the time after a statement until the next look whether one is due.
-	minWait = 25 * time.Millisecond
+	minWait = 15 * time.Millisecond
 	// loadIntervals is how many intervals a peer's load counts without a new
 	// statement; one in a row may be lost.
 	loadIntervals = 2
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -30,8 +30,8 @@
 	minInterval = 60 * time.Millisecond
 	// minNewsInterval and newsIntervalPerPeer apply while there are news: with them
 	// a burst of some hundred milliseconds is told while it lasts.
-	minNewsInterval     = 25 * time.Millisecond
-	newsIntervalPerPeer = 3 * time.Millisecond
+	minNewsInterval     = 15 * time.Millisecond
+	newsIntervalPerPeer = 2 * time.Millisecond
 	// intervalPerPeer keeps the datagrams of one gateway without news at about 80 a
 	// second in each direction, however many peers there are.
 	intervalPerPeer = 12 * time.Millisecond
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -128,8 +128,8 @@
 	if n := statements(start, false); n < 2 || n > 4 {
 		t.Errorf("%d statements in a second without news, want about 3", n)
 	}
-	if n := statements(start.Add(time.Second), true); n < 9 || n > 12 {
-		t.Errorf("%d statements in a second of a burst, want about 11", n)
+	if n := statements(start.Add(time.Second), true); n < 13 || n > 18 {
+		t.Errorf("%d statements in a second of a burst, want about 17", n)
 	}
 }
 
