--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -58,6 +58,7 @@
 	Share float64
 }
 
+// judgeDeadline refuses what the best endpoint would begin too late.
 func judgeDeadline(r Request, c Choice) Verdict {
 	if c.Expected >= r.TimeLeft {
 		return Verdict{Reason: OutOfTime, RetryAfter: max(c.Expected-r.TimeLeft, minRetryAfter)}
