Learn the engines' speed at once, share it, and let told prompts drain

Cause: a gateway assumed 20 prompt tokens per millisecond and moved 5% toward each observation. Prompts that a peer had told stayed counted until its next usual statement, up to 340 ms after they were read. A fetch of cached parts was free, so nearly every long prompt moved its shared part.

Change: the first observations count in full, gateways tell each other their estimate, and a guess refuses nothing. What peers told as unread falls to zero over the time in which the engine reads it. A fetch has a cost.

--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -71,7 +71,8 @@
 	if v := judgeDeadline(r, c); !v.Admitted {
 		return v
 	}
-	if !r.Streaming || r.Further || r.Target <= 0 {
+	// A guess at the speed of engines that nobody has observed refuses nothing.
+	if !r.Streaming || r.Further || r.Target <= 0 || c.SpeedUnknown {
 		return Verdict{Admitted: true}
 	}
 	slack := standardSlack
--- a/gateway/admission/gate_test.go
+++ b/gateway/admission/gate_test.go
@@ -198,3 +198,21 @@
 		t.Fatalf("%+v, want admission", v)
 	}
 }
+
+// Load pattern: a cold site in its first moments. A guess at the speed of engines
+// must not refuse what they may well serve in time.
+func TestNothingIsRefusedByASpeedThatNobodyObserved(t *testing.T) {
+	r := Request{Streaming: true, Target: time.Second, TimeLeft: 10 * time.Second}
+	late := Choice{Expected: 3 * time.Second, Wait: 2 * time.Second}
+	if v := Judge(r, late); v.Admitted {
+		t.Fatal("a late stream was let in")
+	}
+	late.SpeedUnknown = true
+	if v := Judge(r, late); !v.Admitted {
+		t.Fatalf("refused as %s by a guess", v.Reason)
+	}
+	late.Expected = 11 * time.Second
+	if v := Judge(r, late); v.Admitted {
+		t.Fatal("let in although even a guess ends after the deadline")
+	}
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -24,6 +24,7 @@
 	maxLoads          = 300
 	maxPlacementsSent = 200
 	maxPressures      = 30
+	maxSpeeds         = 8
 	// minWait is the time after a statement until the next look whether one is due.
 	minWait = 15 * time.Millisecond
 	// loadIntervals is how many intervals a peer's load counts without a new
@@ -184,7 +185,13 @@
 	for _, o := range d.crashes.Reports(now) {
 		suspects = append(suspects, &wire.Suspect{Request: uint64(o.Request), Endpoint: o.Endpoint})
 	}
-	return &wire.Statement{Loads: loads, Placements: placements, Pressures: pressures, Suspects: suspects}
+	var speeds []*wire.Speed
+	d.fleet.OwnSpeeds(func(service string, s placement.Speed) {
+		if len(speeds) < maxSpeeds {
+			speeds = append(speeds, &wire.Speed{Service: service, Rate: float32(s.Rate), Weight: float32(s.Weight)})
+		}
+	})
+	return &wire.Statement{Loads: loads, Placements: placements, Pressures: pressures, Suspects: suspects, Speeds: speeds}
 }
 
 // heard takes a peer's statement.
@@ -207,6 +214,9 @@
 	for _, suspect := range s.Suspects {
 		d.crashes.Hear(crashes.Observation{Request: crashes.Fingerprint(suspect.Request), Endpoint: suspect.Endpoint, At: now})
 	}
+	for _, v := range s.Speeds {
+		d.fleet.PeerSpeed(now, s.Sender, v.Service, placement.Speed{Rate: float64(v.Rate), Weight: float64(v.Weight)})
+	}
 	for _, p := range s.Placements {
 		d.fleet.PeerPlacement(now, p.Endpoint, placement.Part{ID: p.Part, Tokens: int(p.Tokens)})
 	}
--- a/gateway/placement/cache.go
+++ b/gateway/placement/cache.go
@@ -190,5 +190,13 @@
 	c.FetchFrom = h.source.Address
 	c.Fetched = int(missing)
 	c.Uncached -= c.Fetched
-	return fetchSetup + missing/e.FetchRate
+	return s.fetchTime(e, c.Fetched)
+}
+
+// fetchTime is the expected time of a fetch in milliseconds.
+func (s *service) fetchTime(e *endpoint, tokens int) float64 {
+	if tokens <= 0 || e.FetchRate <= 0 {
+		return 0
+	}
+	return fetchSetup + float64(tokens)/e.FetchRate
 }
--- a/gateway/placement/cost.go
+++ b/gateway/placement/cost.go
@@ -6,10 +6,6 @@
 )
 
 const (
-	// defaultPrefillRate is the assumed prefill speed in prompt tokens per
-	// millisecond until a service's own speed was observed. It is in the middle
-	// of what engines of 70 billion parameters reach on 4 to 8 accelerators.
-	defaultPrefillRate = 20.0
 	// chunkTokens is the usual size of a prefill chunk. A running stream waits
 	// for one chunk between two of its tokens.
 	chunkTokens = 2048
@@ -48,6 +44,9 @@
 	// rereadCost is the cost of reading heavyPrompt tokens of shared parts that
 	// another endpoint holds already.
 	rereadCost = 0.25
+	// fetchCost is the cost of fetching heavyPrompt tokens of cached parts: it takes
+	// the links of both engines, and memory that other parts could keep.
+	fetchCost = 0.05
 	// fetchSetup is the time before a fetch between engines begins, in
 	// milliseconds.
 	fetchSetup = 5.0
@@ -92,7 +91,9 @@
 
 func (s *service) streamCost(c *Choice, e *endpoint, w *Work, h homes) float64 {
 	fetch := s.plan(c, e, w, h)
-	rate := s.prefillRate / e.slowness
+	speed := s.prefill()
+	c.SpeedUnknown = speed.Weight < knownFrom
+	rate := speed.Rate / e.slowness
 	prefill := float64(c.Uncached)/rate + fetch
 	wait := float64(c.Load.Prefill) / rate
 	expected := wait + prefill + float64(startTime.Milliseconds())*e.slowness
@@ -105,6 +106,7 @@
 	cost += streamOccupancyCost * float64(c.Load.Running) / float64(slots)
 	// What is read again takes the engine's time from other requests.
 	cost += rereadCost * max(float64(c.Uncached-w.ownTokens())/heavyPrompt, 0)
+	cost += fetchCost * float64(c.Fetched) / heavyPrompt
 	if !c.Free {
 		over := max(float64(c.Load.Running+1-slots)/float64(slots), memory-1)
 		cost += crowdingCost * (0.25 + over)
--- a/gateway/placement/flight.go
+++ b/gateway/placement/flight.go
@@ -14,9 +14,6 @@
 	// slownessHalfLife is the time in which the slowness of an endpoint without
 	// new observations moves half way to 1.
 	slownessHalfLife = 3 * time.Second
-	// minPromptForRate is the number of tokens from which a first event tells
-	// the prefill speed.
-	minPromptForRate = 1500
 )
 
 // Flight is a request at an endpoint, from its send to its end.
@@ -28,6 +25,8 @@
 	sentAt   time.Time
 	ahead    int
 	uncached int
+	// fetch is the expected time of a fetch in milliseconds.
+	fetch    float64
 	expected time.Duration
 	started  bool
 	ended    bool
@@ -42,7 +41,7 @@
 	s := f.services[e.Service]
 	flight := &Flight{
 		endpoint: e, service: s, work: w, sentAt: now,
-		ahead: c.Load.Prefill, uncached: c.Uncached, expected: c.Expected,
+		ahead: c.Load.Prefill, uncached: c.Uncached, fetch: s.fetchTime(e, c.Fetched), expected: c.Expected,
 	}
 	flight.load = Load{Running: 1}
 	if w.Streaming {
@@ -73,17 +72,21 @@
 }
 
 func (fl *Flight) learn(now time.Time, took float64) {
-	expected := max(float64(fl.expected)/float64(time.Millisecond), 1)
-	fl.endpoint.observe(now, took/expected)
 	if !fl.work.Streaming {
+		expected := max(float64(fl.expected)/float64(time.Millisecond), 1)
+		fl.endpoint.observe(now, took/expected)
 		fl.service.plainTime += smoothing * (took/fl.endpoint.slowness - fl.service.plainTime)
 		return
 	}
-	read := fl.ahead + fl.uncached
-	if fl.uncached >= minPromptForRate {
-		rate := float64(read) / max(took-float64(startTime.Milliseconds()), 1)
-		rate = min(max(rate, defaultPrefillRate/4), defaultPrefillRate*4)
-		fl.service.prefillRate += smoothing / 3 * (rate - fl.service.prefillRate)
+	read := float64(fl.ahead + fl.uncached)
+	begin := float64(startTime.Milliseconds())
+	if fl.uncached >= minPromptForRate && fl.ahead <= fl.uncached {
+		fl.service.ownSpeed.observe(read / max(took-begin-fl.fetch, 1))
+		fl.service.combine()
+	}
+	if speed := fl.service.prefill(); speed.Weight >= knownFrom {
+		expected := (read/speed.Rate+begin)*fl.endpoint.slowness + fl.fetch
+		fl.endpoint.observe(now, took/expected)
 	}
 }
 
--- a/gateway/placement/loads.go
+++ b/gateway/placement/loads.go
@@ -29,8 +29,11 @@
 	endpoints []*endpoint
 }
 
-// setPeer replaces the load of a peer; an empty one removes it.
-func (e *endpoint) setPeer(now time.Time, peer string, l Load) {
+// setPeer replaces the load of a peer; an empty one removes it. The rate is the
+// endpoint's prefill speed in tokens per millisecond.
+func (e *endpoint) setPeer(now time.Time, peer string, l Load, rate float64) {
+	e.backlog.set(now, peer, l.Prefill, e.own.Prefill, rate)
+	l.Prefill = 0
 	e.heard.add(e.peers[peer], -1)
 	e.heard.add(l, 1)
 	e.heardAt = now
@@ -45,11 +48,17 @@
 	}
 }
 
+// rate is the prefill speed of an endpoint in tokens per millisecond.
+func (f *Fleet) rate(e *endpoint) float64 {
+	return f.services[e.Service].prefill().Rate / e.slowness
+}
+
 // load sums the own work and that of the peers. It returns the time since the
 // peers' part changed, too.
 func (e *endpoint) load(now time.Time) (Load, time.Duration) {
 	sum := e.own
 	sum.add(e.heard, 1)
+	sum.Prefill += e.backlog.left(now)
 	if e.heardAt.IsZero() {
 		return sum, 0
 	}
@@ -62,13 +71,13 @@
 	last := f.statements[peer]
 	for _, e := range last.endpoints {
 		if _, still := loads[e.hash]; !still {
-			e.setPeer(now, peer, Load{})
+			e.setPeer(now, peer, Load{}, f.rate(e))
 		}
 	}
 	current := statement{at: now, endpoints: last.endpoints[:0]}
 	for hash, load := range loads {
 		if e := f.byHash[hash]; e != nil {
-			e.setPeer(now, peer, load)
+			e.setPeer(now, peer, load, f.rate(e))
 			current.endpoints = append(current.endpoints, e)
 		}
 	}
@@ -78,12 +87,15 @@
 // ExpirePeerLoads drops the loads of peers whose last statement is older than
 // maxAge. The time between statements grows with the number of gateways.
 func (f *Fleet) ExpirePeerLoads(now time.Time, maxAge time.Duration) {
+	for _, s := range f.services {
+		s.expirePeerSpeeds(now, max(maxAge, speedAge))
+	}
 	for peer, s := range f.statements {
 		if now.Sub(s.at) <= max(maxAge, minPeerLoadAge) {
 			continue
 		}
 		for _, e := range s.endpoints {
-			e.setPeer(now, peer, Load{})
+			e.setPeer(now, peer, Load{}, f.rate(e))
 		}
 		delete(f.statements, peer)
 	}
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -80,6 +80,8 @@
 	peers   map[string]Load
 	heard   Load
 	heardAt time.Time
+	// backlog holds the peers' prompts; heard and peers have none of them.
+	backlog backlog
 	cache   *partCache
 	// slowness is the smoothed ratio of observed to expected times.
 	slowness float64
@@ -110,9 +112,12 @@
 
 type service struct {
 	members []*endpoint
-	// prefillRate is the smoothed observed speed in tokens per millisecond.
-	prefillRate float64
-	plainTime   float64
+	// ownSpeed is what this gateway observed, peerSpeeds what its peers state, and
+	// combined their mean.
+	ownSpeed   Speed
+	peerSpeeds map[string]heardSpeed
+	combined   Speed
+	plainTime  float64
 	// strictestPause is the shortest pause that a route of the service allows, in
 	// milliseconds; infinite for none.
 	strictestPause float64
@@ -143,7 +148,7 @@
 	s := f.services[name]
 	if s == nil {
 		s = &service{
-			prefillRate:    defaultPrefillRate,
+			peerSpeeds:     make(map[string]heardSpeed),
 			plainTime:      float64(plainTime.Milliseconds()),
 			strictestPause: math.Inf(1),
 		}
@@ -233,6 +238,8 @@
 	// fetched first; empty for none. Fetched is the expected number of tokens.
 	FetchFrom string
 	Fetched   int
+	// SpeedUnknown states that the speed behind the estimates is a guess.
+	SpeedUnknown bool
 	// Free states that the endpoint has a free slot and memory.
 	Free bool
 	// Load is the load that was assumed, and LoadAge the time since the peers' part
