Weigh the bytes of a request that crosses availability zones

Cause: a crossing cost the same for a body of 600 bytes and one of 17 KB.

Change: the cost grows with the body.

Most of the bytes are not bodies that could have stayed: shared parts have one home for all zones, as keeping them in each would move three times the memory.

--- a/gateway/placement/cost.go
+++ b/gateway/placement/cost.go
@@ -27,6 +27,8 @@
 	crowdingCost = 4.0
 	// zoneCost prefers the own availability zone among equals.
 	zoneCost = 0.02
+	// zoneByteCost is the cost of each byte of a request that crosses zones.
+	zoneByteCost = 0.08 / (16 << 10)
 	// orderCost separates tight streams from long prompts at equal load: all
 	// gateways order the endpoints alike.
 	orderCost = 0.2
@@ -67,7 +69,7 @@
 		cost = s.plainCost(&c, e, w)
 	}
 	if e.Zone != f.zone {
-		cost += zoneCost
+		cost += zoneCost + zoneByteCost*float64(w.BodyBytes)
 	}
 	if e.weight < 1 {
 		cost += (1 - e.weight) * crowdingCost / 2
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -32,6 +32,8 @@
 	Streaming bool
 	// PromptTokens and OutputTokens are the sizes that the caller stated.
 	PromptTokens, OutputTokens int
+	// BodyBytes is the size of the request's body.
+	BodyBytes int
 	// Parts of the prompt in order. The last one belongs to the request alone.
 	Parts []Part
 	// Target is the time to the first event, MaxPause the longest pause after it.
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -23,6 +23,7 @@
 		Streaming:    x.route.Kind == routing.Streaming,
 		PromptTokens: x.fields.PromptTokens,
 		OutputTokens: x.fields.OutputTokens,
+		BodyBytes:    len(x.body),
 		Parts:        x.fields.Parts,
 		Target:       x.route.Target,
 		MaxPause:     x.route.MaxPause,
