Share an outage of the store among followers and gateways

Cause: each gateway followed two tables by itself and asked a store that was down every half second for each, 390 calls a second at 103 gateways.

Change: the followers of one gateway share an outage, so that one asks and both go on. The pause grows with the number of gateways, up to 2.5 s, below the 3 s for which the platform lets a store be back before it counts as stable. The first gateway that is answered tells its peers, who then ask within 300 ms. Waits for changes last 25 s, and changes are gathered for a quarter of the time within which they must be in force.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -25,6 +25,9 @@
 	maxPlacementsSent = 200
 	maxPressures      = 30
 	maxSpeeds         = 8
+	// returnNews is how long the return of the store is told: two statements of the
+	// largest site.
+	returnNews = 10 * time.Second
 	// minWait is the time after a statement until the next look whether one is due.
 	minWait = 15 * time.Millisecond
 	// loadIntervals is how many intervals a peer's load counts without a new
@@ -96,8 +99,10 @@
 	known := x.state.Known(now)
 	x.gateway.peers.Store(int64(known))
 	x.gateway.dispatcher.setGateways(known + 1)
+	x.gateway.outage.SetGateways(known + 1)
 	x.gateway.dispatcher.expirePeerLoads(now, loadIntervals*interval)
 	statement := x.gateway.dispatcher.statement(now, now.Add(-placementRepeat*interval))
+	statement.StoreAnswered = storeAnswered(now, x.gateway.outage.AnsweredAfterOutage())
 	datagram, err := x.state.Compose(now, statement)
 	if err != nil {
 		x.gateway.log.Warn().Err(err).Msg("statement to peers not sent")
@@ -139,9 +144,22 @@
 	if err != nil || !fresh {
 		return
 	}
+	if statement.StoreAnswered > 0 {
+		x.gateway.outage.Hint(now)
+	}
 	x.gateway.dispatcher.heard(now, statement)
 }
 
+// storeAnswered is the time since the store's return for a statement; zero when it
+// is no news any more.
+func storeAnswered(now, at time.Time) uint32 {
+	ago := now.Sub(at)
+	if at.IsZero() || ago > returnNews {
+		return 0
+	}
+	return uint32(ago.Milliseconds()) + 1
+}
+
 // statement returns the loads and pressures of this gateway and its placements
 // since a time.
 func (d *dispatcher) statement(now, since time.Time) *wire.Statement {
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -18,19 +18,14 @@
 const (
 	// changesWait is how long one call waits for a change. Longer waits save
 	// calls; a connection that goes silent is found by TCP keep-alive.
-	changesWait = 15 * time.Second
-	// gather is the pause after an answer with changes, so that the changes of a
-	// moment, such as a rolling release, take one call. It is a small part of the
-	// time within which a change must be in force.
-	gather = 300 * time.Millisecond
+	changesWait = 25 * time.Second
+	// defaultGather is the pause after an answer with changes, so that the changes of
+	// a moment, such as a rolling release, take one call.
+	defaultGather = 300 * time.Millisecond
 	// callSlack is added to the wait before a call counts as failed.
 	callSlack = 2 * time.Second
 	// listTimeout bounds a listing.
 	listTimeout = 3 * time.Second
-	// minBackoff and maxBackoff bound the pause after a failed call. The longest
-	// pause is well below the time within which a change must be in force.
-	minBackoff = 100 * time.Millisecond
-	maxBackoff = 700 * time.Millisecond
 )
 
 // Row is a row of the table.
@@ -68,27 +63,46 @@
 	Regained()
 }
 
+// Options configure a Follower.
+type Options struct {
+	Source Source
+	Sink   Sink
+	// Rand spreads the calls of many processes.
+	Rand *rand.Rand
+	// Outage is shared by the followers of one store; nil for one of its own.
+	Outage *Outage
+	// Gather is the pause after an answer with changes; zero means 300 ms.
+	Gather time.Duration
+}
+
 // Follower follows one table.
 type Follower struct {
 	source Source
 	sink   Sink
 	rng    *rand.Rand
+	outage *Outage
+	gather time.Duration
 	lost   bool
 	// reached states that the store has answered once.
 	reached bool
 }
 
-// New returns a Follower. The random source spreads the retries of many
-// processes.
-func New(source Source, sink Sink, rng *rand.Rand) *Follower {
-	return &Follower{source: source, sink: sink, rng: rng}
+// New returns a Follower.
+func New(o Options) *Follower {
+	f := &Follower{source: o.Source, sink: o.Sink, rng: o.Rand, outage: o.Outage, gather: o.Gather}
+	if f.outage == nil {
+		f.outage = NewOutage(o.Rand)
+	}
+	if f.gather <= 0 {
+		f.gather = defaultGather
+	}
+	return f
 }
 
 // Serve follows the table until ctx ends.
 func (f *Follower) Serve(ctx context.Context) error {
 	var version int64
 	listed := false
-	backoff := minBackoff
 	for ctx.Err() == nil {
 		page, err := f.next(ctx, listed, version)
 		switch {
@@ -96,17 +110,15 @@
 			f.succeeded()
 			f.deliver(page, listed)
 			if listed && len(page.Rows) > 0 {
-				f.sleep(ctx, gather)
+				f.sleep(ctx, f.gather)
 			}
 			version, listed = page.Version, true
-			backoff = minBackoff
 		case errors.Is(err, ErrHistoryGone):
 			f.succeeded()
 			listed = false
 		default:
 			f.failed(ctx, err)
-			f.sleep(ctx, backoff)
-			backoff = min(2*backoff, maxBackoff)
+			f.outage.turn(ctx)
 		}
 	}
 	return ctx.Err()
@@ -139,6 +151,9 @@
 }
 
 func (f *Follower) succeeded() {
+	if f.lost {
+		f.outage.answered(time.Now())
+	}
 	if f.lost || !f.reached {
 		f.lost, f.reached = false, true
 		f.sink.Regained()
@@ -146,16 +161,20 @@
 }
 
 func (f *Follower) failed(ctx context.Context, err error) {
-	if f.lost || ctx.Err() != nil {
+	if ctx.Err() != nil {
+		return
+	}
+	f.outage.failed(time.Now())
+	if f.lost {
 		return
 	}
 	f.lost = true
 	f.sink.Lost(err)
 }
 
-// sleep waits for between half of d and d.
+// sleep waits for between three quarters of d and d.
 func (f *Follower) sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d/2 + time.Duration(f.rng.Int64N(int64(d/2))))
+	timer := time.NewTimer(3*d/4 + time.Duration(f.rng.Int64N(int64(d/4))))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/gateway/follow/outage_test.go
@@ -0,0 +1,173 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// downSource is a table of a store that answers only after its return.
+type downSource struct {
+	began time.Time
+	down  time.Duration
+	calls *atomic.Int64
+}
+
+func (s downSource) answer(ctx context.Context, wait time.Duration) (Page, error) {
+	s.calls.Add(1)
+	if time.Since(s.began) < s.down {
+		return Page{}, errors.New("status 503")
+	}
+	select {
+	case <-ctx.Done():
+		return Page{}, ctx.Err()
+	case <-time.After(wait):
+		return Page{Version: 1}, nil
+	}
+}
+
+func (s downSource) List(ctx context.Context) (Page, error) { return s.answer(ctx, 0) }
+func (s downSource) Changes(ctx context.Context, _ int64, wait time.Duration) (Page, error) {
+	return s.answer(ctx, wait)
+}
+
+type returnSink struct {
+	fakeSink
+	regainedAt time.Time
+}
+
+func (s *returnSink) Regained() { s.regainedAt = time.Now() }
+
+// Load pattern: the store is down for nine seconds, and a hundred gateways follow
+// two tables each. Their calls must not grow into a storm, and each must be back
+// before the platform counts the store as stable.
+func TestOutageOfManyGatewaysIsNoStorm(t *testing.T) {
+	const gateways, down, stableAfter = 103, 9 * time.Second, 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var calls atomic.Int64
+		began := time.Now()
+		var sinks []*returnSink
+		for i := range gateways {
+			outage := NewOutage(rand.New(rand.NewPCG(uint64(i), 1)))
+			outage.SetGateways(gateways)
+			for table := range 2 {
+				sink := &returnSink{}
+				sinks = append(sinks, sink)
+				f := New(Options{
+					Source: downSource{began, down, &calls}, Sink: sink, Outage: outage,
+					Rand: rand.New(rand.NewPCG(uint64(i), uint64(2+table))),
+				})
+				go func() { _ = f.Serve(ctx) }()
+			}
+		}
+		time.Sleep(down)
+		if perSecond := float64(calls.Load()) / down.Seconds(); perSecond > 130 {
+			t.Errorf("%.0f calls a second to a store that is down", perSecond)
+		}
+		time.Sleep(stableAfter)
+		cancel()
+		synctest.Wait()
+		for i, sink := range sinks {
+			if sink.regainedAt.IsZero() {
+				t.Errorf("follower %d has not noticed the return after %v", i, stableAfter)
+			}
+		}
+	})
+}
+
+// Guards against a gateway that waits out its pause although a peer has told it
+// that the store is back, and against hints that a gateway which is turned away
+// follows again and again.
+func TestHintOfAPeerEndsThePause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := NewOutage(rand.New(rand.NewPCG(1, 2)))
+		o.SetGateways(100)
+		o.failed(time.Now())
+		for range 10 {
+			o.turn(t.Context())
+		}
+		began := time.Now()
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			o.Hint(time.Now())
+			time.Sleep(10 * time.Millisecond)
+			o.Hint(time.Now())
+		}()
+		o.turn(t.Context())
+		if waited := time.Since(began); waited > 10*time.Millisecond+hintSpread {
+			t.Fatalf("waited %v after a hint", waited)
+		}
+		o.turn(t.Context())
+		if waited := time.Since(began); waited < longBackoff/2 {
+			t.Fatalf("the second hint was followed after %v", waited)
+		}
+	})
+}
+
+// Guards against two followers that ask at the same time, and one that sleeps on
+// after the other was answered.
+func TestFollowersShareAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := NewOutage(rand.New(rand.NewPCG(1, 2)))
+		o.SetGateways(1000)
+		o.failed(time.Now())
+		var mu sync.Mutex
+		var turns []string
+		for i := range 2 {
+			go func() {
+				for range 4 {
+					o.turn(t.Context())
+					mu.Lock()
+					turns = append(turns, fmt.Sprint(i, " ", time.Now().UnixMilli()))
+					mu.Unlock()
+				}
+			}()
+		}
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		for i := 1; i < len(turns); i++ {
+			if turns[i][2:] == turns[i-1][2:] {
+				t.Fatalf("two calls at once: %v", turns)
+			}
+		}
+		before := len(turns)
+		now := time.Now()
+		o.answered(now)
+		synctest.Wait()
+		if len(turns) == before {
+			t.Fatal("nobody went on after an answer")
+		}
+		if at := o.AnsweredAfterOutage(); !at.Equal(now) {
+			t.Fatalf("answered at %v, want %v", at, now)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+// Guards against a table that fails while the others are answered, and is then
+// asked as often as those are.
+func TestAnswersOfAnotherTableDoNotHurryAFailingOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		o := NewOutage(rand.New(rand.NewPCG(1, 2)))
+		var failing, answered atomic.Int64
+		began := time.Now()
+		for i, s := range []downSource{{began, time.Hour, &failing}, {began, 0, &answered}} {
+			f := New(Options{Source: s, Sink: &fakeSink{}, Outage: o, Rand: rand.New(rand.NewPCG(3, uint64(i)))})
+			go func() { _ = f.Serve(ctx) }()
+		}
+		<-ctx.Done()
+		synctest.Wait()
+		if n := failing.Load(); n > 30 {
+			t.Fatalf("%d calls for the failing table in 10 s", n)
+		}
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,9 @@
 	leaveRotation = 2500 * time.Millisecond
 	// bodyMemoryShare is the part of the memory limit that request bodies may take.
 	bodyMemoryShare = 0.3
+	// gatherPart divides the time within which a change must be in force: calls and
+	// retries need the rest.
+	gatherPart = 4
 	// killMargin is how long before SIGKILL the last connections are closed.
 	killMargin = 300 * time.Millisecond
 )
@@ -80,6 +83,8 @@
 	// stores holds the state of the way to each table of the store.
 	stores sync.Map
 	peers  atomic.Int64
+	// outage is shared by the followers of the store's tables.
+	outage *follow.Outage
 	// grace is the time from SIGTERM to SIGKILL in nanoseconds.
 	grace atomic.Int64
 }
@@ -88,6 +93,7 @@
 func New(o Options) *Gateway {
 	g := &Gateway{o: o, log: o.Log, dispatcher: newDispatcher(o.Settings, o.Rand)}
 	g.grace.Store(int64(o.Settings.GracePeriod()))
+	g.outage = follow.NewOutage(rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())))
 	g.pool = upstream.NewPool(upstream.Options{Dialed: func(_ string, err error) {
 		o.Metrics.Connections.Add(1, telemetry.OKLabels(err == nil))
 	}})
@@ -111,6 +117,12 @@
 	return g
 }
 
+// gatherTime is the pause after changes of a table whose changes must be in force
+// within the given number of milliseconds.
+func gatherTime(boundMS float64) time.Duration {
+	return time.Duration(boundMS * float64(time.Millisecond) / gatherPart)
+}
+
 // limits returns what the configuration in force allows callers; zero values
 // while none is known.
 func (g *Gateway) limits() routing.Limits {
@@ -181,8 +193,14 @@
 	readyServer := &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerTimeout}
 	defer readyServer.Close()
 	services := []serviceFunc{
-		{"config", follow.New(g.o.Config, g.o.ConfigSink(g), seed()).Serve},
-		{"endpoints", follow.New(g.o.Endpoints, g.o.EndpointSink(g), seed()).Serve},
+		{"config", follow.New(follow.Options{
+			Source: g.o.Config, Sink: g.o.ConfigSink(g), Rand: seed(), Outage: g.outage,
+			Gather: gatherTime(g.o.Settings.ConfigApplyMS),
+		}).Serve},
+		{"endpoints", follow.New(follow.Options{
+			Source: g.o.Endpoints, Sink: g.o.EndpointSink(g), Rand: seed(), Outage: g.outage,
+			Gather: gatherTime(g.o.Settings.DrainTimeoutMS),
+		}).Serve},
 		{"connections", g.pool.Sweep},
 		{"health", g.refreshHealth},
 	}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -35,6 +35,11 @@
 	RetryRatio     float64 `json:"retry_ratio"`
 	RetryWindowS   float64 `json:"retry_window_s"`
 	RetryAllowance float64 `json:"retry_allowance"`
+	// ConfigApplyMS and DrainTimeoutMS are the times in milliseconds within which a
+	// change of the configuration, or of the endpoints, must be in force. They bound
+	// how long changes are gathered into one call; the default gathers for 300 ms.
+	ConfigApplyMS  float64 `json:"config_apply_ms,omitempty"`
+	DrainTimeoutMS float64 `json:"drain_timeout_ms,omitempty"`
 	// LogLinesPerS bounds the log; further lines are counted and dropped. The
 	// default is 400.
 	LogLinesPerS int `json:"log_lines_per_s,omitempty"`
@@ -107,6 +112,8 @@
 	require(s.RetryRatio >= 0 && s.RetryRatio <= 1, "retry_ratio", "must be from 0 to 1")
 	require(s.RetryWindowS > 0, "retry_window_s", "must be positive")
 	require(s.RetryAllowance >= 0, "retry_allowance", "must not be negative")
+	require(s.ConfigApplyMS >= 0, "config_apply_ms", "must not be negative")
+	require(s.DrainTimeoutMS >= 0, "drain_timeout_ms", "must not be negative")
 	require(s.LogLinesPerS >= 0, "log_lines_per_s", "must not be negative")
 	placementErr, admissionErr := s.PlacementRule.Check(), s.AdmissionRule.Check()
 	require(placementErr == nil, "placement_rule", fmt.Sprint(placementErr))
