Leave out endpoints that accept no connection, and tell peers of them

Cause: a crashed engine has no load and is the cheapest for every request until the directory drops it.

Change: package gateway/reach. An endpoint that accepted no connection is left out for about a second, up to four if it fails again; two peers that agree are believed; a gateway that reaches less than half of all endpoints tells nobody. An engine that is left out is no source of fetches.

Ruled out: more tries for one request; the next choice was a crashed engine again.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -8,6 +8,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/admission"
 	"github.com/pistachiowind/pistachiowind/gateway/crashes"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/reach"
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
@@ -51,6 +52,7 @@
 	flights  map[*ticket]struct{}
 	table    *routing.Table
 	crashes  *crashes.Table
+	reach    *reach.Table
 	rng      *rand.Rand
 	settings Settings
 	// gateways is the largest number of gateways that were heard at a time.
@@ -64,6 +66,8 @@
 	fleet.SetRule(s.PlacementRule, rng)
 	gate := admission.NewGate(rng)
 	gate.SetRule(s.AdmissionRule)
+	reachable := reach.New(rng)
+	fleet.SetLeftOut(reachable.LeftOut)
 	return &dispatcher{
 		fleet:    fleet,
 		health:   health.New(health.Options{Window: 5 * time.Second, OpenTime: 2 * time.Second, MaxOpenTime: 8 * time.Second, RampTime: 3 * time.Second}),
@@ -72,6 +76,7 @@
 		budgets:  make(map[string]*budget.Budget),
 		flights:  make(map[*ticket]struct{}),
 		crashes:  crashes.New(),
+		reach:    reachable,
 		rng:      rng,
 		settings: s,
 	}
@@ -209,14 +214,12 @@
 	for _, c := range changes {
 		switch c.State {
 		case registry.StateGone:
-			d.fleet.Remove(c.Entry.ID)
-			d.health.Leave(now, c.Entry.ID)
+			d.remove(now, c.Entry.ID)
 		case registry.StateDraining:
 			d.put(now, c.Entry)
 			d.fleet.Drain(c.Entry.ID)
 		case registry.StateRestarted:
-			d.fleet.Remove(c.Entry.ID)
-			d.health.Leave(now, c.Entry.ID)
+			d.remove(now, c.Entry.ID)
 			d.put(now, c.Entry)
 			if c.Entry.Draining {
 				d.fleet.Drain(c.Entry.ID)
@@ -227,6 +230,12 @@
 	}
 }
 
+func (d *dispatcher) remove(now time.Time, id string) {
+	d.fleet.Remove(id)
+	d.health.Leave(now, id)
+	d.reach.Leave(placement.Hash(id))
+}
+
 func (d *dispatcher) put(now time.Time, e registry.Entry) {
 	description := placement.Endpoint{ID: e.ID, Service: e.Service, Address: e.Address, Zone: e.Zone, Slots: e.Slots}
 	if d.table != nil {
@@ -238,6 +247,7 @@
 	}
 	d.fleet.Put(description)
 	d.health.Join(now, e.ID, e.Service)
+	d.reach.Join(placement.Hash(e.ID))
 }
 
 // fetchRate is the speed of a transfer between engines in tokens per millisecond.
@@ -318,6 +328,7 @@
 	defer t.dispatcher.mu.Unlock()
 	t.started = true
 	now := time.Now()
+	t.dispatcher.reach.Answered(now, placement.Hash(t.choice.Endpoint.ID))
 	t.dispatcher.health.Record(now, health.Observation{
 		Endpoint: t.choice.Endpoint.ID, Kind: health.FirstToken, Duration: t.relative(now), Sent: t.sentAt,
 	})
@@ -340,6 +351,8 @@
 		relay.Rejected:    health.Refusal,
 	}
 	switch r {
+	case relay.Unreachable:
+		d.reach.Failed(now, placement.Hash(t.choice.Endpoint.ID))
 	case relay.Whole:
 		d.crashes.Succeeded(t.request)
 	case relay.Broken:
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -25,6 +25,7 @@
 	maxPlacementsSent = 200
 	maxPressures      = 30
 	maxSpeeds         = 8
+	maxUnreachable    = 200
 	// returnNews is how long the return of the store is told: two statements of the
 	// largest site.
 	returnNews = 10 * time.Second
@@ -209,7 +210,11 @@
 			speeds = append(speeds, &wire.Speed{Service: service, Rate: float32(s.Rate), Weight: float32(s.Weight)})
 		}
 	})
-	return &wire.Statement{Loads: loads, Placements: placements, Pressures: pressures, Suspects: suspects, Speeds: speeds}
+	unreachable := d.reach.Reports(now)
+	return &wire.Statement{
+		Loads: loads, Placements: placements, Pressures: pressures, Suspects: suspects, Speeds: speeds,
+		Unreachable: unreachable[:min(len(unreachable), maxUnreachable)],
+	}
 }
 
 // heard takes a peer's statement.
@@ -232,6 +237,9 @@
 	for _, suspect := range s.Suspects {
 		d.crashes.Hear(crashes.Observation{Request: crashes.Fingerprint(suspect.Request), Endpoint: suspect.Endpoint, At: now})
 	}
+	for _, endpoint := range s.Unreachable {
+		d.reach.Hear(now, s.Sender, endpoint)
+	}
 	for _, v := range s.Speeds {
 		d.fleet.PeerSpeed(now, s.Sender, v.Service, placement.Speed{Rate: float64(v.Rate), Weight: float64(v.Weight)})
 	}
--- a/gateway/placement/cache.go
+++ b/gateway/placement/cache.go
@@ -104,7 +104,7 @@
 	sourceTokens int
 }
 
-func (s *service) homes(now time.Time, w *Work) homes {
+func (s *service) homes(now time.Time, w *Work, usable func(*endpoint) bool) homes {
 	shared := w.shared()
 	if len(shared) == 0 {
 		return homes{}
@@ -113,7 +113,10 @@
 	var h homes
 	var firstRank, secondRank uint64
 	for _, e := range s.members {
-		if !e.draining && !e.ejected {
+		if !usable(e) {
+			continue
+		}
+		if !e.draining {
 			rank := mix(key ^ e.hash)
 			switch {
 			case h.first == nil || rank > firstRank:
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -95,6 +95,14 @@
 // Hash is how gateways name an endpoint to each other.
 func Hash(id string) uint64 { return xxhash.Sum64String(id) }
 
+// LeftOut reports whether an endpoint, named by the hash of its id, should get
+// no request although it is not ejected.
+type LeftOut func(now time.Time, endpoint uint64) bool
+
+// SetLeftOut sets the function that is asked for each candidate; nil means none
+// is left out.
+func (f *Fleet) SetLeftOut(leftOut LeftOut) { f.leftOut = leftOut }
+
 // Fleet is the set of endpoints with what is known of their load.
 type Fleet struct {
 	zone      string
@@ -105,6 +113,7 @@
 	statements map[string]statement
 	// unstated is the number of prompt tokens sent since the last OwnLoads.
 	unstated int
+	leftOut  LeftOut
 	// rule is empty for Cheapest; rng is for the baselines.
 	rule Rule
 	rng  *rand.Rand
@@ -257,15 +266,20 @@
 	if s == nil {
 		return Choice{}, false
 	}
-	best, found := f.cheapest(now, s, w, func(e *endpoint) bool { return !e.ejected })
+	best, found := f.cheapest(now, s, w, func(e *endpoint) bool { return f.usable(now, e) })
 	if !found {
 		best, found = f.cheapest(now, s, w, func(*endpoint) bool { return true })
 	}
 	return best, found
 }
 
+// usable reports whether an endpoint works as far as is known.
+func (f *Fleet) usable(now time.Time, e *endpoint) bool {
+	return !e.ejected && (f.leftOut == nil || !f.leftOut(now, e.hash))
+}
+
 func (f *Fleet) cheapest(now time.Time, s *service, w *Work, accept func(*endpoint) bool) (Choice, bool) {
-	homes := s.homes(now, w)
+	homes := s.homes(now, w, func(e *endpoint) bool { return f.usable(now, e) })
 	var best Choice
 	bestCost := math.Inf(1)
 	for _, e := range s.members {
--- a/gateway/placement/placement_test.go
+++ b/gateway/placement/placement_test.go
@@ -207,11 +207,11 @@
 	f := newPool(12)
 	before := make(map[uint64]string)
 	for i := uint64(1000); i < 1200; i++ {
-		before[i] = f.services[pool].homes(start, planWork(i)).first.ID
+		before[i] = f.services[pool].homes(start, planWork(i), func(*endpoint) bool { return true }).first.ID
 	}
 	f.Remove("engine-3")
 	for i, home := range before {
-		now := f.services[pool].homes(start, planWork(i)).first.ID
+		now := f.services[pool].homes(start, planWork(i), func(*endpoint) bool { return true }).first.ID
 		if home != "engine-3" && now != home {
 			t.Fatalf("subject %d moved from %s to %s", i, home, now)
 		}
