Take no answer without an id on a used connection

Cause: a statement "not run" may lack the request's id. One that arrived late, for an earlier request on a kept connection, was taken for the next request's: a charge was then sent to a second endpoint while the first still ran it, and ran twice.

Change: an answer that names no request counts only as the first one on its connection; on a used one the exchange fails as spoiled and the outcome is unknown.

Ruled out: skipping it and reading on; an endpoint that never names requests would hold each until its deadline.

--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -118,6 +118,14 @@
 			return
 		case "close":
 			return
+		case "drip":
+			drip(c, 2*time.Millisecond)
+			e.closed <- struct{}{}
+			return
+		case "slow":
+			_, _ = io.WriteString(c, chunked("id: 1\ndata: a\n\n"))
+			time.Sleep(slowPause)
+			_, _ = io.WriteString(c, strings.TrimPrefix(chunked("id: 2\ndata: z\n\n"), chunked())+lastChunk)
 		default:
 			text, cut := strings.CutSuffix(answer, "<cut>")
 			if _, err := io.WriteString(c, text); err != nil || cut {
@@ -127,6 +135,23 @@
 	}
 }
 
+// slowPause is longer than each timeout that the gateway sets on a connection to
+// an endpoint.
+const slowPause = 2 * time.Second
+
+// drip sends the head of a stream and then a byte now and then, never a whole
+// event, until the connection ends.
+func drip(c net.Conn, pause time.Duration) {
+	out := chunked()
+	for {
+		if _, err := io.WriteString(c, out); err != nil {
+			return
+		}
+		time.Sleep(pause)
+		out = "1\r\nx\r\n"
+	}
+}
+
 func (e *endpoint) seen() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -431,6 +456,49 @@
 	}
 }
 
+// Guards against a late second statement "not run" of an earlier request that is
+// taken for the answer to the next one on the connection: the request would be
+// sent elsewhere and run twice. Without an id, only the first answer on a
+// connection can't be another request's.
+func TestLateStatementWithoutIDIsNotTakenForTheNextRequest(t *testing.T) {
+	stray := "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	first := newEndpoint(t, whole, stray+whole)
+	second := newEndpoint(t, whole)
+	s := newSession(t, testTable(), first, first, second)
+	s.call(request("GET", "/read/x", ""))
+	answer := s.call(request("POST", "/charge/x", "pay"))
+	if !strings.HasPrefix(answer, "HTTP/1.1 502 ") {
+		t.Errorf("answer %q, want 502: the charge may have run", answer)
+	}
+	if n := len(second.seen()); n != 0 {
+		t.Errorf("the charge was sent %d times to a second endpoint", n)
+	}
+}
+
+// Guards against a stalled stream that never ends because a byte comes now and
+// then: the caller's deadline ends it, whatever arrives.
+func TestDrippingStreamEndsAtTheDeadline(t *testing.T) {
+	e := newEndpoint(t, "drip")
+	s := newSession(t, testTable(), e)
+	answer := s.call(request("POST", "/stream/x", "ask", "Left: 300"))
+	<-e.closed
+	<-s.records.done
+	if r := s.records.list[0]; r.Result == "delivered" || strings.HasSuffix(answer, lastChunk) {
+		t.Fatalf("result %s, answer %q", r.Result, answer)
+	}
+}
+
+// Guards against a slow but sound stream that is cut: pauses of any length are
+// allowed until the deadline.
+func TestSlowStreamIsDeliveredWhole(t *testing.T) {
+	e := newEndpoint(t, "slow")
+	s := newSession(t, testTable(), e)
+	answer := s.call(request("POST", "/stream/x", "ask", "Left: 60000"))
+	if !strings.Contains(answer, "data: z") || !strings.HasSuffix(answer, lastChunk) {
+		t.Fatalf("answer %q", answer)
+	}
+}
+
 // Guards against bodies that together exceed the memory of a small VM, and
 // against memory that stays reserved after requests have ended.
 func TestBodiesBeyondTheMemoryAreRefused(t *testing.T) {
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -79,7 +79,7 @@
 		Header:  h,
 		Body:    x.body,
 		HasBody: x.r.ContentLength != 0 || x.r.Header.Get("Content-Length") != "",
-		Answers: x.answersThis,
+		Names:   x.named,
 	}
 	if !x.state.Repeatable {
 		req.MaxIdle = freshForUnsafe
@@ -87,11 +87,16 @@
 	return req
 }
 
-// answersThis reports whether an answer belongs to this request. Statements that
-// a request was not run may lack the id.
-func (x *exchange) answersThis(h http.Header) bool {
-	id := x.o.Protocol.Answer(h).ID
-	return id == "" || id == x.fields.ID
+// named tells which request an answer belongs to. Statements that a request was
+// not run may lack the id.
+func (x *exchange) named(h http.Header) upstream.Named {
+	switch x.o.Protocol.Answer(h).ID {
+	case x.fields.ID:
+		return upstream.ThisRequest
+	case "":
+		return upstream.NoRequest
+	}
+	return upstream.AnotherRequest
 }
 
 func (x *exchange) exchangeFailed(ctx context.Context, t Ticket, err error) ending {
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -61,6 +61,19 @@
 	Spoiled
 )
 
+// Named tells which request an answer names.
+type Named int
+
+// What an answer can name.
+const (
+	ThisRequest Named = iota
+	AnotherRequest
+	NoRequest
+)
+
+// errUnnamed fails an exchange whose answer may belong to an earlier request.
+var errUnnamed = errors.New("answer without a request id on a connection that was used before")
+
 // Failure is an exchange without a usable answer.
 type Failure struct {
 	Stage Stage
@@ -84,8 +97,9 @@
 	Body   []byte
 	// HasBody states that the caller framed a body, even an empty one.
 	HasBody bool
-	// Answers reports whether an answer's header names this request.
-	Answers func(http.Header) bool
+	// Names tells which request an answer's header names; nil takes every answer as
+	// this request's.
+	Names func(http.Header) Named
 	// MaxIdle is the age from which an idle connection is not used; zero means
 	// the pool's limit.
 	MaxIdle time.Duration
@@ -138,6 +152,8 @@
 
 type conn struct {
 	net.Conn
+	// used states that an earlier request was sent on the connection.
+	used    bool
 	address string
 	reader  *bufio.Reader
 	// idleSince and usableUntil are set while the connection is in the pool.
@@ -212,7 +228,9 @@
 }
 
 // readHead reads answers until one names the request. Answers that name another
-// request are skipped: they are second or late answers to earlier requests.
+// request are skipped: they are second or late answers to earlier requests. One
+// that names none can be such a late one, too, unless the connection had no
+// earlier request.
 func (resp *Response) readHead(r *Request) error {
 	method := &http.Request{Method: r.Method}
 	for {
@@ -226,7 +244,14 @@
 		if answer.StatusCode < 200 {
 			continue
 		}
-		if r.Answers == nil || r.Answers(answer.Header) {
+		named := ThisRequest
+		if r.Names != nil {
+			named = r.Names(answer.Header)
+		}
+		if named == NoRequest && resp.conn.used {
+			return &Failure{Spoiled, errUnnamed}
+		}
+		if named != AnotherRequest {
 			resp.Response = answer
 			resp.Unframed = answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
 			return nil
@@ -351,6 +376,7 @@
 }
 
 func (p *Pool) put(c *conn, header http.Header) {
+	c.used = true
 	now := time.Now()
 	c.idleSince = now
 	c.usableUntil = now.Add(min(p.options.MaxIdle, statedIdle(header)))
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -52,7 +52,12 @@
 func get(id string) *Request {
 	return &Request{
 		Method: "GET", Target: "/", Host: "h", Header: http.Header{"Id": {id}},
-		Answers: func(h http.Header) bool { return h.Get("Id") == id },
+		Names: func(h http.Header) Named {
+			if h.Get("Id") == id {
+				return ThisRequest
+			}
+			return AnotherRequest
+		},
 	}
 }
 
