Take the newest state of all peers when starting without the store

Cause: a gateway that starts while the store is away asked the seeds in turn and took the first answer. A seed that had been cut off from the store still knew withdrawn keys and endpoints that had left, and they were in use again.

Change: all seeds are asked at once. The newest configuration is taken, and the endpoints of the peer that reached the store last; peers state both.

Ruled out: waiting for a second round; a seed that is behind stays behind for as long as the store is away.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,8 @@
 	// gatherPart divides the time within which a change must be in force: calls and
 	// retries need the rest.
 	gatherPart = 4
+	// neverReached is stated for a store that has not answered since the start.
+	neverReached = 365 * 24 * time.Hour
 	// killMargin is how long before SIGKILL the last connections are closed.
 	killMargin = 300 * time.Millisecond
 )
@@ -80,9 +82,13 @@
 	callers    *http.Server
 	conns      *connLimits
 	draining   atomic.Bool
-	// stores holds the state of the way to each table of the store.
+	// stores holds the state of the way to each table of the store, and lostAt when
+	// the first of them was lost.
 	stores sync.Map
-	peers  atomic.Int64
+	lostAt atomic.Pointer[time.Time]
+	// reached states that the store has answered since the start.
+	reached atomic.Bool
+	peers   atomic.Int64
 	// outage is shared by the followers of the store's tables.
 	outage *follow.Outage
 	// grace is the time from SIGTERM to SIGKILL in nanoseconds.
@@ -319,6 +325,8 @@
 		return nil
 	})
 	g.stores.Store(table, false)
+	now := time.Now()
+	g.lostAt.CompareAndSwap(nil, &now)
 	g.log.Warn().Str("table", table).Err(cause).Msg("store lost")
 }
 
@@ -329,9 +337,23 @@
 		return nil
 	})
 	g.stores.Store(table, true)
+	g.lostAt.Store(nil)
+	g.reached.Store(true)
 	g.log.Info().Str("table", table).Msg("store reached")
 }
 
+// storeLostFor returns how long the store has not been reached; zero if it is, and
+// neverReached if it never was.
+func (g *Gateway) storeLostFor(now time.Time) time.Duration {
+	if !g.reached.Load() {
+		return neverReached
+	}
+	if lost := g.lostAt.Load(); lost != nil {
+		return now.Sub(*lost)
+	}
+	return 0
+}
+
 // Undecodable notes a row that was left out.
 func (g *Gateway) Undecodable(table, key string, cause error) {
 	g.log.Warn().Str("table", table).Str("key", key).Err(cause).Msg("row left out")
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -76,6 +76,12 @@
 // start runs a gateway in front of one endpoint until the test ends. The returned
 // function asks it to drain and waits for its end.
 func start(t *testing.T, s Settings, endpoint string, down bool) (*Gateway, func()) {
+	t.Helper()
+	return startWith(t, s, endpoint, down, 5)
+}
+
+// startWith is start with the version of the configuration in the store.
+func startWith(t *testing.T, s Settings, endpoint string, down bool, version int64) (*Gateway, func()) {
 	t.Helper()
 	s.AvailabilityZone, s.GracePeriodS, s.RetryRatio, s.RetryAllowance = "z", 3, 0.2, 56
 	s.Listen.Callers, s.Listen.Ready = freePort(t, "127.0.0.1"), freePort(t, "127.0.0.1")
@@ -83,7 +89,7 @@
 		Settings: s, Protocol: plainProtocol{}, ReadyPath: "/ready", Log: zerolog.Nop(), Rand: rand.New(rand.NewPCG(1, 2)),
 		Config: fakeSource{down}, Endpoints: fakeSource{down},
 		ConfigSink: func(g *Gateway) follow.Sink {
-			return fakeSink{g, func(g *Gateway) { g.ConfigSeen(testConfig(5)) }}
+			return fakeSink{g, func(g *Gateway) { g.ConfigSeen(testConfig(version)) }}
 		},
 		EndpointSink: func(g *Gateway) follow.Sink {
 			return fakeSink{g, func(g *Gateway) {
@@ -196,6 +202,32 @@
 	}
 }
 
+// Guards against a gateway that restarts during an outage of the store and takes
+// the state of the first peer that answers, although that one lies behind: a key
+// that was withdrawn, or an endpoint that left, would be in use again.
+func TestStartWithoutTheStoreTakesTheNewestState(t *testing.T) {
+	behind := Settings{Listen: Listen{Peers: freePort(t, "127.0.0.1")}}
+	_, port, err := net.SplitHostPort(behind.Listen.Peers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	current := Settings{Listen: Listen{Peers: "127.0.0.3:" + port}}
+	old, _ := startWith(t, behind, "127.0.0.1:9", false, 5)
+	awaitReadiness(t, old, http.StatusOK)
+	updated, _ := startWith(t, current, "127.0.0.1:10", false, 9)
+	awaitReadiness(t, updated, http.StatusOK)
+	late, _ := startWith(t, Settings{Listen: Listen{Peers: "127.0.0.2:" + port}, PeerSeeds: []string{behind.Listen.Peers, current.Listen.Peers}},
+		"127.0.0.1:9", true, 1)
+	awaitReadiness(t, late, http.StatusOK)
+	if v := late.table.Load().Version; v != 9 {
+		t.Fatalf("version %d from the peers, want 9", v)
+	}
+	entries, _ := late.dispatcher.entries()
+	if len(entries) != 1 || entries[0].Address != "127.0.0.1:10" {
+		t.Fatalf("endpoints %v, want those of the peer that heard the store last", entries)
+	}
+}
+
 // Guards against a request that is passed on although the gateway has just closed
 // its connection as idle: its answer could not be delivered.
 func TestRequestOnAClosedConnectionIsNotPassedOn(t *testing.T) {
--- a/gateway/sitestate.go
+++ b/gateway/sitestate.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/gateway/peers/wire"
@@ -32,6 +35,7 @@
 	if table == nil {
 		return state, nil
 	}
+	state.ConfigVersion = table.Version
 	entries, listed := p.gateway.dispatcher.entries()
 	var err error
 	if state.Config, err = json.Marshal(table.Config); err != nil {
@@ -41,6 +45,7 @@
 		return nil, fmt.Errorf("encode endpoints: %w", err)
 	}
 	state.Listed = listed
+	state.StoreLostMs = uint64(p.gateway.storeLostFor(time.Now()).Milliseconds())
 	return state, nil
 }
 
@@ -78,10 +83,13 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
-		for _, seed := range seeds {
-			if seed != g.o.Settings.Listen.Peers && !g.informed() {
-				g.askPeer(ctx, seed)
+		if newest := newestState(g.askAll(ctx, seeds)); newest != nil && !g.informed() {
+			if err := g.adoptState(newest); err != nil {
+				g.log.Warn().Err(err).Msg("state of a peer not usable")
+				continue
 			}
+			g.log.Info().Bool("listed", newest.Listed).Int64("version", newest.ConfigVersion).Uint64("store_lost_ms", newest.StoreLostMs).
+				Msg("state of the site taken from a peer")
 		}
 	}
 	<-ctx.Done()
@@ -92,20 +100,52 @@
 	return g.table.Load() != nil && g.dispatcher.isListed()
 }
 
-func (g *Gateway) askPeer(ctx context.Context, address string) {
+// askAll asks the seeds at the same time and returns the states of those that know
+// a configuration.
+func (g *Gateway) askAll(ctx context.Context, seeds []string) []*wire.SiteState {
+	var wait sync.WaitGroup
+	answers := make([]*wire.SiteState, len(seeds))
+	for i, seed := range seeds {
+		if seed == g.o.Settings.Listen.Peers {
+			continue
+		}
+		wait.Go(func() { answers[i] = g.askPeer(ctx, seed) })
+	}
+	wait.Wait()
+	return slices.DeleteFunc(answers, func(s *wire.SiteState) bool { return s == nil || len(s.Config) == 0 })
+}
+
+// newestState joins the newest configuration with the endpoints of the peer that
+// reached the store last; nil without states. A peer that was cut off may still
+// know keys that were withdrawn and endpoints that have left.
+func newestState(states []*wire.SiteState) *wire.SiteState {
+	if len(states) == 0 {
+		return nil
+	}
+	config := slices.MaxFunc(states, func(a, b *wire.SiteState) int {
+		return cmp.Compare(a.ConfigVersion, b.ConfigVersion)
+	})
+	endpoints := slices.MinFunc(states, func(a, b *wire.SiteState) int {
+		// Of two that reach the store, the newer configuration tells who is ahead.
+		return cmp.Or(cmp.Compare(a.StoreLostMs, b.StoreLostMs), cmp.Compare(b.ConfigVersion, a.ConfigVersion))
+	})
+	return &wire.SiteState{
+		Config: config.Config, ConfigVersion: config.ConfigVersion,
+		Endpoints: endpoints.Endpoints, Listed: endpoints.Listed, StoreLostMs: endpoints.StoreLostMs,
+	}
+}
+
+// askPeer returns the state that a peer knows; nil if it does not answer.
+func (g *Gateway) askPeer(ctx context.Context, address string) *wire.SiteState {
 	ctx, cancel := context.WithTimeout(ctx, askPeerTimeout)
 	defer cancel()
 	client := wire.NewPeerProtobufClient("http://"+address, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}})
 	state, err := client.State(ctx, &wire.StateRequest{})
 	if err != nil {
 		g.log.Warn().Str("peer", address).Err(err).Msg("peer not reached for the state of the site")
-		return
-	}
-	if err := g.adoptState(state); err != nil {
-		g.log.Warn().Str("peer", address).Err(err).Msg("state of a peer not usable")
-		return
+		return nil
 	}
-	g.log.Info().Str("peer", address).Bool("listed", state.Listed).Msg("state of the site taken from a peer")
+	return state
 }
 
 // adoptState takes what a peer knows. A configuration is adopted only if it is
--- /dev/null
+++ b/gateway/stop_test.go
@@ -0,0 +1,122 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/pistachiowind/pistachiowind/gateway/peers/wire"
+)
+
+// caller is a connection to a gateway that sends one request after another.
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func dial(t *testing.T, g *Gateway) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", g.o.Settings.Listen.Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &caller{c, bufio.NewReader(c)}
+}
+
+const bodyBytes = 4096
+
+// send writes the first n bytes of the body of a request.
+func (c *caller) send(id string, n int) error {
+	_, err := fmt.Fprintf(c, "POST /x/%s HTTP/1.1\r\nHost: site.example\r\nContent-Length: %d\r\n\r\n%s", id, bodyBytes, strings.Repeat("b", n))
+	return err
+}
+
+// answered reports whether a whole answer with the id comes.
+func (c *caller) answered(id string) bool {
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return false
+	}
+	b, err := io.ReadAll(resp.Body)
+	return err == nil && string(b) == "done /x/"+id
+}
+
+// Guards against requests that were just accepted and are cut off by a planned
+// stop: those on new connections, those whose bodies are half read, and those on
+// kept connections that were already passed on.
+func TestStopInTheMomentOfManyRequests(t *testing.T) {
+	const each = 20
+	var mu sync.Mutex
+	passedOn := make(map[string]bool)
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		mu.Lock()
+		passedOn[strings.TrimPrefix(r.URL.Path, "/x/")] = true
+		mu.Unlock()
+		fmt.Fprint(w, "done "+r.URL.Path)
+	}))
+	defer endpoint.Close()
+	g, finish := start(t, Settings{}, endpoint.Listener.Addr().String(), false)
+	awaitReadiness(t, g, http.StatusOK)
+
+	var kept, fresh, half []*caller
+	for i := range each {
+		k, h := dial(t, g), dial(t, g)
+		id := fmt.Sprint("before-", i)
+		if err := k.send(id, bodyBytes); err != nil || !k.answered(id) {
+			t.Fatalf("a request before the stop was not served: %v", err)
+		}
+		if err := h.send(fmt.Sprint("half-", i), bodyBytes/2); err != nil {
+			t.Fatal(err)
+		}
+		kept, fresh, half = append(kept, k), append(fresh, dial(t, g)), append(half, h)
+	}
+	ended := make(chan struct{})
+	var wait sync.WaitGroup
+	exchange := func(c *caller, id string, required bool, send func() error) {
+		wait.Go(func() {
+			sent := send() == nil
+			ok := sent && c.answered(id)
+			mu.Lock()
+			defer mu.Unlock()
+			if !ok && (required || passedOn[id]) {
+				t.Errorf("%s got no answer (passed on: %v)", id, passedOn[id])
+			}
+		})
+	}
+	go func() { finish(); close(ended) }()
+	for i := range each {
+		keptID, freshID, halfID := fmt.Sprint("kept-", i), fmt.Sprint("fresh-", i), fmt.Sprint("half-", i)
+		exchange(kept[i], keptID, false, func() error { return kept[i].send(keptID, bodyBytes) })
+		exchange(fresh[i], freshID, true, func() error { return fresh[i].send(freshID, bodyBytes) })
+		exchange(half[i], halfID, true, func() error {
+			_, err := io.WriteString(half[i], strings.Repeat("b", bodyBytes/2))
+			return err
+		})
+	}
+	wait.Wait()
+	<-ended
+}
+
+// Guards against endpoints of a peer that was cut off, and against a withdrawn key
+// that the peer with the freshest endpoints has not yet dropped.
+func TestNewestStateJoinsConfigurationAndEndpoints(t *testing.T) {
+	cut := &wire.SiteState{ConfigVersion: 7, Config: []byte("seven"), Endpoints: []byte("old"), Listed: true, StoreLostMs: 9000}
+	fresh := &wire.SiteState{ConfigVersion: 6, Config: []byte("six"), Endpoints: []byte("new"), Listed: true, StoreLostMs: 10}
+	for _, states := range [][]*wire.SiteState{{cut, fresh}, {fresh, cut}} {
+		s := newestState(states)
+		if string(s.Config) != "seven" || string(s.Endpoints) != "new" {
+			t.Errorf("configuration %s with endpoints %s", s.Config, s.Endpoints)
+		}
+	}
+	if s := newestState(nil); s != nil {
+		t.Errorf("%v without any state", s)
+	}
+}
