--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -209,6 +209,31 @@
 	return changes
 }
 
+// leftOut is a change of what gets no requests for a while.
+type leftOut struct {
+	reach.Change
+	id string
+}
+
+// reachChanges returns the endpoints that are left out, or used again, since the
+// last call.
+func (d *dispatcher) reachChanges() []leftOut {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var changes []leftOut
+	for _, c := range d.reach.Changes(time.Now()) {
+		changes = append(changes, leftOut{c, d.fleet.Name(c.Endpoint)})
+	}
+	return changes
+}
+
+// speeds calls report with the prefill speed of each service's engines.
+func (d *dispatcher) speeds(report func(service string, s placement.Speed)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fleet.Speeds(report)
+}
+
 // apply brings changes of the registry to the fleet.
 func (d *dispatcher) apply(now time.Time, changes []registry.Change) {
 	for _, c := range changes {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -270,6 +270,7 @@
 			return ctx.Err()
 		case <-ticker.C:
 			g.logChanges(g.dispatcher.refresh())
+			g.logReach(g.dispatcher.reachChanges())
 		}
 	}
 }
@@ -359,6 +360,17 @@
 	g.log.Warn().Str("table", table).Str("key", key).Err(cause).Msg("row left out")
 }
 
+func (g *Gateway) logReach(changes []leftOut) {
+	for _, c := range changes {
+		if !c.LeftOut {
+			g.log.Info().Str("endpoint", c.id).Msg("endpoint is used again")
+			continue
+		}
+		g.log.Info().Str("endpoint", c.id).Int64("pause_ms", ms(c.Pause)).Bool("by_peers", c.ByPeers).
+			Msg("endpoint accepts no connection and is left out")
+	}
+}
+
 func (g *Gateway) logChanges(changes []registry.Change) {
 	for _, c := range changes {
 		g.log.Info().Str("endpoint", c.Entry.ID).Str("service", c.Entry.Service).Str("address", c.Entry.Address).
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
 	"github.com/pistachiowind/pistachiowind/telemetry"
@@ -47,6 +48,11 @@
 	m.Peers.Observe(func(set func(float64, telemetry.NoLabels)) {
 		set(float64(g.peers.Load()), telemetry.NoLabels{})
 	})
+	m.PrefillRate.Observe(func(set func(float64, telemetry.ClassLabels)) {
+		g.dispatcher.speeds(func(service string, s placement.Speed) {
+			set(s.Rate, telemetry.ClassLabels{Class: service})
+		})
+	})
 	m.StoreUp.Observe(func(set func(float64, telemetry.ReasonLabels)) {
 		g.stores.Range(func(table, up any) bool {
 			name, _ := table.(string)
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -203,6 +203,14 @@
 	s.order()
 }
 
+// Name returns the id of the endpoint with a hash; empty for none.
+func (f *Fleet) Name(hash uint64) string {
+	if e := f.byHash[hash]; e != nil {
+		return e.ID
+	}
+	return ""
+}
+
 // Drain keeps an endpoint known and gives it no more work.
 func (f *Fleet) Drain(id string) {
 	if e := f.endpoints[id]; e != nil {
--- a/gateway/placement/speed.go
+++ b/gateway/placement/speed.go
@@ -94,6 +94,16 @@
 	}
 }
 
+// Speeds calls report with the speed that is assumed for each service whose
+// engines were observed.
+func (f *Fleet) Speeds(report func(service string, s Speed)) {
+	for name, s := range f.services {
+		if s.combined.Weight > 0 {
+			report(name, s.combined)
+		}
+	}
+}
+
 // PeerSpeed takes a peer's estimate.
 func (f *Fleet) PeerSpeed(now time.Time, peer, service string, speed Speed) {
 	s := f.services[service]
--- a/gateway/reach/reach.go
+++ b/gateway/reach/reach.go
@@ -36,6 +36,10 @@
 	until, failedAt time.Time
 	pause           time.Duration
 	answeredAt      time.Time
+	// byPeers states that peers, not an own failure, led to the present pause.
+	byPeers bool
+	// told is the state that Changes returned last.
+	told bool
 	// heard is when each peer last stated a failure.
 	heard map[string]time.Time
 }
@@ -69,13 +73,14 @@
 		return
 	}
 	s.failedAt = now
-	t.leaveOut(now, s)
+	t.leaveOut(now, s, false)
 }
 
-func (t *Table) leaveOut(now time.Time, s *state) {
+func (t *Table) leaveOut(now time.Time, s *state, byPeers bool) {
 	if now.Before(s.until) {
 		return
 	}
+	s.byPeers = byPeers
 	s.pause = min(max(2*s.pause, firstPause), longestPause)
 	s.until = now.Add(s.pause/2 + time.Duration(t.rng.Int64N(int64(s.pause))))
 }
@@ -86,7 +91,7 @@
 	if s == nil {
 		return
 	}
-	*s = state{answeredAt: now}
+	*s = state{answeredAt: now, told: s.told}
 }
 
 // Hear takes a peer's statement that an endpoint accepted no connection.
@@ -110,7 +115,7 @@
 		fresh++
 	}
 	if fresh >= reporters {
-		t.leaveOut(now, s)
+		t.leaveOut(now, s, true)
 	}
 }
 
@@ -134,3 +139,24 @@
 	}
 	return failed
 }
+
+// Change tells that an endpoint is left out from now on, or no longer.
+type Change struct {
+	Endpoint uint64
+	LeftOut  bool
+	// Pause is how long it is left out; ByPeers states that peers said so.
+	Pause   time.Duration
+	ByPeers bool
+}
+
+// Changes returns what has changed since the last call.
+func (t *Table) Changes(now time.Time) []Change {
+	var changes []Change
+	for endpoint, s := range t.states {
+		if out := now.Before(s.until); out != s.told {
+			s.told = out
+			changes = append(changes, Change{Endpoint: endpoint, LeftOut: out, Pause: max(s.until.Sub(now), 0), ByPeers: s.byPeers})
+		}
+	}
+	return changes
+}
--- a/gateway/reach/reach_test.go
+++ b/gateway/reach/reach_test.go
@@ -104,6 +104,32 @@
 	}
 }
 
+// Guards against a log that says nothing of an endpoint that gets no requests, or
+// that repeats itself.
+func TestChangesAreToldOnce(t *testing.T) {
+	table := newTable(3)
+	table.Failed(start, 1)
+	table.Hear(start, "a", 2)
+	table.Hear(start, "b", 2)
+	byPeers := make(map[uint64]bool)
+	for _, c := range table.Changes(start) {
+		if !c.LeftOut || c.Pause <= 0 {
+			t.Errorf("change %+v, want one that leaves out", c)
+		}
+		byPeers[c.Endpoint] = c.ByPeers
+	}
+	if len(byPeers) != 2 || byPeers[1] || !byPeers[2] {
+		t.Errorf("changes of %v, want 1 by itself and 2 by peers", byPeers)
+	}
+	if again := table.Changes(start); len(again) != 0 {
+		t.Errorf("%v told twice", again)
+	}
+	table.Answered(start.Add(time.Millisecond), 1)
+	if back := table.Changes(start.Add(time.Millisecond)); len(back) != 1 || back[0].LeftOut {
+		t.Errorf("%v after an answer, want the return of one", back)
+	}
+}
+
 // Guards against a table that grows with endpoints that left, and a restarted
 // endpoint that keeps the pause of its predecessor.
 func TestEndpointThatLeftIsForgotten(t *testing.T) {
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -15,6 +15,7 @@
 	ConfigVersion  *Gauge[NoLabels]
 	Endpoints      *Gauge[StateLabels]
 	Peers          *Gauge[NoLabels]
+	PrefillRate    *Gauge[ClassLabels]
 	StoreUp        *Gauge[ReasonLabels]
 	PlatformCalls  *Counter[OutcomeLabels]
 	DroppedLogs    *ObservedCounter[NoLabels]
@@ -32,6 +33,7 @@
 		ConfigVersion:  newGauge[NoLabels](p, "gateway_config_version", "", 1, "Version of the configuration in force; 0 before the first."),
 		Endpoints:      newGauge[StateLabels](p, "gateway_endpoints", "", maxOutcomes, "Known endpoints by state: ready, draining."),
 		Peers:          newGauge[NoLabels](p, "gateway_peers", "", 1, "Other gateways heard within 5 s."),
+		PrefillRate:    newGauge[ClassLabels](p, "gateway_prefill_rate", "", maxClasses, "Prompt tokens per millisecond that an engine is assumed to read, by service, as all gateways observed it."),
 		StoreUp:        newGauge[ReasonLabels](p, "gateway_store_up", "", maxOutcomes, "1 while the table of the store answers, otherwise 0."),
 		PlatformCalls:  newCounter[OutcomeLabels](p, "gateway_platform_calls", maxOutcomes, "Calls of the platform's store. Outcomes: ok, conflict, not_found, unavailable, unknown, rejected."),
 		DroppedLogs:    newObservedCounter[NoLabels](p, "gateway_log_lines_dropped", 1, "Log lines beyond the rate of the settings."),
