Leave out an endpoint whose address answers for another one

Cause: a crashed engine is back under a new id at its old address before the directory says so.

Change: an answer 421 leaves the endpoint out like a refused connection, and peers are told. The new one joins with its entry.

Ruled out: counting 421 as a failure for the health judgement alone, which needs five in a row at each gateway.

The test failed before the change.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -373,10 +373,11 @@
 		relay.Broken:      health.Failure,
 		relay.Erring:      health.Failure,
 		relay.Unreachable: health.Failure,
+		relay.Replaced:    health.Failure,
 		relay.Rejected:    health.Refusal,
 	}
 	switch r {
-	case relay.Unreachable:
+	case relay.Unreachable, relay.Replaced:
 		d.reach.Failed(now, placement.Hash(t.choice.Endpoint.ID))
 	case relay.Whole:
 		d.crashes.Succeeded(t.request)
--- /dev/null
+++ b/gateway/dispatcher_test.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/registry"
+	"github.com/pistachiowind/pistachiowind/gateway/relay"
+)
+
+// Load pattern: engines crash and come back under new ids at the old addresses
+// before the directory says so. They look idle; requests must not go there again
+// and again to be turned away.
+func TestEndpointsThatAreNotThereGetNoFurtherRequests(t *testing.T) {
+	for _, result := range []relay.Result{relay.Unreachable, relay.Replaced} {
+		d := newDispatcher(Settings{AvailabilityZone: "z"}, rand.New(rand.NewPCG(1, 2)))
+		var entries []registry.Entry
+		for _, id := range []string{"a", "b", "c"} {
+			entries = append(entries, registry.Entry{ID: id, Service: "s", Address: id, Zone: "z", Slots: 4})
+		}
+		d.update(func(now time.Time, r *registry.Registry) []registry.Change { return r.Replace(now, entries) })
+		admit := func() relay.Ticket {
+			ticket, refusal := d.Admit(&placement.Work{Service: "s", Target: time.Second}, relay.Quest{TimeLeft: time.Second})
+			if refusal != nil {
+				t.Fatalf("refused: %s", refusal.Reason)
+			}
+			return ticket
+		}
+		first := admit()
+		gone := first.Choice().Endpoint.ID
+		first.Ended(result)
+		for range 20 {
+			if id := admit().Choice().Endpoint.ID; id == gone {
+				t.Fatalf("result %d: %s was chosen again", result, id)
+			}
+		}
+		if n := len(d.statement(time.Now(), time.Now()).Unreachable); n != 1 {
+			t.Errorf("result %d: peers are told of %d endpoints, want 1", result, n)
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -367,7 +367,7 @@
 			continue
 		}
 		g.log.Info().Str("endpoint", c.id).Int64("pause_ms", ms(c.Pause)).Bool("by_peers", c.ByPeers).
-			Msg("endpoint accepts no connection and is left out")
+			Msg("endpoint is not reached and is left out")
 	}
 }
 
--- a/gateway/reach/reach.go
+++ b/gateway/reach/reach.go
@@ -1,5 +1,6 @@
-// Package reach remembers which endpoints accept no connections, so that a
-// crashed endpoint, which looks idle, is not chosen again and again. A gateway
+// Package reach remembers which endpoints accept no connections, or are replaced by
+// another one at their address, so that a crashed endpoint, which looks idle, is
+// not chosen again and again. A gateway
 // believes its own failed connection at once and what its peers say when two of
 // them agree. An endpoint is left out for a short time, then tried again.
 //
@@ -66,7 +67,8 @@
 // Leave forgets an endpoint.
 func (t *Table) Leave(endpoint uint64) { delete(t.states, endpoint) }
 
-// Failed notes that an own connection was not accepted.
+// Failed notes that an own connection was not accepted, or that another endpoint
+// answered at the address.
 func (t *Table) Failed(now time.Time, endpoint uint64) {
 	s := t.states[endpoint]
 	if s == nil {
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -104,6 +104,8 @@
 	Rejected
 	// Unreachable endpoints did not accept a connection.
 	Unreachable
+	// Replaced endpoints are gone: another one answers at their address.
+	Replaced
 )
 
 // Refusal is a decision not to forward a request.
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -125,7 +125,11 @@
 	} else {
 		answer.Abort()
 	}
-	t.Ended(Rejected)
+	result := Rejected
+	if status == http.StatusMisdirectedRequest {
+		result = Replaced
+	}
+	t.Ended(result)
 	return ending{kind: outcome.NotRun, name: rejectedPrefix + strconv.Itoa(status)}
 }
 
