Fetch cached parts only where their holder would be late

Cause: a fetch of a part of 13,300 tokens cost less than a wait of half a second, so parts spread over engines whose memory they then shared with others.

Change: a fetch costs four fifths of reading the same tokens.

--- a/gateway/placement/cost.go
+++ b/gateway/placement/cost.go
@@ -48,7 +48,7 @@
 	rereadCost = 0.25
 	// fetchCost is the cost of fetching heavyPrompt tokens of cached parts: it takes
 	// the links of both engines, and memory that other parts could keep.
-	fetchCost = 0.1
+	fetchCost = 0.2
 	// fetchSetup is the time before a fetch between engines begins, in
 	// milliseconds.
 	fetchSetup = 5.0
