Survive peers' work at a service whose last endpoint has left

Cause: a statement that no longer names an endpoint clears the peer's work there. If the endpoint was the last of a plain service, the service was gone, and asking it for its speed ended the process.

Change: the assumed speed is taken for an endpoint without a service.

The test ended with a nil pointer before the change.

--- a/gateway/placement/loads.go
+++ b/gateway/placement/loads.go
@@ -48,9 +48,13 @@
 	}
 }
 
-// rate is the prefill speed of an endpoint in tokens per millisecond.
+// rate is the prefill speed of an endpoint in tokens per millisecond. Statements
+// may name an endpoint that has left, with it the last of its service.
 func (f *Fleet) rate(e *endpoint) float64 {
-	return f.services[e.Service].prefill().Rate / e.slowness
+	if s := f.services[e.Service]; s != nil {
+		return s.prefill().Rate / e.slowness
+	}
+	return defaultPrefillRate / e.slowness
 }
 
 // load sums the own work and that of the peers. It returns the time since the
--- a/gateway/placement/placement_test.go
+++ b/gateway/placement/placement_test.go
@@ -123,6 +123,18 @@
 	}
 }
 
+// Guards against a process that ends when the last endpoint of a plain service
+// leaves while peers still state work there.
+func TestLoadOfPeersAtAServiceThatIsGone(t *testing.T) {
+	f := NewFleet("zone-0")
+	f.Put(Endpoint{ID: "desk", Service: "ledger", Zone: "zone-0", Slots: 4})
+	f.PeerLoads(start, "p", map[uint64]Load{Hash("desk"): {Running: 2}})
+	f.PeerLoads(start, "q", map[uint64]Load{Hash("desk"): {Running: 1}})
+	f.Remove("desk")
+	f.PeerLoads(start.Add(time.Second), "p", nil)
+	f.ExpirePeerLoads(start.Add(time.Minute), 0)
+}
+
 // Guards against loads that stay after a peer said otherwise or went silent.
 func TestLoadOfPeersIsReplacedAndForgotten(t *testing.T) {
 	f := newPool(3)
