Abandon calls that a silent store has swallowed

Cause: a store that goes silent keeps its connections open and never answers the calls that wait for changes. After its return such a call went on for the rest of its wait, up to 27 s, and hid later changes.

Change: when a follower finds the store down, or a peer tells that it answers again, the calls that wait since before are ended and made anew without a wait. Waits are drawn from 2 s up to a second for each gateway, at most 25 s, so that on each site one of the waiting calls shows a silent store soon.

Ruled out: short waits everywhere, which cost calls on large sites; ending the waits on a failure alone, as the calls of one gateway may all have been made before the silence.

TestSilentStoreDoesNotHideALaterChange fails without the change.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -145,8 +145,8 @@
 	if err != nil || !fresh {
 		return
 	}
-	if statement.StoreAnswered > 0 {
-		x.gateway.outage.Hint(now)
+	if ago := statement.StoreAnswered; ago > 0 {
+		x.gateway.outage.Hint(now, now.Add(-time.Duration(ago)*time.Millisecond))
 	}
 	x.gateway.dispatcher.heard(now, statement)
 }
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -16,9 +16,6 @@
 var ErrHistoryGone = errors.New("follow: history of the store is gone")
 
 const (
-	// changesWait is how long one call waits for a change. Longer waits save
-	// calls; a connection that goes silent is found by TCP keep-alive.
-	changesWait = 25 * time.Second
 	// defaultGather is the pause after an answer with changes, so that the changes of
 	// a moment, such as a rolling release, take one call.
 	defaultGather = 300 * time.Millisecond
@@ -28,6 +25,10 @@
 	listTimeout = 3 * time.Second
 )
 
+// errAbandoned ends a call that waits while another one shows that the store was
+// away.
+var errAbandoned = errors.New("follow: call abandoned as the store was away")
+
 // Row is a row of the table.
 type Row struct {
 	Key     string
@@ -85,6 +86,8 @@
 	lost   bool
 	// reached states that the store has answered once.
 	reached bool
+	// recheck makes the next call one without a wait.
+	recheck bool
 }
 
 // New returns a Follower.
@@ -116,6 +119,8 @@
 		case errors.Is(err, ErrHistoryGone):
 			f.succeeded()
 			listed = false
+		case errors.Is(err, errAbandoned):
+			f.recheck = true
 		default:
 			f.failed(ctx, err)
 			f.outage.turn(ctx)
@@ -130,14 +135,30 @@
 		defer cancel()
 		return f.source.List(ctx)
 	}
-	// After a failure, a short wait shows soon whether the store is back.
-	wait := changesWait
-	if f.lost {
-		wait = 0
+	wait, abandoned := f.outage.waiting()
+	// After a failure, a call without a wait shows soon whether the store is back.
+	if f.lost || f.recheck {
+		wait, f.recheck = 0, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
 	defer cancel()
-	return f.source.Changes(ctx, version, wait)
+	if wait == 0 {
+		return f.source.Changes(ctx, version, wait)
+	}
+	watched, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	go func() {
+		select {
+		case <-abandoned:
+			stop(errAbandoned)
+		case <-watched.Done():
+		}
+	}()
+	page, err := f.source.Changes(watched, version, wait)
+	if err != nil && context.Cause(watched) == errAbandoned {
+		err = errAbandoned
+	}
+	return page, err
 }
 
 func (f *Follower) deliver(page Page, listed bool) {
--- a/gateway/follow/outage.go
+++ b/gateway/follow/outage.go
@@ -18,6 +18,14 @@
 	// longBackoff bounds that. It is below the 3 s for which the platform lets a store
 	// be back before it expects its changes to be known.
 	longBackoff = 2500 * time.Millisecond
+	// shortestWait is the shortest wait of a call for changes, and waitPerGateway
+	// lengthens the longest one with the number of gateways up to longestWait. A store
+	// that goes silent swallows the calls that wait; the shorter ones among those of
+	// all gateways show that, and the others are then made anew. Few gateways need
+	// shorter waits for that.
+	shortestWait   = 2 * time.Second
+	waitPerGateway = time.Second
+	longestWait    = 25 * time.Second
 	// hintSpread is the time over which gateways that are told of the store's return
 	// spread their calls.
 	hintSpread = 300 * time.Millisecond
@@ -34,8 +42,12 @@
 	rng     *rand.Rand
 	backoff time.Duration
 	longest time.Duration
+	// waits bounds the wait of a call for changes.
+	waits time.Duration
 	// next is when the store may be asked again.
 	next time.Time
+	// abandoned ends the calls that wait; closed and replaced to end them.
+	abandoned chan struct{}
 	// changed is closed when next becomes earlier.
 	changed chan struct{}
 	down    bool
@@ -47,7 +59,10 @@
 // NewOutage returns an Outage of a store that is not known to be down. The random
 // source spreads the calls of many processes.
 func NewOutage(rng *rand.Rand) *Outage {
-	return &Outage{rng: rng, backoff: minBackoff, longest: shortBackoff, changed: make(chan struct{})}
+	return &Outage{
+		rng: rng, backoff: minBackoff, longest: shortBackoff, waits: 2 * shortestWait,
+		changed: make(chan struct{}), abandoned: make(chan struct{}),
+	}
 }
 
 // SetGateways states how many gateways follow the store.
@@ -55,6 +70,21 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.longest = min(max(time.Duration(n)*backoffPerGateway, shortBackoff), longBackoff)
+	o.waits = min(max(time.Duration(n)*waitPerGateway, 2*shortestWait), longestWait)
+}
+
+// waiting returns how long the next call waits for changes, and the channel whose
+// end abandons it.
+func (o *Outage) waiting() (time.Duration, <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return shortestWait + time.Duration(o.rng.Int64N(int64(o.waits-shortestWait))), o.abandoned
+}
+
+// abandon ends the calls that wait. The mutex is held.
+func (o *Outage) abandon() {
+	close(o.abandoned)
+	o.abandoned = make(chan struct{})
 }
 
 // AnsweredAfterOutage returns when the store answered after its last failure; zero
@@ -68,11 +98,19 @@
 	return o.answeredAt
 }
 
-// Hint states that the store answers another gateway again.
-func (o *Outage) Hint(now time.Time) {
+// Hint states that the store answers another gateway again since the given time.
+// Calls that this gateway made before may have been swallowed.
+func (o *Outage) Hint(now, since time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.down || now.Sub(o.hintedAt) < hintEvery {
+	if now.Sub(o.hintedAt) < hintEvery {
+		return
+	}
+	if !o.down {
+		if since.After(o.hintedAt) {
+			o.hintedAt = now
+			o.abandon()
+		}
 		return
 	}
 	o.hintedAt = now
@@ -107,6 +145,7 @@
 	if !o.down {
 		o.down, o.backoff = true, minBackoff
 		o.next = now.Add(o.pause())
+		o.abandon()
 	}
 }
 
--- a/gateway/follow/outage_test.go
+++ b/gateway/follow/outage_test.go
@@ -96,14 +96,14 @@
 		began := time.Now()
 		go func() {
 			time.Sleep(10 * time.Millisecond)
-			o.Hint(time.Now())
+			o.Hint(time.Now(), time.Now())
 		}()
 		o.turn(t.Context())
 		if waited := time.Since(began); waited > 10*time.Millisecond+hintSpread {
 			t.Fatalf("waited %v after a hint", waited)
 		}
 		again := time.Now()
-		o.Hint(again)
+		o.Hint(again, again)
 		o.turn(t.Context())
 		if waited := time.Since(again); waited < longBackoff/2 {
 			t.Fatalf("the second hint was followed after %v", waited)
@@ -111,6 +111,99 @@
 	})
 }
 
+// swallowing is a table whose calls are never answered while the store is silent;
+// its connections stay open.
+type swallowing struct {
+	began          time.Time
+	silentFrom, to time.Duration
+	changedAt      time.Duration
+}
+
+func (s swallowing) silent() bool {
+	age := time.Since(s.began)
+	return age >= s.silentFrom && age < s.to
+}
+
+func (s swallowing) List(context.Context) (Page, error) { return Page{Version: 1}, nil }
+
+func (s swallowing) Changes(ctx context.Context, since int64, wait time.Duration) (Page, error) {
+	deadline := time.Now().Add(wait)
+	for {
+		age := time.Since(s.began)
+		switch {
+		case s.silent():
+			<-ctx.Done()
+			return Page{}, ctx.Err()
+		case since < 2 && s.changedAt > 0 && age >= s.changedAt:
+			return Page{Version: 2, Rows: make([]Row, 1)}, nil
+		case !time.Now().Before(deadline):
+			return Page{Version: since}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return Page{}, ctx.Err()
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+type changeSink struct {
+	fakeSink
+	changedAt time.Time
+}
+
+func (s *changeSink) Changed([]Row) { s.changedAt = time.Now() }
+
+// Load pattern: the store goes silent without closing connections, returns, and
+// gets a new configuration. A call that waits since before the silence is never
+// answered; it must not hide the change for the rest of its wait. Found by a
+// varied store day (seed 193359517948, therri-gateway-grown): 5 s after version 47
+// was acknowledged, two gateways had version 45.
+func TestSilentStoreDoesNotHideALaterChange(t *testing.T) {
+	for _, gateways := range []int{1, 5, 29, 103} {
+		synctest.Test(t, func(t *testing.T) {
+			const silentFrom, back, changed = 5 * time.Second, 11 * time.Second, 14 * time.Second
+			const bound = 5 * time.Second
+			ctx, cancel := context.WithCancel(t.Context())
+			began := time.Now()
+			var sinks []*changeSink
+			var outages []*Outage
+			for i := range gateways {
+				outage := NewOutage(rand.New(rand.NewPCG(uint64(i), 1)))
+				outage.SetGateways(gateways)
+				outages = append(outages, outage)
+				for table, source := range []swallowing{{began, silentFrom, back, changed}, {began, silentFrom, back, 0}} {
+					sink := &changeSink{}
+					if table == 0 {
+						sinks = append(sinks, sink)
+					}
+					f := New(Options{Source: source, Sink: sink, Outage: outage, Rand: rand.New(rand.NewPCG(uint64(i), uint64(2+table)))})
+					go func() { _ = f.Serve(ctx) }()
+				}
+			}
+			// Gateways tell each other of the store's return every second.
+			for time.Since(began) < changed+bound {
+				time.Sleep(time.Second)
+				for _, from := range outages {
+					at := from.AnsweredAfterOutage()
+					for _, to := range outages {
+						if !at.IsZero() && to != from {
+							to.Hint(time.Now(), at)
+						}
+					}
+				}
+			}
+			cancel()
+			synctest.Wait()
+			for i, sink := range sinks {
+				if took := sink.changedAt.Sub(began.Add(changed)); sink.changedAt.IsZero() || took > bound {
+					t.Errorf("%d gateways: gateway %d has not seen the change after %v", gateways, i, bound)
+				}
+			}
+		})
+	}
+}
+
 // Guards against two followers that ask at the same time, and one that sleeps on
 // after the other was answered.
 func TestFollowersShareAnOutage(t *testing.T) {
