Bound the heads of endpoints' answers and other outside bytes

Cause: http.ReadResponse reads a head of any size. An endpoint that never ended a header line took 3.0 GB of heap in 2 s, and interim answers without end held a request until its deadline.

Change: what is read for the heads of one request is limited to 64 KiB and five interim answers; the exchange then ends as answer_endless with an unknown outcome, so that only repeatable requests go elsewhere. An event of a stream is passed on in pieces up to 4 MiB and then cut.

Ruled out: chunk sizes, extensions and trailers, which net/http bounds.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -32,6 +32,7 @@
 	"github.com/pistachiowind/pistachiowind/agent/queue"
 	"github.com/pistachiowind/pistachiowind/agent/worker"
 	"github.com/pistachiowind/pistachiowind/catalog"
+	"github.com/pistachiowind/pistachiowind/httpbound"
 	"github.com/pistachiowind/pistachiowind/httpserver"
 	"github.com/pistachiowind/pistachiowind/lifecycle"
 	"github.com/pistachiowind/pistachiowind/platform"
@@ -147,7 +148,8 @@
 	if a.opts.Objects != nil {
 		a.opts.Objects = a.opts.Objects.Observed(a.metrics)
 	}
-	a.peerClient = &http.Client{Transport: a.metrics.CountPeerCalls(a.opts.PeerTransport)}
+	bounded := httpbound.Transport{RoundTripper: a.opts.PeerTransport, Limit: rpc.MaxUnaryBytes}
+	a.peerClient = &http.Client{Transport: a.metrics.CountPeerCalls(bounded)}
 	a.catalog = newCatalogView(a.opts, a.incarnation, a.peerClient, func(s catalog.Source) {
 		a.metrics.CatalogAdoptions.Add(1, telemetry.ReasonLabels{Reason: s.String()})
 	})
--- a/agent/build.go
+++ b/agent/build.go
@@ -89,7 +89,7 @@
 		Catalog:  a.catalog,
 		Models:   a.monitor.Models,
 	})
-	mux.Handle(unary.PathPrefix(), unary)
+	mux.Handle(unary.PathPrefix(), http.MaxBytesHandler(unary, rpc.MaxUnaryBytes))
 }
 
 // evidencePublisher writes evidence of a crash to the table service in the
--- a/agent/endpoint/endpoint.go
+++ b/agent/endpoint/endpoint.go
@@ -42,6 +42,9 @@
 	maxIdleConnections  = 512
 	responseHeadTimeout = 10 * time.Minute
 	healthTimeout       = time.Second
+	// maxHeadBytes bounds the head of an answer; common servers limit theirs to 8 to
+	// 64 KiB.
+	maxHeadBytes = 64 << 10
 
 	// userTimeout bounds how long sent data may stay unacknowledged before the
 	// kernel reports the connection as broken (TCP_USER_TIMEOUT).
@@ -83,6 +86,8 @@
 		ResponseHeaderTimeout: responseHeadTimeout,
 		DisableKeepAlives:     !keepAlives,
 		DisableCompression:    true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,9 @@
 	headerTimeout = 10 * time.Second
 	// maxHeadBytes bounds what is read of a head whatever operators allow.
 	maxHeadBytes = 1 << 20
+	// maxControlHeadBytes bounds heads on the connections between gateways and on
+	// the listeners that are not for callers. Their heads have a few lines.
+	maxControlHeadBytes = 16 << 10
 	// leaveRotation is how long new connections are still accepted after SIGTERM:
 	// the balancer asks once a second and needs two misses.
 	leaveRotation = 2500 * time.Millisecond
@@ -196,7 +199,7 @@
 		g.log.Warn().Str("event", e.String()).Msg("supervised service ended")
 	}})
 	seed := func() *rand.Rand { return rand.New(rand.NewPCG(g.o.Rand.Uint64(), g.o.Rand.Uint64())) }
-	readyServer := &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerTimeout}
+	readyServer := &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, MaxHeaderBytes: maxControlHeadBytes}
 	defer readyServer.Close()
 	services := []serviceFunc{
 		{"config", follow.New(follow.Options{
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -80,7 +80,7 @@
 func (g *Gateway) serveMetrics(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", g.o.MetricsHandler)
-	server := &http.Server{Addr: g.o.Settings.Listen.Metrics, Handler: mux, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Addr: g.o.Settings.Listen.Metrics, Handler: mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, MaxHeaderBytes: maxControlHeadBytes}
 	stop := context.AfterFunc(ctx, func() {
 		// The listener ends with the process; its error tells nothing more.
 		_ = server.Close()
--- a/gateway/relay/events.go
+++ b/gateway/relay/events.go
@@ -2,12 +2,22 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 )
 
-// maxEventBytes bounds an event of a stream. A longer one is passed on in
-// pieces, and a stream that breaks inside it cannot be resumed.
-const maxEventBytes = 64 << 10
+const (
+	// maxEventBytes is the size up to which an event of a stream is held back until
+	// it is whole. A longer one is passed on in pieces, and a stream that breaks
+	// inside it cannot be resumed.
+	maxEventBytes = 64 << 10
+	// maxPiecesBytes bounds an event that is passed on in pieces. Events hold a few
+	// tokens or an encoded picture; bytes beyond this bound are not an event.
+	maxPiecesBytes = 4 << 20
+)
+
+// errEndlessEvent ends a stream whose endpoint sends bytes without ending an event.
+var errEndlessEvent = fmt.Errorf("event exceeds %d bytes", maxPiecesBytes)
 
 var eventEnd = []byte("\n\n")
 
@@ -19,6 +29,8 @@
 	lastID  string
 	// oversize states that an event was passed on in pieces.
 	oversize bool
+	// pieces is the number of bytes of the current event that were passed on.
+	pieces int
 }
 
 // push adds bytes and returns the whole events among all pending bytes. The
@@ -31,8 +43,10 @@
 			return nil
 		}
 		s.oversize = true
+		s.pieces += len(s.pending)
 		return s.flush()
 	}
+	s.pieces = 0
 	end += len(eventEnd)
 	whole := s.pending[:end:end]
 	s.noteIDs(whole)
@@ -42,6 +56,9 @@
 	return whole
 }
 
+// endless reports whether the current event exceeds every bound.
+func (s *eventSplitter) endless() bool { return s.pieces > maxPiecesBytes }
+
 // flush returns what is pending at the end of a stream.
 func (s *eventSplitter) flush() []byte {
 	b := s.pending
--- a/gateway/relay/failure.go
+++ b/gateway/relay/failure.go
@@ -29,6 +29,7 @@
 	"unanswered":                resultcode.OutcomeUnknown,
 	"outcome_unknown":           resultcode.OutcomeUnknown,
 	"answer_spoiled":            resultcode.EndpointFailed,
+	"answer_endless":            resultcode.EndpointFailed,
 	"answer_truncated":          resultcode.EndpointFailed,
 	"stream_broken":             resultcode.StreamInterrupted,
 	"timeout":                   resultcode.DeadlineExceeded,
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -118,6 +118,14 @@
 			return
 		case "close":
 			return
+		case "endless":
+			repeat(c, chunked(), chunk(strings.Repeat("x", 64<<10)))
+			e.closed <- struct{}{}
+			return
+		case "endless head":
+			repeat(c, "HTTP/1.1 200 OK\r\n", strings.Repeat("X: x\r\n", 1000))
+			e.closed <- struct{}{}
+			return
 		case "drip":
 			drip(c, 2*time.Millisecond)
 			e.closed <- struct{}{}
@@ -135,6 +143,18 @@
 	}
 }
 
+// repeat sends a beginning and then a piece again and again. It stops at a size
+// that a missing bound would let through, so that such a test fails and ends.
+func repeat(c net.Conn, beginning, piece string) {
+	const most = 32 << 20
+	_, err := io.WriteString(c, beginning)
+	for sent := 0; err == nil && sent < most; sent += len(piece) {
+		_, err = io.WriteString(c, piece)
+	}
+}
+
+func chunk(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
+
 // slowPause is longer than each timeout that the gateway sets on a connection to
 // an endpoint.
 const slowPause = 2 * time.Second
@@ -306,7 +326,7 @@
 	var b strings.Builder
 	b.WriteString("HTTP/1.1 200 OK\r\nId: a1\r\nSigned: x\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
 	for _, e := range events {
-		fmt.Fprintf(&b, "%x\r\n%s\r\n", len(e), e)
+		b.WriteString(chunk(e))
 	}
 	return b.String()
 }
@@ -488,6 +508,38 @@
 	}
 }
 
+// Guards against a stream whose endpoint never ends an event being passed on
+// until the deadline, and against its end looking complete.
+func TestStreamWithoutEndOfAnEventIsCut(t *testing.T) {
+	e := newEndpoint(t, "endless")
+	s := newSession(t, testTable(), e)
+	answer := s.call(request("POST", "/stream/x", "ask", "Left: 60000"))
+	<-e.closed
+	<-s.records.done
+	if r := s.records.list[0]; r.Result != "stream_broken" || strings.HasSuffix(answer, lastChunk) {
+		t.Fatalf("result %s after %d bytes, want a broken stream", r.Result, len(answer))
+	}
+	if len(answer) > 2*maxPiecesBytes {
+		t.Fatalf("%d bytes were passed on", len(answer))
+	}
+}
+
+// Guards against an endless head that holds a request, and against a charge that
+// goes to a second endpoint after one: the first may have run it.
+func TestEndlessHeadIsAnUnknownOutcome(t *testing.T) {
+	charge := newSession(t, testTable(), newEndpoint(t, "endless head"), newEndpoint(t, whole))
+	if answer := charge.call(request("POST", "/charge/x", "pay", "Left: 60000")); !strings.HasPrefix(answer, "HTTP/1.1 502 ") {
+		t.Errorf("charge: %q, want 502", answer)
+	}
+	read := newSession(t, testTable(), newEndpoint(t, "endless head"), newEndpoint(t, whole))
+	if answer := read.call(request("GET", "/read/x", "", "Left: 60000")); !strings.HasSuffix(answer, "hello") {
+		t.Errorf("read: %q, want the answer of the second endpoint", answer)
+	}
+	if first := read.records.list[0].Attempts[0]; first.Result != "answer_endless" {
+		t.Errorf("first attempt of the read: %s", first.Result)
+	}
+}
+
 // Guards against a slow but sound stream that is cut: pauses of any length are
 // allowed until the deadline.
 func TestSlowStreamIsDeliveredWhole(t *testing.T) {
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -109,6 +109,9 @@
 			end.kind, end.name, result = outcome.NotSent, "unreachable", Unreachable
 		case upstream.Spoiled:
 			end.name = "answer_spoiled"
+			if upstream.Endless(err) {
+				end.name = "answer_endless"
+			}
 		}
 	}
 	if ctx.Err() != nil {
@@ -120,11 +123,7 @@
 
 func (x *exchange) notRun(t Ticket, answer *upstream.Response) ending {
 	status := answer.StatusCode
-	if _, err := io.CopyN(io.Discard, answer.Body, maxPlainBytes); err == io.EOF {
-		answer.Finish()
-	} else {
-		answer.Abort()
-	}
+	answer.Discard()
 	result := Rejected
 	if status == http.StatusMisdirectedRequest {
 		result = Replaced
@@ -175,6 +174,9 @@
 				x.abort("caller_left")
 			}
 		}
+		if x.events.endless() {
+			return x.streamBroke(ctx, t, answer, errEndlessEvent)
+		}
 		if err == nil {
 			continue
 		}
--- a/gateway/sitestate.go
+++ b/gateway/sitestate.go
@@ -14,6 +14,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/peers/wire"
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
+	"github.com/pistachiowind/pistachiowind/httpbound"
 )
 
 const (
@@ -22,6 +23,11 @@
 	askPeersAfter = 400 * time.Millisecond
 	// askPeerTimeout bounds the answer of one gateway.
 	askPeerTimeout = 500 * time.Millisecond
+	// maxPeerRequestBytes bounds a request of a peer, which is an empty message.
+	maxPeerRequestBytes = 4 << 10
+	// maxSiteStateBytes bounds the state that a peer answers: the store allows 1 MB
+	// for the configuration, and an entry of an endpoint takes about 200 bytes.
+	maxSiteStateBytes = 8 << 20
 )
 
 // peerServer answers gateways that start while the store does not. It implements
@@ -62,7 +68,12 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: wire.NewPeerServer(peerServer{g}), ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{
+		Handler:           http.MaxBytesHandler(wire.NewPeerServer(peerServer{g}), maxPeerRequestBytes),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       headerTimeout,
+		MaxHeaderBytes:    maxControlHeadBytes,
+	}
 	stop := context.AfterFunc(ctx, func() {
 		// The listener ends with the process; its error tells nothing more.
 		_ = server.Close()
@@ -139,7 +150,10 @@
 func (g *Gateway) askPeer(ctx context.Context, address string) *wire.SiteState {
 	ctx, cancel := context.WithTimeout(ctx, askPeerTimeout)
 	defer cancel()
-	client := wire.NewPeerProtobufClient("http://"+address, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}})
+	client := wire.NewPeerProtobufClient("http://"+address, &http.Client{Transport: httpbound.Transport{
+		RoundTripper: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxControlHeadBytes},
+		Limit:        maxSiteStateBytes,
+	}})
 	state, err := client.State(ctx, &wire.StateRequest{})
 	if err != nil {
 		g.log.Warn().Str("peer", address).Err(err).Msg("peer not reached for the state of the site")
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -152,6 +152,8 @@
 
 type conn struct {
 	net.Conn
+	// bounded is what reader reads from.
+	bounded *boundedReader
 	// used states that an earlier request was sent on the connection.
 	used    bool
 	address string
@@ -233,17 +235,17 @@
 // earlier request.
 func (resp *Response) readHead(r *Request) error {
 	method := &http.Request{Method: r.Method}
+	left := maxHeadBytes
 	for {
+		resp.conn.bounded.limit(left)
 		if _, err := resp.conn.reader.Peek(1); err != nil {
 			return &Failure{Unanswered, fmt.Errorf("read answer: %w", err)}
 		}
-		answer, err := http.ReadResponse(resp.conn.reader, method)
+		answer, err := resp.conn.readAnswer(method)
 		if err != nil {
-			return &Failure{Spoiled, fmt.Errorf("parse answer: %w", err)}
-		}
-		if answer.StatusCode < 200 {
-			continue
+			return &Failure{Spoiled, err}
 		}
+		left = resp.conn.bounded.unlimit()
 		named := ThisRequest
 		if r.Names != nil {
 			named = r.Names(answer.Header)
@@ -313,7 +315,12 @@
 		raw.Close()
 		return nil, fmt.Errorf("set TCP_USER_TIMEOUT: %w", err)
 	}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	return newConn(raw, address), nil
+}
+
+func newConn(raw net.Conn, address string) *conn {
+	bounded := &boundedReader{Conn: raw}
+	return &conn{Conn: raw, bounded: bounded, address: address, reader: bufio.NewReaderSize(bounded, readBufferBytes)}
 }
 
 func setUnackedTimeout(c net.Conn, d time.Duration) error {
--- a/router/dispatch/client.go
+++ b/router/dispatch/client.go
@@ -14,6 +14,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/pistachiowind/pistachiowind/httpbound"
 	"github.com/pistachiowind/pistachiowind/rpc"
 )
 
@@ -28,6 +29,8 @@
 	maxIdleConnections = 1024
 	userTimeout        = 5 * time.Second
 	frameBacklog       = 16
+	// maxHeadBytes bounds the head of an agent's answer, which has a few lines.
+	maxHeadBytes = 16 << 10
 )
 
 // Client opens attempt streams to agents.
@@ -46,14 +49,16 @@
 	if transport.TLSClientConfig != nil {
 		scheme = "https"
 	}
-	streams := &http.Client{Transport: transport}
-	return &Client{http: streams, unary: streams, scheme: scheme}
+	c := &Client{http: &http.Client{Transport: transport}, scheme: scheme}
+	c.WrapUnary(func(t http.RoundTripper) http.RoundTripper { return t })
+	return c
 }
 
 // WrapUnary sends unary calls through the transport that wrap returns. It is
 // called before the client is used.
 func (c *Client) WrapUnary(wrap func(http.RoundTripper) http.RoundTripper) {
-	c.unary = &http.Client{Transport: wrap(c.http.Transport)}
+	bounded := httpbound.Transport{RoundTripper: c.http.Transport, Limit: rpc.MaxUnaryBytes}
+	c.unary = &http.Client{Transport: wrap(bounded)}
 }
 
 // HTTPClient returns the client for unary calls over the same connections.
@@ -77,6 +82,8 @@
 		IdleConnTimeout:       idleConnTimeout,
 		ResponseHeaderTimeout: SilenceTimeout,
 		DisableCompression:    true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -245,7 +245,7 @@
 
 func (r *Router) registerPeers(mux *http.ServeMux) {
 	unary := rpc.NewRouterServer(peerService{r.catalog, r.quarantine})
-	mux.Handle(unary.PathPrefix(), unary)
+	mux.Handle(unary.PathPrefix(), http.MaxBytesHandler(unary, rpc.MaxUnaryBytes))
 }
 
 func (r *Router) supervise() {
--- a/rpc/frame.go
+++ b/rpc/frame.go
@@ -18,6 +18,10 @@
 	// caller body (4 MiB) and the fields around it.
 	MaxFrameBytes = 5 << 20
 
+	// MaxUnaryBytes bounds the body of a unary call and of its answer. The largest
+	// holds a catalog, whose document is below a caller's largest body.
+	MaxUnaryBytes = MaxFrameBytes
+
 	// RunPath is the HTTP route that starts an attempt and streams its frames.
 	RunPath = "/stream/run"
 
