--- a/cmd/pistachiowind-gateway/main.go
+++ b/cmd/pistachiowind-gateway/main.go
@@ -127,6 +127,7 @@
 		Endpoints:      platform.EndpointFeed(store, metrics),
 		ConfigSink:     func(g *gateway.Gateway) follow.Sink { return platform.ConfigSink{Site: g} },
 		EndpointSink:   func(g *gateway.Gateway) follow.Sink { return platform.EndpointSink{Site: g} },
+		Parts:          platform.NewCachedParts(),
 		Log:            log,
 		Metrics:        *metrics,
 		MetricsHandler: provider.Handler(),
--- /dev/null
+++ b/gateway/cachedparts_test.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/registry"
+	"github.com/pistachiowind/pistachiowind/gateway/routing"
+)
+
+// holder lists the parts of one engine; the others do not answer.
+type holder struct {
+	address string
+	part    placement.Part
+}
+
+func (h holder) List(_ context.Context, address string) ([]placement.Part, error) {
+	if address != h.address {
+		return nil, errors.New("no answer")
+	}
+	return []placement.Part{h.part}, nil
+}
+
+func restarted(t *testing.T, parts PartLister) *Gateway {
+	g := New(Options{
+		Settings: Settings{AvailabilityZone: "z"}, Parts: parts, Log: zerolog.Nop(), Rand: rand.New(rand.NewPCG(1, 2)),
+	})
+	g.ConfigSeen(routing.Config{Version: 1, Services: []routing.Service{
+		{Name: "pool", Engine: &routing.Engine{Slots: 64, MemoryTokens: 600_000, TokensPerEvent: 4}},
+	}})
+	var entries []registry.Entry
+	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+		entries = append(entries, registry.Entry{ID: id, Service: "pool", Address: id, Zone: "z", Slots: 64})
+	}
+	g.EndpointsListed(entries)
+	return g
+}
+
+// Load pattern: all gateways are killed under load and come back, while the
+// engines keep the shared parts of the prompts. A gateway that does not know them
+// expects to read every part again, refuses work for it and spreads the parts.
+func TestGatewayThatStartsLearnsWhatEnginesKeep(t *testing.T) {
+	shared := placement.Part{ID: 7, Tokens: 13_000}
+	work := &placement.Work{
+		Service: "pool", Streaming: true, PromptTokens: 14_000, Target: time.Second,
+		Parts: []placement.Part{shared, {ID: 8, Tokens: 1000}},
+	}
+	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+		g := restarted(t, holder{address: id, part: shared})
+		g.askEngines(t.Context(), rand.New(rand.NewPCG(1, 2)), 1)
+		choice, _ := g.dispatcher.fleet.Choose(time.Now(), work)
+		if choice.Endpoint.ID != id || choice.Uncached != 1000 {
+			t.Errorf("holder %s: work goes to %s, which is expected to read %d tokens", id, choice.Endpoint.ID, choice.Uncached)
+		}
+	}
+}
+
+// Guards against lists that each of many gateways asks of each engine: the others
+// learn the parts from a peer.
+func TestPeerTellsCachedParts(t *testing.T) {
+	shared := placement.Part{ID: 7, Tokens: 13_000}
+	first := restarted(t, holder{address: "c", part: shared})
+	first.askEngines(t.Context(), rand.New(rand.NewPCG(1, 2)), 1)
+	answer, err := peerServer{first}.CachedParts(t.Context(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second := restarted(t, nil)
+	second.dispatcher.peerParts(answer.Placements)
+	if again := second.dispatcher.statedParts(); len(again) != 1 || again[0].Part != shared.ID || again[0].Tokens != 13_000 {
+		t.Fatalf("the second gateway knows %v", again)
+	}
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -64,6 +65,15 @@
 	return &exchange{gateway: g, state: peers.New(s.Listen.Peers, peerSeeds(s), started)}
 }
 
+// some returns n peers drawn from those that were heard recently.
+func (x *exchange) some(rng *rand.Rand, n int) []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	alive := x.state.Alive(time.Now())
+	rng.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	return alive[:min(n, len(alive))]
+}
+
 // serve exchanges statements until ctx ends.
 func (x *exchange) serve(ctx context.Context) error {
 	socket, err := net.ListenPacket("udp", x.gateway.o.Settings.Listen.Peers)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,8 +67,10 @@
 	// decode their rows for the Gateway.
 	Config, Endpoints        follow.Source
 	ConfigSink, EndpointSink func(*Gateway) follow.Sink
-	Log                      zerolog.Logger
-	Rand                     *rand.Rand
+	// Parts asks engines what they keep; nil means that they are not asked.
+	Parts PartLister
+	Log   zerolog.Logger
+	Rand  *rand.Rand
 	// Metrics records; the zero value records nothing.
 	Metrics telemetry.Gateway
 	// MetricsHandler serves the metrics; nil for none.
@@ -92,6 +94,8 @@
 	// reached states that the store has answered since the start.
 	reached atomic.Bool
 	peers   atomic.Int64
+	// somePeers draws peers that were heard recently.
+	somePeers func(n int) []string
 	// outage is shared by the followers of the store's tables.
 	outage *follow.Outage
 	// grace is the time from SIGTERM to SIGKILL in nanoseconds.
@@ -106,6 +110,7 @@
 	g.pool = upstream.NewPool(upstream.Options{Dialed: func(_ string, err error) {
 		o.Metrics.Connections.Add(1, telemetry.OKLabels(err == nil))
 	}})
+	g.somePeers = func(int) []string { return nil }
 	g.watch()
 	g.conns = newConnLimits(g.limits)
 	g.callers = &http.Server{
@@ -217,11 +222,18 @@
 		services = append(services, serviceFunc{"metrics", g.serveMetrics})
 	}
 	if g.o.Settings.Listen.Peers != "" {
+		exchange := newExchange(g, time.Now())
+		rng := seed()
+		g.somePeers = func(n int) []string { return exchange.some(rng, n) }
 		services = append(services,
-			serviceFunc{"peers", newExchange(g, time.Now()).serve},
+			serviceFunc{"peers", exchange.serve},
 			serviceFunc{"peer state", g.servePeers},
 			serviceFunc{"ask peers", g.askPeers})
 	}
+	if g.o.Parts != nil {
+		rng := seed()
+		services = append(services, serviceFunc{"cached parts", func(ctx context.Context) error { return g.learnParts(ctx, rng) }})
+	}
 	for _, s := range services {
 		supervisor.Add(s)
 	}
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -94,6 +94,18 @@
 	return n
 }
 
+// Alive returns the addresses of the peers that were heard recently.
+func (e *Exchange) Alive(now time.Time) []string {
+	var alive []string
+	for address, p := range e.peers {
+		if e.alive(now, p) {
+			alive = append(alive, address)
+		}
+	}
+	slices.Sort(alive)
+	return alive
+}
+
 func (e *Exchange) alive(now time.Time, p *peer) bool {
 	return !p.heardAt.IsZero() && now.Sub(p.heardAt) < e.Silence()
 }
--- a/gateway/placement/cache.go
+++ b/gateway/placement/cache.go
@@ -93,6 +93,18 @@
 	}
 }
 
+// CachedParts calls report for each shared part that an endpoint is believed to
+// keep.
+func (f *Fleet) CachedParts(report func(endpoint uint64, p Part)) {
+	for _, e := range f.endpoints {
+		for _, id := range e.cache.parts.Keys() {
+			if part, ok := e.cache.parts.Peek(id); ok {
+				report(e.hash, Part{ID: id, Tokens: part.tokens})
+			}
+		}
+	}
+}
+
 // homes are the endpoints where a request's shared parts belong. All gateways
 // compute the same homes without a message: rendezvous hashing of the last
 // shared part and the endpoint's id.
--- a/gateway/sitestate.go
+++ b/gateway/sitestate.go
@@ -146,15 +146,19 @@
 	}
 }
 
+// peerClient calls the gateway at an address; each call opens a connection.
+func peerClient(address string) wire.Peer {
+	return wire.NewPeerProtobufClient("http://"+address, &http.Client{Transport: httpbound.Transport{
+		RoundTripper: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxControlHeadBytes},
+		Limit:        maxSiteStateBytes,
+	}})
+}
+
 // askPeer returns the state that a peer knows; nil if it does not answer.
 func (g *Gateway) askPeer(ctx context.Context, address string) *wire.SiteState {
 	ctx, cancel := context.WithTimeout(ctx, askPeerTimeout)
 	defer cancel()
-	client := wire.NewPeerProtobufClient("http://"+address, &http.Client{Transport: httpbound.Transport{
-		RoundTripper: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxControlHeadBytes},
-		Limit:        maxSiteStateBytes,
-	}})
-	state, err := client.State(ctx, &wire.StateRequest{})
+	state, err := peerClient(address).State(ctx, &wire.StateRequest{})
 	if err != nil {
 		g.log.Warn().Str("peer", address).Err(err).Msg("peer not reached for the state of the site")
 		return nil
--- a/tools/playdays/main.go
+++ b/tools/playdays/main.go
@@ -28,6 +28,8 @@
 	play
 	Worth   float64 `json:"G"`
 	Served  float64 `json:"served"`
+	Refused float64 `json:"refused"`
+	Failed  float64 `json:"failed"`
 	Classes []struct {
 		Name  string  `json:"name"`
 		Worth float64 `json:"worth"`
@@ -35,11 +37,15 @@
 	// Prices are triples of name, amount and cost.
 	Prices [][]any        `json:"prices"`
 	Broken map[string]any `json:"breaks"`
+	// Short lists what the gate misses.
+	Short []any `json:"short"`
 }
 
 // values flattens a result into named figures.
 func (r result) values() map[string]float64 {
-	v := map[string]float64{"day " + r.Day: r.Worth, "served": r.Served, "worth": r.Worth}
+	v := map[string]float64{
+		"day " + r.Day: r.Worth, "worth": r.Worth, "served": r.Served, "refused": r.Refused, "failed": r.Failed,
+	}
 	for _, c := range r.Classes {
 		v["class "+c.Name] = c.Worth
 	}
@@ -151,6 +157,9 @@
 		if len(r.Broken) > 0 {
 			fmt.Printf("BROKEN %s seed %d: %v\n", r.Day, r.Seed, r.Broken)
 		}
+		if len(r.Short) > 0 {
+			fmt.Printf("GATE %s seed %d: %v\n", r.Day, r.Seed, r.Short)
+		}
 		b, compared := before[r.play]
 		was := b.values()
 		for name, value := range r.values() {
