Tell each placement in three statements, new peers for three seconds

Cause: a placement was repeated for three usual intervals; with news, which make statements six times as frequent, that was 17 statements. New peers were named for 10 s in each statement.

Change: a placement is part of three statements; a peer is named in each for 3 s after it was first heard, later in turn.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// placementRepeat is how long a placement is part of the statements, so that
-	// a lost datagram does not lose it.
+	// placementRepeat is the number of statements that a placement is part of, so
+	// that a lost datagram does not lose it.
 	placementRepeat = 3
 	// maxLoads and maxPlacementsSent keep a statement below peers.MaxDatagram.
 	maxLoads          = 300
@@ -43,6 +43,8 @@
 	mu      sync.Mutex
 	state   *peers.Exchange
 	lost    uint64
+	// sentAt are the times of the latest statements, oldest first.
+	sentAt [placementRepeat]time.Time
 }
 
 // peerSeeds returns the seeds with the port that all gateways use for peers.
@@ -112,7 +114,9 @@
 	x.gateway.dispatcher.setGateways(known + 1)
 	x.gateway.outage.SetGateways(known + 1)
 	x.gateway.dispatcher.expirePeerLoads(now, loadIntervals*interval)
-	statement := x.gateway.dispatcher.statement(now, now.Add(-placementRepeat*interval))
+	statement := x.gateway.dispatcher.statement(now, x.sentAt[0])
+	copy(x.sentAt[:], x.sentAt[1:])
+	x.sentAt[placementRepeat-1] = now
 	statement.StoreAnswered = storeAnswered(now, x.gateway.outage.AnsweredAfterOutage())
 	datagram, err := x.state.Compose(now, statement)
 	if err != nil {
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -39,7 +39,7 @@
 	maxPeers = 512
 	// newPeerTime is how long a peer is named in each statement after it was first
 	// heard. Later it is named in turn, for gateways that missed it.
-	newPeerTime = 10 * time.Second
+	newPeerTime = 3 * time.Second
 	// maxNewNamed and knownNamed bound the new and the other peers named in one
 	// statement. Names are most of a statement's bytes where all know each other.
 	maxNewNamed = 32
