Ask up to sixteen engines for cached parts as soon as a gateway is ready

Cause: the wait for peers before the first question cost the first 150 ms after a start, in which a crowd returns.

Change: a starting gateway asks at most 16 engines at once and takes the others' lists from peers; the number of gateways is not needed any more.

--- a/gateway/cachedparts.go
+++ b/gateway/cachedparts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -20,12 +21,10 @@
 	// askPartsPause is how often a starting gateway looks whether it knows the
 	// endpoints.
 	askPartsPause = 5 * time.Millisecond
-	// askersPerEngine is the number of gateways that ask an engine when all start at
-	// once. A list delays the engine's work, and the others learn it from them.
-	askersPerEngine = 4
-	// hearPeers is the time in which a starting gateway hears of the others: each
-	// names those that it knows at least every 60 ms.
-	hearPeers = 150 * time.Millisecond
+	// maxEnginesAsked bounds the engines that a gateway asks, as a list delays the
+	// engine's work and all gateways may start at once. The others' lists come from
+	// peers.
+	maxEnginesAsked = 16
 	// peersAsked is the number of peers that are asked, and sharePartsAfter when: all
 	// have the lists of their engines by then.
 	peersAsked      = 3
@@ -51,12 +50,7 @@
 		case <-ticker.C:
 		}
 	}
-	if !pause(ctx, hearPeers) {
-		return ctx.Err()
-	}
-	gateways := int(g.peers.Load()) + 1
-	g.askEngines(ctx, rng, gateways)
-	if gateways > askersPerEngine && pause(ctx, sharePartsAfter) {
+	if all := g.askEngines(ctx, rng); !all && pause(ctx, sharePartsAfter) {
 		g.askPeersForParts(ctx)
 	}
 	<-ctx.Done()
@@ -75,17 +69,14 @@
 	}
 }
 
-// askEngines asks as many of the engines that each is asked by a few gateways.
-func (g *Gateway) askEngines(ctx context.Context, rng *rand.Rand, gateways int) {
+// askEngines asks some of the engines and reports whether these are all.
+func (g *Gateway) askEngines(ctx context.Context, rng *rand.Rand) bool {
 	entries, _ := g.dispatcher.entries()
-	share := askersPerEngine / float64(gateways)
+	entries = slices.DeleteFunc(entries, func(e registry.Entry) bool { return e.Draining || !g.isEngine(e) })
+	rng.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
 	group := errgroup.Group{}
 	group.SetLimit(askPartsAtOnce)
-	for _, i := range rng.Perm(len(entries)) {
-		e := entries[i]
-		if e.Draining || !g.isEngine(e) || rng.Float64() >= share {
-			continue
-		}
+	for _, e := range entries[:min(len(entries), maxEnginesAsked)] {
 		group.Go(func() error {
 			g.learnPartsOf(ctx, e)
 			return nil
@@ -93,6 +84,7 @@
 	}
 	// The functions return no error.
 	_ = group.Wait()
+	return len(entries) <= maxEnginesAsked
 }
 
 // askPeersForParts takes what some peers believe to be cached.
--- a/gateway/cachedparts_test.go
+++ b/gateway/cachedparts_test.go
@@ -53,7 +53,7 @@
 	}
 	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
 		g := restarted(t, holder{address: id, part: shared})
-		g.askEngines(t.Context(), rand.New(rand.NewPCG(1, 2)), 1)
+		g.askEngines(t.Context(), rand.New(rand.NewPCG(1, 2)))
 		choice, _ := g.dispatcher.fleet.Choose(time.Now(), work)
 		if choice.Endpoint.ID != id || choice.Uncached != 1000 {
 			t.Errorf("holder %s: work goes to %s, which is expected to read %d tokens", id, choice.Endpoint.ID, choice.Uncached)
@@ -66,7 +66,7 @@
 func TestPeerTellsCachedParts(t *testing.T) {
 	shared := placement.Part{ID: 7, Tokens: 13_000}
 	first := restarted(t, holder{address: "c", part: shared})
-	first.askEngines(t.Context(), rand.New(rand.NewPCG(1, 2)), 1)
+	first.askEngines(t.Context(), rand.New(rand.NewPCG(1, 2)))
 	answer, err := peerServer{first}.CachedParts(t.Context(), nil)
 	if err != nil {
 		t.Fatal(err)
