Follow the store's eras, leaving endpoints and Retry-After of full ones

Cause: the store may come back from an older copy and count it as an era. The configuration took only higher versions and a feed went on from the last version seen, so that a version given out again was missed, and an entry of the copy brought endpoints back that had left. Endpoints that said in an answer that they leave, or for how long they are full, were chosen again.

Change: follow reads each table anew in a later era and drops answers of an earlier one; the registry keeps endpoints in use for the grace and does not believe entries of endpoints that were seen to leave; the same version of a later era replaces the configuration, a lower one never does; a gateway that lags fetches the configuration of a peer. Notices are read from every answer, also late ones, told to peers, and hold for a start of an endpoint. A full endpoint is left alone for its time even if no other accepts work, and callers are told when the first wants requests again.

Ruled out: taking whatever the new era shows, which would put withdrawn keys in use until the operators have written again; deciding by a peer's word on the era, which one stray process could send.

--- a/gateway/cachedparts.go
+++ b/gateway/cachedparts.go
@@ -11,6 +11,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/peers/wire"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
+	"github.com/pistachiowind/pistachiowind/gateway/relay"
 )
 
 const (
@@ -35,7 +36,7 @@
 
 // PartLister asks an engine at IP:PORT which parts of prompts it keeps.
 type PartLister interface {
-	List(ctx context.Context, address string) ([]placement.Part, error)
+	List(ctx context.Context, address string) ([]placement.Part, relay.Notice, error)
 }
 
 // learnParts asks each engine once what it keeps. A gateway that starts while the
@@ -140,7 +141,8 @@
 func (g *Gateway) learnPartsOf(ctx context.Context, e registry.Entry) {
 	ctx, cancel := context.WithTimeout(ctx, askPartsTimeout)
 	defer cancel()
-	parts, err := g.o.Parts.List(ctx, e.Address)
+	parts, said, err := g.o.Parts.List(ctx, e.Address)
+	g.logChanges(g.dispatcher.noticed(e.Incarnation(), e.Address, said))
 	if err != nil {
 		g.log.Warn().Str("endpoint", e.ID).Err(err).Msg("cached parts not known")
 		return
--- a/gateway/cachedparts_test.go
+++ b/gateway/cachedparts_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
+	"github.com/pistachiowind/pistachiowind/gateway/relay"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
 )
 
@@ -20,11 +21,11 @@
 	part    placement.Part
 }
 
-func (h holder) List(_ context.Context, address string) ([]placement.Part, error) {
+func (h holder) List(_ context.Context, address string) ([]placement.Part, relay.Notice, error) {
 	if address != h.address {
-		return nil, errors.New("no answer")
+		return nil, relay.Notice{}, errors.New("no answer")
 	}
-	return []placement.Part{h.part}, nil
+	return []placement.Part{h.part}, relay.Notice{}, nil
 }
 
 func restarted(t *testing.T, parts PartLister) *Gateway {
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -36,6 +36,13 @@
 	// times the mean.
 	patienceFactor = 5
 	minPatience    = 50 * time.Millisecond
+	// returnSpread is the time over which callers of one rank come back when all
+	// endpoints were full; the next rank follows after it.
+	returnSpread = 500 * time.Millisecond
+	// maxLeavingTold bounds the leaving endpoints that are told to peers, and
+	// leavingTold how long: some statements of the largest site.
+	maxLeavingTold = 64
+	leavingTold    = 15 * time.Second
 	// ratioShare is the part of the retry ratio that is used.
 	ratioShare = 0.9
 )
@@ -53,12 +60,17 @@
 	table    *routing.Table
 	crashes  *crashes.Table
 	reach    *reach.Table
+	pauses   *reach.Pauses
+	// leaving are the endpoints that lately said that they leave, oldest first.
+	leaving  []departed
 	rng      *rand.Rand
 	settings Settings
 	// gateways is the largest number of gateways that were heard at a time.
 	gateways int
 	// listed states that the endpoints were read once.
 	listed bool
+	// changed takes the changes that answers of endpoints cause.
+	changed func([]registry.Change)
 }
 
 func newDispatcher(s Settings, rng *rand.Rand) *dispatcher {
@@ -67,7 +79,11 @@
 	gate := admission.NewGate(rng)
 	gate.SetRule(s.AdmissionRule)
 	reachable := reach.New(rng)
-	fleet.SetLeftOut(reachable.LeftOut)
+	pauses := reach.NewPauses()
+	fleet.SetLeftOut(func(now time.Time, endpoint uint64) bool {
+		return reachable.LeftOut(now, endpoint) || pauses.Hinted(now, endpoint)
+	})
+	fleet.SetClosed(pauses.Closed)
 	return &dispatcher{
 		fleet:    fleet,
 		health:   health.New(health.Options{Window: 5 * time.Second, OpenTime: 2 * time.Second, MaxOpenTime: 8 * time.Second, RampTime: 3 * time.Second}),
@@ -77,8 +93,10 @@
 		flights:  make(map[*ticket]struct{}),
 		crashes:  crashes.New(),
 		reach:    reachable,
+		pauses:   pauses,
 		rng:      rng,
 		settings: s,
+		changed:  func([]registry.Change) {},
 	}
 }
 
@@ -92,7 +110,7 @@
 	}
 	choice, found := d.fleet.Choose(now, w)
 	if !found {
-		return nil, &relay.Refusal{Reason: "no_endpoint", RetryAfter: admission.NoEndpointRetryAfter}
+		return nil, &relay.Refusal{Reason: "no_endpoint", RetryAfter: d.returnTime(now, q.Priority)}
 	}
 	verdict := d.gate.Decide(now, admission.Request{
 		Service:   w.Service,
@@ -108,11 +126,66 @@
 		return nil, &relay.Refusal{Reason: verdict.Reason, RetryAfter: verdict.RetryAfter, Choice: &choice, Share: verdict.Share}
 	}
 	t := &ticket{dispatcher: d, request: q.Request, target: w.Target, choice: choice, flight: d.fleet.Send(now, w, choice), sentAt: now, streaming: w.Streaming}
+	// The fleet holds the entries of the registry only.
+	t.incarnation, _ = d.registry.Incarnation(choice.Endpoint.ID)
 	d.health.Sent(now, choice.Endpoint.ID)
 	d.flights[t] = struct{}{}
 	return t, nil
 }
 
+// returnTime is the advice while no endpoint accepts work: when the first of those
+// that are full wants requests again, or a fixed time without such. Callers of a
+// lower rank come back later, and those of one rank spread.
+func (d *dispatcher) returnTime(now time.Time, p routing.Priority) time.Duration {
+	wait := d.pauses.Earliest(now)
+	if wait <= 0 {
+		return admission.NoEndpointRetryAfter
+	}
+	spread := time.Duration(d.rng.Int64N(int64(returnSpread)))
+	return wait + time.Duration(max(p.Rank, 0))*returnSpread + spread
+}
+
+// noticed takes what the endpoint at an address said of itself in an answer to a
+// request for the given start of an endpoint.
+func (d *dispatcher) noticed(i registry.Incarnation, address string, n relay.Notice) []registry.Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n.Other {
+		var known bool
+		if i, known = d.registry.At(address, i.ID); !known {
+			return nil
+		}
+	}
+	now := time.Now()
+	if n.Pause > 0 {
+		d.pauses.Asked(now, placement.Hash(i.ID), now.Add(n.Pause))
+	}
+	if !n.Leaving {
+		return nil
+	}
+	d.leaving = append(d.leaving, departed{i, now})
+	d.leaving = d.leaving[max(len(d.leaving)-maxLeavingTold, 0):]
+	return d.leave(now, i)
+}
+
+// leave gives no more work to a start of an endpoint that is leaving. The mutex is
+// held.
+func (d *dispatcher) leave(now time.Time, i registry.Incarnation) []registry.Change {
+	c, changed := d.registry.Leave(now, i)
+	if !changed {
+		return nil
+	}
+	changes := []registry.Change{c}
+	d.apply(now, changes)
+	return changes
+}
+
+// departed is a start of an endpoint that said that it leaves.
+type departed struct {
+	registry.Incarnation
+	at time.Time
+}
+
 // FirstAttempt implements relay.Placer.
 func (d *dispatcher) FirstAttempt(service, account string) {
 	d.mu.Lock()
@@ -242,20 +315,29 @@
 			d.remove(now, c.Entry.ID)
 		case registry.StateDraining:
 			d.put(now, c.Entry)
-			d.fleet.Drain(c.Entry.ID)
+			d.drain(c.Entry)
 		case registry.StateRestarted:
 			d.remove(now, c.Entry.ID)
 			d.put(now, c.Entry)
-			if c.Entry.Draining {
-				d.fleet.Drain(c.Entry.ID)
-			}
+			d.drain(c.Entry)
 		case registry.StateReady:
 			d.put(now, c.Entry)
 		}
 	}
 }
 
+// drain gives a draining endpoint no more work.
+func (d *dispatcher) drain(e registry.Entry) {
+	switch {
+	case e.Leaving:
+		d.fleet.Leave(e.ID)
+	case e.Draining:
+		d.fleet.Drain(e.ID)
+	}
+}
+
 func (d *dispatcher) remove(now time.Time, id string) {
+	d.pauses.Leave(placement.Hash(id))
 	d.fleet.Remove(id)
 	d.health.Leave(now, id)
 	d.reach.Leave(placement.Hash(id))
@@ -295,9 +377,7 @@
 	now := time.Now()
 	d.registry.Entries(func(e registry.Entry) {
 		d.put(now, e)
-		if e.Draining {
-			d.fleet.Drain(e.ID)
-		}
+		d.drain(e)
 	})
 }
 
@@ -323,10 +403,12 @@
 	request    crashes.Fingerprint
 	target     time.Duration
 	choice     placement.Choice
-	flight     *placement.Flight
-	sentAt     time.Time
-	streaming  bool
-	started    bool
+	// incarnation is the start of the endpoint that the request was sent to.
+	incarnation registry.Incarnation
+	flight      *placement.Flight
+	sentAt      time.Time
+	streaming   bool
+	started     bool
 }
 
 // Choice implements relay.Ticket.
@@ -338,6 +420,11 @@
 	return max(patienceFactor*t.choice.Expected, t.target/2, minPatience)
 }
 
+// Noticed implements relay.Ticket.
+func (t *ticket) Noticed(n relay.Notice) {
+	t.dispatcher.changed(t.dispatcher.noticed(t.incarnation, t.choice.Endpoint.Address, n))
+}
+
 // relative is the time since the send in units of what was expected, as a
 // duration: requests of different sizes become comparable.
 func (t *ticket) relative(now time.Time) time.Duration {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/peers"
 	"github.com/pistachiowind/pistachiowind/gateway/peers/wire"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/registry"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
 )
 
@@ -27,6 +28,7 @@
 	maxPressures      = 30
 	maxSpeeds         = 8
 	maxUnreachable    = 200
+	maxPausesSent     = 200
 	// returnNews is how long the return of the store is told: two statements of the
 	// largest site.
 	returnNews = 10 * time.Second
@@ -117,6 +119,7 @@
 	statement := x.gateway.dispatcher.statement(now, x.sentAt[0])
 	copy(x.sentAt[:], x.sentAt[1:])
 	x.sentAt[placementRepeat-1] = now
+	x.gateway.stateStore(statement)
 	statement.StoreAnswered = storeAnswered(now, x.gateway.outage.AnsweredAfterOutage())
 	datagram, err := x.state.Compose(now, statement)
 	if err != nil {
@@ -162,7 +165,8 @@
 	if ago := statement.StoreAnswered; ago > 0 {
 		x.gateway.outage.Hint(now, now.Add(-time.Duration(ago)*time.Millisecond))
 	}
-	x.gateway.dispatcher.heard(now, statement)
+	x.gateway.logChanges(x.gateway.dispatcher.heard(now, statement))
+	x.gateway.heardOfStore(now, statement)
 }
 
 // storeAnswered is the time since the store's return for a statement; zero when it
@@ -226,13 +230,34 @@
 	})
 	unreachable := d.reach.Reports(now)
 	return &wire.Statement{
+		Leaving: d.statedLeaving(now), Pauses: d.statedPauses(now),
 		Loads: loads, Placements: placements, Pressures: pressures, Suspects: suspects, Speeds: speeds,
 		Unreachable: unreachable[:min(len(unreachable), maxUnreachable)],
 	}
 }
 
-// heard takes a peer's statement.
-func (d *dispatcher) heard(now time.Time, s *wire.Statement) {
+func (d *dispatcher) statedLeaving(now time.Time) []*wire.Leaving {
+	var leaving []*wire.Leaving
+	for _, i := range d.leaving {
+		if now.Sub(i.at) < leavingTold {
+			leaving = append(leaving, &wire.Leaving{Endpoint: i.ID, Born: i.Born})
+		}
+	}
+	return leaving
+}
+
+func (d *dispatcher) statedPauses(now time.Time) []*wire.Pause {
+	var pauses []*wire.Pause
+	d.pauses.Own(now, func(endpoint uint64, left time.Duration) {
+		if len(pauses) < maxPausesSent {
+			pauses = append(pauses, &wire.Pause{Endpoint: endpoint, LeftMs: uint32(left.Milliseconds())})
+		}
+	})
+	return pauses
+}
+
+// heard takes a peer's statement and returns the changes that it causes.
+func (d *dispatcher) heard(now time.Time, s *wire.Statement) []registry.Change {
 	loads := make(map[uint64]placement.Load, len(s.Loads))
 	for _, l := range s.Loads {
 		loads[l.Endpoint] = placement.Load{
@@ -260,4 +285,12 @@
 	for _, p := range s.Placements {
 		d.fleet.PeerPlacement(now, p.Endpoint, placement.Part{ID: p.Part, Tokens: int(p.Tokens)})
 	}
+	for _, p := range s.Pauses {
+		d.pauses.Hear(now, p.Endpoint, time.Duration(p.LeftMs)*time.Millisecond)
+	}
+	var changes []registry.Change
+	for _, l := range s.Leaving {
+		changes = append(changes, d.leave(now, registry.Incarnation{ID: l.Endpoint, Born: l.Born})...)
+	}
+	return changes
 }
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -23,6 +23,9 @@
 	callSlack = 2 * time.Second
 	// listTimeout bounds a listing.
 	listTimeout = 3 * time.Second
+	// staleAnswerPause is the pause after an answer of an earlier era of the store: some
+	// of its processes may not know the later one yet.
+	staleAnswerPause = 200 * time.Millisecond
 )
 
 // errAbandoned ends a call that waits while another one shows that the store was
@@ -34,12 +37,17 @@
 	Key     string
 	Data    []byte
 	Deleted bool
+	// Era is that of the answer which held the row.
+	Era uint64
 }
 
 // Page is a set of rows with the version of the store that it reflects.
 type Page struct {
 	Rows    []Row
 	Version int64
+	// Era is the number of times that the store has come back from an older copy; zero
+	// for one that states none. Versions of one era say nothing about another.
+	Era uint64
 }
 
 // Source reads a table.
@@ -49,12 +57,17 @@
 	// Changes returns the rows that changed after a version, waiting for the
 	// first one. Errors: ErrHistoryGone.
 	Changes(ctx context.Context, since int64, wait time.Duration) (Page, error)
+	// Era returns the latest era that any answer stated, also a refusal.
+	Era() uint64
 }
 
 // Sink takes what was read. Its methods are called by one goroutine.
 type Sink interface {
 	// Listed takes the whole table.
 	Listed(rows []Row)
+	// Restored takes the whole table after the store came back from an older copy:
+	// what was written since the copy was made may be missing.
+	Restored(rows []Row)
 	// Changed takes rows in the order of their changes.
 	Changed(rows []Row)
 	// Lost notes the first failed call after a successful one.
@@ -88,6 +101,10 @@
 	reached bool
 	// recheck makes the next call one without a wait.
 	recheck bool
+	// era is that of the last listing.
+	era uint64
+	// delivered states that the table was read once.
+	delivered bool
 }
 
 // New returns a Follower.
@@ -108,14 +125,23 @@
 	listed := false
 	for ctx.Err() == nil {
 		page, err := f.next(ctx, listed, version)
+		f.outage.NoteEra(max(f.source.Era(), page.Era))
 		switch {
+		case err == nil && page.Era < f.outage.Era():
+			// The answer was made before the store came back from its copy.
+			f.succeeded()
+			listed = false
+			f.sleep(ctx, staleAnswerPause)
+		case err == nil && listed && page.Era != f.era:
+			f.succeeded()
+			listed = false
 		case err == nil:
 			f.succeeded()
 			f.deliver(page, listed)
 			if listed && len(page.Rows) > 0 {
 				f.sleep(ctx, f.gather)
 			}
-			version, listed = page.Version, true
+			version, listed, f.era = page.Version, true, page.Era
 		case errors.Is(err, ErrHistoryGone):
 			f.succeeded()
 			listed = false
@@ -125,6 +151,7 @@
 			f.failed(ctx, err)
 			f.outage.turn(ctx)
 		}
+		listed = listed && f.era >= f.outage.Era()
 	}
 	return ctx.Err()
 }
@@ -162,6 +189,11 @@
 }
 
 func (f *Follower) deliver(page Page, listed bool) {
+	if !listed && f.delivered && page.Era > f.era {
+		f.sink.Restored(page.Rows)
+		return
+	}
+	f.delivered = true
 	if !listed {
 		f.sink.Listed(page.Rows)
 		return
--- a/gateway/follow/follow_test.go
+++ b/gateway/follow/follow_test.go
@@ -15,6 +15,8 @@
 	script []func() (Page, error)
 	calls  []string
 	end    context.CancelFunc
+	// era is the latest one that an answer stated.
+	era uint64
 }
 
 func (s *fakeSource) next(ctx context.Context, call string) (Page, error) {
@@ -26,9 +28,22 @@
 	}
 	step := s.script[0]
 	s.script = s.script[1:]
-	return step()
+	page, err := step()
+	var refused eraError
+	if errors.As(err, &refused) {
+		page.Era = refused.era
+	}
+	s.era = max(s.era, page.Era)
+	return page, err
 }
 
+func (s *fakeSource) Era() uint64 { return s.era }
+
+// eraError is a refusal that states an era.
+type eraError struct{ era uint64 }
+
+func (eraError) Error() string { return "status 503" }
+
 func (s *fakeSource) List(ctx context.Context) (Page, error) { return s.next(ctx, "list") }
 func (s *fakeSource) Changes(ctx context.Context, since int64, wait time.Duration) (Page, error) {
 	return s.next(ctx, fmt.Sprintf("changes since %d", since))
@@ -37,6 +52,9 @@
 type fakeSink struct{ heard []string }
 
 func (s *fakeSink) Listed(rows []Row) { s.heard = append(s.heard, fmt.Sprintf("listed %d", len(rows))) }
+func (s *fakeSink) Restored(rows []Row) {
+	s.heard = append(s.heard, fmt.Sprintf("restored %d", len(rows)))
+}
 func (s *fakeSink) Changed(rows []Row) {
 	s.heard = append(s.heard, fmt.Sprintf("changed %d", len(rows)))
 }
@@ -108,3 +126,76 @@
 		expect(t, sink.heard, "lost", "regained", "listed 1")
 	})
 }
+
+func inEra(era uint64, next func() (Page, error)) func() (Page, error) {
+	return func() (Page, error) {
+		p, err := next()
+		p.Era = era
+		return p, err
+	}
+}
+
+// Guards against a feed that goes on across an era, also when the new counter has
+// already passed the old version: what was written anew would be missed.
+func TestLaterEraLeadsToANewListing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source, sink := play(t, inEra(1, page(50, 3)), inEra(2, page(60, 1)), inEra(2, page(62, 2)), inEra(2, page(63, 1)))
+		expect(t, source.calls, "list", "changes since 50", "list", "changes since 62", "changes since 63")
+		expect(t, sink.heard, "regained", "listed 3", "restored 2", "changed 1")
+	})
+}
+
+// Guards against an era that only a refusal states, after which the feed of the
+// version before is asked.
+func TestEraOfARefusalCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source, sink := play(t, inEra(1, page(50, 3)), fails(eraError{2}), inEra(2, page(40, 2)))
+		expect(t, source.calls, "list", "changes since 50", "list", "changes since 40")
+		expect(t, sink.heard, "regained", "listed 3", "lost", "regained", "restored 2")
+	})
+}
+
+// Guards against an answer of an earlier era, delivered late, that brings old rows
+// back.
+func TestLateAnswerOfAnEarlierEraIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, sink := play(t, inEra(2, page(40, 3)), inEra(1, page(70, 9)), inEra(2, page(41, 2)), inEra(2, page(42, 1)))
+		expect(t, sink.heard, "regained", "listed 3", "listed 2", "changed 1")
+	})
+}
+
+// Guards against a listing of an earlier era, delivered late, that brings old rows
+// back.
+func TestLateListingOfAnEarlierEraIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, sink := play(t, inEra(2, page(40, 3)), fails(ErrHistoryGone), inEra(1, page(70, 9)), inEra(2, page(41, 2)), inEra(2, page(42, 1)))
+		expect(t, sink.heard, "regained", "listed 3", "listed 2", "changed 1")
+	})
+}
+
+// Guards against a wait for changes that outlasts an era which another gateway has
+// seen, and against hints that end the calls again and again.
+func TestHintOfALaterEraEndsTheWait(t *testing.T) {
+	o := NewOutage(rand.New(rand.NewPCG(1, 2)))
+	o.NoteEra(1)
+	_, waiting := o.waiting()
+	began := time.Unix(1_800_000_000, 0)
+	o.HintEra(began, 1)
+	select {
+	case <-waiting:
+		t.Fatal("a hint of the same era ended the wait")
+	default:
+	}
+	o.HintEra(began, 2)
+	<-waiting
+	_, next := o.waiting()
+	o.HintEra(began.Add(hintEvery/2), 3)
+	select {
+	case <-next:
+		t.Fatal("a second hint soon after ended the wait")
+	default:
+	}
+	if o.Era() != 1 {
+		t.Fatalf("era %d, want that of the store's own answers", o.Era())
+	}
+}
--- a/gateway/follow/outage.go
+++ b/gateway/follow/outage.go
@@ -54,6 +54,10 @@
 	// answeredAt is when the store answered after its last failure.
 	answeredAt time.Time
 	hintedAt   time.Time
+	// era is the latest one that an answer stated.
+	era uint64
+	// eraHintedAt is when a hint of a later era was followed last.
+	eraHintedAt time.Time
 }
 
 // NewOutage returns an Outage of a store that is not known to be down. The random
@@ -98,6 +102,37 @@
 	return o.answeredAt
 }
 
+// NoteEra notes the era that an answer of the store states. One that is later than all before ends the calls
+// that wait: the versions that they go on from may not exist any more.
+func (o *Outage) NoteEra(era uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if era <= o.era {
+		return
+	}
+	o.era = era
+	o.abandon()
+}
+
+// HintEra states that another gateway knows an era. Calls that wait are made anew if
+// it is later than the own one; only the store's own answers decide.
+func (o *Outage) HintEra(now time.Time, era uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if era <= o.era || now.Sub(o.eraHintedAt) < hintEvery {
+		return
+	}
+	o.eraHintedAt = now
+	o.abandon()
+}
+
+// Era returns the latest era of the store that is known; zero if it states none.
+func (o *Outage) Era() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.era
+}
+
 // Hint states that the store answers another gateway again since the given time.
 // Calls that this gateway made before may have been swallowed.
 func (o *Outage) Hint(now, since time.Time) {
--- a/gateway/follow/outage_test.go
+++ b/gateway/follow/outage_test.go
@@ -264,3 +264,7 @@
 		}
 	})
 }
+
+func (downSource) Era() uint64 { return 0 }
+
+func (swallowing) Era() uint64 { return 0 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,10 +83,14 @@
 	log        zerolog.Logger
 	dispatcher *dispatcher
 	table      atomic.Pointer[routing.Table]
-	pool       *upstream.Pool
-	callers    *http.Server
-	conns      *connLimits
-	draining   atomic.Bool
+	// shown is the latest version of the configuration that the store has shown.
+	shown atomic.Int64
+	// adopting is held while a configuration is compared with the one in force.
+	adopting sync.Mutex
+	pool     *upstream.Pool
+	callers  *http.Server
+	conns    *connLimits
+	draining atomic.Bool
 	// stores holds the state of the way to each table of the store, and lostAt when
 	// the first of them was lost.
 	stores sync.Map
@@ -96,6 +100,10 @@
 	peers   atomic.Int64
 	// somePeers draws peers that were heard recently.
 	somePeers func(n int) []string
+	// ahead is a peer whose configuration is newer.
+	ahead atomic.Pointer[peerAhead]
+	// startedAt is when the process began to serve.
+	startedAt time.Time
 	// outage is shared by the followers of the store's tables.
 	outage *follow.Outage
 	// grace is the time from SIGTERM to SIGKILL in nanoseconds.
@@ -105,6 +113,7 @@
 // New returns a Gateway that does not listen yet.
 func New(o Options) *Gateway {
 	g := &Gateway{o: o, log: o.Log, dispatcher: newDispatcher(o.Settings, o.Rand)}
+	g.dispatcher.changed = g.logChanges
 	g.grace.Store(int64(o.Settings.GracePeriod()))
 	g.outage = follow.NewOutage(rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())))
 	g.pool = upstream.NewPool(upstream.Options{Dialed: func(_ string, err error) {
@@ -198,6 +207,7 @@
 	if err != nil {
 		return errors.Join(err, callers.Close())
 	}
+	g.startedAt = time.Now()
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	supervisor := suture.New("gateway", suture.Spec{EventHook: func(e suture.Event) {
@@ -286,20 +296,34 @@
 		case <-ticker.C:
 			g.logChanges(g.dispatcher.refresh())
 			g.logReach(g.dispatcher.reachChanges())
+			g.catchUp(ctx)
 		}
 	}
 }
 
-// ConfigSeen adopts a configuration if it is newer than the one in force.
+// ConfigSeen takes a configuration that the store shows.
 func (g *Gateway) ConfigSeen(c routing.Config) {
+	for shown := g.shown.Load(); c.Version > shown && !g.shown.CompareAndSwap(shown, c.Version); shown = g.shown.Load() {
+	}
+	g.adopt(c)
+}
+
+// adopt puts a configuration in force if it supersedes the present one.
+func (g *Gateway) adopt(c routing.Config) {
+	g.adopting.Lock()
+	defer g.adopting.Unlock()
 	old := g.table.Load()
-	if old != nil && c.Version <= old.Version {
+	if old != nil && !c.Supersedes(&old.Config) {
+		if c.Version < old.Version {
+			g.log.Warn().Int64("version", c.Version).Int64("in_force", old.Version).Uint64("era", c.Era).
+				Msg("configuration of the store is older than the one in force, which stays")
+		}
 		return
 	}
 	table := routing.Compile(c)
 	g.dispatcher.adopt(table)
 	g.table.Store(table)
-	event := g.log.Info().Int64("version", c.Version).Int("routes", len(c.Routes)).Int("accounts", len(c.Accounts))
+	event := g.log.Info().Int64("version", c.Version).Uint64("era", c.Era).Int("routes", len(c.Routes)).Int("accounts", len(c.Accounts))
 	if old != nil {
 		event = event.Int64("previous", old.Version)
 	}
@@ -314,6 +338,15 @@
 	}))
 }
 
+// EndpointsRestored takes all entries of a store that came back from an older copy.
+func (g *Gateway) EndpointsRestored(entries []registry.Entry) {
+	g.log.Warn().Uint64("era", g.outage.Era()).Int("entries", len(entries)).
+		Msg("store came back from an older copy; what is known and not written again yet stays in force")
+	g.logChanges(g.dispatcher.update(func(now time.Time, r *registry.Registry) []registry.Change {
+		return r.Restore(now, entries)
+	}))
+}
+
 // EndpointPut adds or replaces an entry.
 func (g *Gateway) EndpointPut(e registry.Entry) {
 	g.logChanges(g.dispatcher.update(func(_ time.Time, r *registry.Registry) []registry.Change {
@@ -389,6 +422,6 @@
 func (g *Gateway) logChanges(changes []registry.Change) {
 	for _, c := range changes {
 		g.log.Info().Str("endpoint", c.Entry.ID).Str("service", c.Entry.Service).Str("address", c.Entry.Address).
-			Int64("born", c.Entry.Born).Str("state", c.State).Msg("endpoint changed")
+			Int64("born", c.Entry.Born).Str("state", c.State).Bool("leaving", c.Entry.Leaving).Msg("endpoint changed")
 	}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -24,7 +24,7 @@
 
 func (plainProtocol) Request(h http.Header) relay.Fields   { return relay.Fields{ID: h.Get("Id")} }
 func (plainProtocol) Outgoing(http.Header, relay.Outgoing) {}
-func (plainProtocol) Answer(h http.Header) relay.AnswerFields {
+func (plainProtocol) Answer(_ int, h http.Header) relay.AnswerFields {
 	return relay.AnswerFields{Signed: true}
 }
 
@@ -49,10 +49,11 @@
 	listed  func(*Gateway)
 }
 
-func (s fakeSink) Listed([]follow.Row)  { s.listed(s.gateway) }
-func (s fakeSink) Changed([]follow.Row) {}
-func (s fakeSink) Lost(error)           {}
-func (s fakeSink) Regained()            {}
+func (s fakeSink) Listed([]follow.Row)   { s.listed(s.gateway) }
+func (s fakeSink) Restored([]follow.Row) {}
+func (s fakeSink) Changed([]follow.Row)  {}
+func (s fakeSink) Lost(error)            {}
+func (s fakeSink) Regained()             {}
 
 func testConfig(version int64) routing.Config {
 	return routing.Config{
@@ -251,3 +252,27 @@
 		t.Fatal("a request on a closed connection was handled")
 	}
 }
+
+func (fakeSource) Era() uint64 { return 0 }
+
+// Guards against a gateway that starts while the store shows an older copy, and
+// serves withdrawn keys until the operators have written the configuration again.
+func TestGatewayThatBeginsWithAnOlderCopyTakesTheConfigurationOfAPeer(t *testing.T) {
+	current := Settings{Listen: Listen{Peers: freePort(t, "127.0.0.1")}}
+	_, port, err := net.SplitHostPort(current.Listen.Peers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ahead, _ := startWith(t, current, "127.0.0.1:9", false, 9)
+	awaitReadiness(t, ahead, http.StatusOK)
+	late, _ := startWith(t, Settings{Listen: Listen{Peers: "127.0.0.2:" + port}, PeerSeeds: []string{current.Listen.Peers}}, "127.0.0.1:10", false, 5)
+	awaitReadiness(t, late, http.StatusOK)
+	for end := time.Now().Add(20 * time.Second); late.table.Load().Version != 9; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("version %d in force, want that of the peer", late.table.Load().Version)
+		}
+	}
+	if entries, _ := late.dispatcher.entries(); len(entries) != 1 || entries[0].Address != "127.0.0.1:10" {
+		t.Fatalf("endpoints %v, want those that the store shows", entries)
+	}
+}
--- a/gateway/placement/cache.go
+++ b/gateway/placement/cache.go
@@ -125,7 +125,7 @@
 	var h homes
 	var firstRank, secondRank uint64
 	for _, e := range s.members {
-		if !usable(e) {
+		if !usable(e) || e.leaving {
 			continue
 		}
 		if !e.draining {
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -76,7 +76,9 @@
 	// position is the place in the service's order by hash, from 0 to 1.
 	position float64
 	draining bool
-	own      Load
+	// leaving endpoints are no source of cached parts either.
+	leaving bool
+	own     Load
 	// peers holds the loads that add up to heard; heardAt is when the latest of
 	// them was stated.
 	peers   map[string]Load
@@ -103,6 +105,10 @@
 // is left out.
 func (f *Fleet) SetLeftOut(leftOut LeftOut) { f.leftOut = leftOut }
 
+// SetClosed sets the function that tells which endpoints get no request even if no
+// other one accepts work; nil means none.
+func (f *Fleet) SetClosed(closed LeftOut) { f.closed = closed }
+
 // Fleet is the set of endpoints with what is known of their load.
 type Fleet struct {
 	zone      string
@@ -114,6 +120,7 @@
 	// unstated is the number of prompt tokens sent since the last OwnLoads.
 	unstated int
 	leftOut  LeftOut
+	closed   LeftOut
 	// rule is empty for Cheapest; rng is for the baselines.
 	rule Rule
 	rng  *rand.Rand
@@ -184,7 +191,7 @@
 	old := f.endpoints[e.ID]
 	if old != nil && old.Service == e.Service {
 		old.Endpoint = e
-		old.draining = false
+		old.draining, old.leaving = false, false
 		return
 	}
 	f.Remove(e.ID)
@@ -218,6 +225,13 @@
 	}
 }
 
+// Leave drains an endpoint from which nothing is fetched any more either.
+func (f *Fleet) Leave(id string) {
+	if e := f.endpoints[id]; e != nil {
+		e.draining, e.leaving = true, true
+	}
+}
+
 // Remove drops an endpoint.
 func (f *Fleet) Remove(id string) {
 	e := f.endpoints[id]
@@ -291,7 +305,7 @@
 	var best Choice
 	bestCost := math.Inf(1)
 	for _, e := range s.members {
-		if e.draining || !accept(e) || contains(w.Excluded, e.ID) {
+		if e.draining || f.closed != nil && f.closed(now, e.hash) || !accept(e) || contains(w.Excluded, e.ID) {
 			continue
 		}
 		c, cost := f.estimate(now, s, e, w, homes)
--- a/gateway/registry/registry_test.go
+++ b/gateway/registry/registry_test.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -94,3 +96,87 @@
 		t.Fatal("an unchanged entry was reported as a change")
 	}
 }
+
+// Guards against an endpoint that said in an answer that it leaves being used again
+// because the directory, an older copy of it or a peer still calls it ready.
+func TestEndpointThatSaidItLeavesStaysOut(t *testing.T) {
+	r := New()
+	r.Put(entry("a", 1))
+	c, _ := r.Leave(start, Incarnation{"a", 1})
+	expect(t, []Change{c}, "a draining")
+	if !c.Entry.Leaving {
+		t.Error("the change does not say that the endpoint leaves")
+	}
+	if c, ok := r.Put(entry("a", 1)); ok {
+		t.Fatalf("the directory's entry changed it to %v", c)
+	}
+	if c, ok := r.Remove(start, "a"); !ok || c.State != StateGone {
+		t.Fatalf("removal: %v", c)
+	}
+	c, _ = r.Put(entry("a", 1))
+	expect(t, []Change{c}, "a draining")
+	expect(t, r.Restore(start.Add(time.Hour), []Entry{entry("a", 1)}))
+	c, _ = r.Put(entry("a", 2))
+	expect(t, []Change{c}, "a restarted")
+	if c.Entry.Draining {
+		t.Error("a later start of the endpoint is draining")
+	}
+}
+
+// Guards against a notice about an earlier start of an endpoint that takes the
+// present one out of use.
+func TestNoticeOfAnEarlierStartIsIgnored(t *testing.T) {
+	r := New()
+	r.Put(entry("a", 2))
+	if c, ok := r.Leave(start, Incarnation{"a", 1}); ok {
+		t.Fatalf("change %v", c)
+	}
+}
+
+// Guards against a store that comes back from an older copy: endpoints in use whose
+// entries it has lost are dropped, and endpoints that have left are used again.
+func TestOlderCopyOfTheDirectory(t *testing.T) {
+	r := New()
+	for _, id := range []string{"new", "left", "gone", "again"} {
+		r.Put(entry(id, 1))
+	}
+	draining := entry("left", 1)
+	draining.Draining = true
+	r.Put(draining)
+	r.Remove(start, "gone")
+	r.Put(entry("again", 2))
+	copied := []Entry{entry("left", 1), entry("gone", 1), entry("again", 1)}
+	changes := r.Restore(start, copied)
+	slices.SortFunc(changes, func(a, b Change) int { return strings.Compare(a.Entry.ID, b.Entry.ID) })
+	expect(t, changes, "again lapsed", "new lapsed")
+	expect(t, r.Expire(start.Add(ReturnGrace-1)))
+	c, _ := r.Put(entry("new", 1))
+	expect(t, []Change{c}, "new ready")
+	c, _ = r.Put(entry("again", 2))
+	expect(t, []Change{c}, "again ready")
+	// The grace ends, and endpoints that are gone have lapsed in the store.
+	r.Remove(start.Add(5*time.Second), "gone")
+	expect(t, r.Expire(start.Add(departureMemory)), "left ready")
+}
+
+// Guards against an endpoint of an older copy that stays out for ever although it
+// lives: its entry had lapsed before the store went away.
+func TestEntryThatOutlivesTheMemoryOfItsEndIsUsed(t *testing.T) {
+	r := New()
+	r.Put(entry("a", 1))
+	r.Remove(start, "a")
+	expect(t, r.Restore(start.Add(time.Second), []Entry{entry("a", 1)}))
+	expect(t, r.Expire(start.Add(departureMemory)))
+	expect(t, r.Expire(start.Add(time.Second+departureMemory)), "a ready")
+}
+
+// Guards against two drills in a row that end the grace of the first too early.
+func TestSecondOlderCopyBeginsTheGraceAnew(t *testing.T) {
+	r := New()
+	r.Put(entry("a", 1))
+	expect(t, r.Restore(start, nil), "a lapsed")
+	expect(t, r.Restore(start.Add(time.Second), []Entry{entry("a", 1)}), "a ready")
+	expect(t, r.Restore(start.Add(1500*time.Millisecond), nil), "a lapsed")
+	expect(t, r.Expire(start.Add(ReturnGrace)))
+	expect(t, r.Expire(start.Add(1500*time.Millisecond+ReturnGrace)), "a gone")
+}
--- a/gateway/relay/protocol.go
+++ b/gateway/relay/protocol.go
@@ -44,14 +44,31 @@
 	Signed bool
 	// NotRun states that the endpoint did not run the request.
 	NotRun bool
+	// Notice is what the endpoint says of itself.
+	Notice Notice
 }
 
+// Notice is what an endpoint says of itself in any answer.
+type Notice struct {
+	// Leaving endpoints take no new requests any more.
+	Leaving bool
+	// Pause is how long a full endpoint wants no request of this gateway; zero for
+	// none.
+	Pause time.Duration
+	// Other states that another endpoint answers at the address of the expected one.
+	Other bool
+}
+
+// empty reports whether the endpoint says nothing of itself.
+func (n Notice) empty() bool { return !n.Leaving && n.Pause <= 0 }
+
 // Protocol translates headers.
 type Protocol interface {
 	Request(http.Header) Fields
 	// Outgoing sets the system's own headers in place.
 	Outgoing(http.Header, Outgoing)
-	Answer(http.Header) AnswerFields
+	// Answer decodes the head of an answer with a status.
+	Answer(status int, h http.Header) AnswerFields
 }
 
 // hopHeaders concern one connection only.
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -81,6 +81,9 @@
 	// Patience is the time after which a repeatable plain request is tried
 	// elsewhere.
 	Patience() time.Duration
+	// Noticed takes what the endpoint says of itself; it is called for each answer,
+	// also for a late one to another request.
+	Noticed(Notice)
 	// Started notes the first event or the head of a plain answer.
 	Started()
 	// Ended notes the result of the attempt.
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -43,8 +43,11 @@
 	}
 }
 
-func (testProtocol) Answer(h http.Header) AnswerFields {
-	return AnswerFields{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+func (testProtocol) Answer(_ int, h http.Header) AnswerFields {
+	return AnswerFields{
+		ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "",
+		Notice: Notice{Leaving: h.Get("Leaving") != ""},
+	}
 }
 
 // endpoint is a scripted back end: each accepted connection takes the next
@@ -180,6 +183,7 @@
 
 // fakePlacer hands out endpoints in order and counts what it is told.
 type fakePlacer struct {
+	noticed []Notice
 	mu      sync.Mutex
 	targets []string
 	budget  int
@@ -220,6 +224,7 @@
 }
 func (t *fakeTicket) Patience() time.Duration { return 200 * time.Millisecond }
 func (t *fakeTicket) Started()                {}
+func (t *fakeTicket) Noticed(n Notice)        { t.placer.noticed = append(t.placer.noticed, n) }
 func (t *fakeTicket) Ended(r Result) {
 	t.placer.mu.Lock()
 	defer t.placer.mu.Unlock()
@@ -596,3 +601,26 @@
 		t.Fatalf("Retry-After %v, want between %v and 300 ms", after, least)
 	}
 }
+
+// Guards against a notice of an endpoint that counts only in some answers: it can
+// come with a success, a failure, a refusal, the head of a stream that goes on, and
+// a late answer to another request.
+func TestNoticeIsTakenFromEveryAnswer(t *testing.T) {
+	leaving := func(answer string) string { return strings.Replace(answer, "\r\n", "\r\nLeaving: 1\r\n", 1) }
+	late := strings.Replace(whole, "a1", "a0", 1)
+	for name, c := range map[string]struct{ path, answer string }{
+		"success":        {"/read/x", leaving(whole)},
+		"failure":        {"/charge/x", leaving(strings.Replace(whole, "200 OK", "500 No", 1))},
+		"refusal":        {"/charge/x", leaving("HTTP/1.1 503 No\r\nId: a1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")},
+		"cut success":    {"/read/x", strings.TrimSuffix(leaving(whole), "lo") + "<cut>"},
+		"head of stream": {"/stream/x", leaving(chunked("id: 1\ndata: a\n\n")) + "<cut>"},
+		"late answer":    {"/read/x", leaving(late) + whole},
+	} {
+		s := newSession(t, testTable(), newEndpoint(t, c.answer))
+		s.placer.budget = 0
+		s.call(request("GET", c.path, "", "Left: 2000"))
+		if n := s.placer.noticed; len(n) == 0 || !n[0].Leaving {
+			t.Errorf("%s: notices %v", name, n)
+		}
+	}
+}
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return x.exchangeFailed(ctx, t, err)
 	}
-	fields := x.o.Protocol.Answer(answer.Header)
+	fields := x.o.Protocol.Answer(answer.StatusCode, answer.Header)
 	if fields.NotRun || answer.StatusCode == http.StatusMisdirectedRequest {
 		return x.notRun(t, answer)
 	}
@@ -79,7 +79,13 @@
 		Header:  h,
 		Body:    x.body,
 		HasBody: x.r.ContentLength != 0 || x.r.Header.Get("Content-Length") != "",
-		Names:   x.named,
+		Names: func(status int, h http.Header) upstream.Named {
+			fields := x.o.Protocol.Answer(status, h)
+			if !fields.Notice.empty() {
+				t.Noticed(fields.Notice)
+			}
+			return x.named(fields)
+		},
 	}
 	if !x.state.Repeatable {
 		req.MaxIdle = freshForUnsafe
@@ -89,8 +95,8 @@
 
 // named tells which request an answer belongs to. Statements that a request was
 // not run may lack the id.
-func (x *exchange) named(h http.Header) upstream.Named {
-	switch x.o.Protocol.Answer(h).ID {
+func (x *exchange) named(fields AnswerFields) upstream.Named {
+	switch fields.ID {
 	case x.fields.ID:
 		return upstream.ThisRequest
 	case "":
--- a/gateway/routing/routing.go
+++ b/gateway/routing/routing.go
@@ -123,13 +123,23 @@
 
 // Config is one version of the operators' configuration.
 type Config struct {
-	Version  int64
+	Version int64
+	// Era is that of the store when it showed the Config: after the store came back
+	// from an older copy, a version can be written again with another content.
+	Era      uint64
 	Routes   []Route
 	Services []Service
 	Limits   Limits
 	Accounts []Account
 }
 
+// Supersedes reports whether c takes the place of old. A lower version never does,
+// whatever the era: it allows what was taken back, and is only the state of an older
+// copy until the operators have written the later version again.
+func (c *Config) Supersedes(old *Config) bool {
+	return c.Version > old.Version || c.Version == old.Version && c.Era > old.Era
+}
+
 // Table is a compiled Config. It is immutable.
 type Table struct {
 	Config
--- a/gateway/sitestate.go
+++ b/gateway/sitestate.go
@@ -51,6 +51,8 @@
 		return nil, fmt.Errorf("encode endpoints: %w", err)
 	}
 	state.Listed = listed
+	state.StoreEra = p.gateway.outage.Era()
+	state.ShownVersion = p.gateway.shown.Load()
 	state.StoreLostMs = uint64(p.gateway.storeLostFor(time.Now()).Milliseconds())
 	return state, nil
 }
@@ -137,8 +139,9 @@
 		return cmp.Compare(a.ConfigVersion, b.ConfigVersion)
 	})
 	endpoints := slices.MinFunc(states, func(a, b *wire.SiteState) int {
-		// Of two that reach the store, the newer configuration tells who is ahead.
-		return cmp.Or(cmp.Compare(a.StoreLostMs, b.StoreLostMs), cmp.Compare(b.ConfigVersion, a.ConfigVersion))
+		// Of two that reach the store, the later era or the newer configuration that it
+		// has shown tells who is ahead.
+		return cmp.Or(cmp.Compare(a.StoreLostMs, b.StoreLostMs), cmp.Compare(b.StoreEra, a.StoreEra), cmp.Compare(b.ShownVersion, a.ShownVersion))
 	})
 	return &wire.SiteState{
 		Config: config.Config, ConfigVersion: config.ConfigVersion,
@@ -180,7 +183,7 @@
 	if err := json.Unmarshal(state.Endpoints, &entries); err != nil {
 		return fmt.Errorf("decode endpoints: %w", err)
 	}
-	g.ConfigSeen(config)
+	g.adopt(config)
 	if state.Listed && !g.dispatcher.isListed() {
 		g.EndpointsListed(entries)
 	}
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -97,9 +97,9 @@
 	Body   []byte
 	// HasBody states that the caller framed a body, even an empty one.
 	HasBody bool
-	// Names tells which request an answer's header names; nil takes every answer as
-	// this request's.
-	Names func(http.Header) Named
+	// Names tells which request the head of an answer names; nil takes every answer as
+	// this request's. It is called for each final answer that is read.
+	Names func(status int, h http.Header) Named
 	// MaxIdle is the age from which an idle connection is not used; zero means
 	// the pool's limit.
 	MaxIdle time.Duration
@@ -248,7 +248,7 @@
 		left = resp.conn.bounded.unlimit()
 		named := ThisRequest
 		if r.Names != nil {
-			named = r.Names(answer.Header)
+			named = r.Names(answer.StatusCode, answer.Header)
 		}
 		if named == NoRequest && resp.conn.used {
 			return &Failure{Spoiled, errUnnamed}
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -52,7 +52,7 @@
 func get(id string) *Request {
 	return &Request{
 		Method: "GET", Target: "/", Host: "h", Header: http.Header{"Id": {id}},
-		Names: func(h http.Header) Named {
+		Names: func(_ int, h http.Header) Named {
 			if h.Get("Id") == id {
 				return ThisRequest
 			}
--- a/storage/call.go
+++ b/storage/call.go
@@ -38,8 +38,9 @@
 	base    string
 	client  http.Client
 	timeout time.Duration
-	// observer may be nil.
+	// observer and heads may be nil.
 	observer Observer
+	heads    func(http.Header)
 }
 
 // NewCaller returns a Caller; it opens no connection yet.
@@ -96,6 +97,9 @@
 		return Answer{}, err
 	}
 	defer resp.Body.Close()
+	if c.heads != nil {
+		c.heads(resp.Header)
+	}
 	if err := statusError(resp, k); err != nil {
 		return Answer{}, err
 	}
@@ -177,6 +181,13 @@
 	return nil
 }
 
+// WithHeads returns a Caller that hands the header of each answer, also of a
+// refusal, to f.
+func (c Caller) WithHeads(f func(http.Header)) Caller {
+	c.heads = f
+	return c
+}
+
 // Observed returns a Caller that reports its calls to o.
 func (c Caller) Observed(o Observer) Caller {
 	c.observer = o
