--- a/gateway/placement/cache.go
+++ b/gateway/placement/cache.go
@@ -114,6 +114,8 @@
 	// as is known; nil for none.
 	source       *endpoint
 	sourceTokens int
+	// strictShare is the part of the endpoints that is kept for strict streams.
+	strictShare float64
 }
 
 func (s *service) homes(now time.Time, w *Work, usable func(*endpoint) bool) homes {
--- a/gateway/placement/cost.go
+++ b/gateway/placement/cost.go
@@ -124,6 +124,12 @@
 	strict := w.strictness(strictest)
 	heavy := min(float64(c.Uncached)/heavyPrompt, 1)
 	cost += orderCost * (strict*e.position + (1-strict)*heavy*(1-e.position))
+	switch {
+	case e.position < h.strictShare:
+		cost += apartCost * (1 - strict) * heavy
+	case strict >= strictFrom:
+		cost += apartCost
+	}
 	return cost
 }
 
--- a/gateway/placement/flight.go
+++ b/gateway/placement/flight.go
@@ -49,6 +49,7 @@
 		flight.load.Prefill = c.Uncached
 		f.unstated += c.Uncached
 		flight.load.Tight = w.strictness(s.strictestPause)
+		s.strict.sent(flight.load.Tight)
 		for _, p := range w.shared() {
 			if e.cache.use(p, now.Add(c.Expected), c.Load.Memory) {
 				f.notePlacement(Placement{Endpoint: e.hash, Part: p, At: now})
@@ -123,5 +124,8 @@
 	if ratio := fl.Ratio(now); !fl.started && ratio > 1 {
 		fl.endpoint.observe(now, ratio)
 	}
+	if fl.work.Streaming {
+		fl.service.strict.ended(fl.load.Tight, fl.uncached, now.Sub(fl.sentAt))
+	}
 	fl.endpoint.own.add(fl.load, -1)
 }
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -139,6 +139,7 @@
 	// strictestPause is the shortest pause that a route of the service allows, in
 	// milliseconds; infinite for none.
 	strictestPause float64
+	strict         strictDemand
 }
 
 // order keeps the members sorted by hash, so that all gateways see the same order.
@@ -302,6 +303,7 @@
 
 func (f *Fleet) cheapest(now time.Time, s *service, w *Work, accept func(*endpoint) bool) (Choice, bool) {
 	homes := s.homes(now, w, func(e *endpoint) bool { return f.usable(now, e) })
+	homes.strictShare = s.strictShare(now)
 	var best Choice
 	bestCost := math.Inf(1)
 	for _, e := range s.members {
