--- a/gateway/admission/gate.go
+++ b/gateway/admission/gate.go
@@ -48,12 +48,13 @@
 	// Offered and Late are numbers of requests that fade with time; Late ones were
 	// expected to be late.
 	Offered, Late float64
+	// LastAdmitted is when such work was let in last; zero for never.
+	LastAdmitted time.Time
 }
 
 type faded struct {
 	Pressure
-	lastAdmitted time.Time
-	at           time.Time
+	at time.Time
 }
 
 func (f *faded) fade(now time.Time) {
@@ -103,7 +104,7 @@
 		v = g.makeRoom(now, k, f.Size)
 	}
 	if v.Admitted {
-		f.lastAdmitted = now
+		f.LastAdmitted = now
 	}
 	return v
 }
@@ -119,18 +120,33 @@
 	return Verdict{Reason: MoreUrgentRefused, RetryAfter: after, Share: share}
 }
 
-// lessUrgentServed reports whether this gateway lately admitted work that goes
-// after the given one.
+// lessUrgentServed reports whether this gateway or a peer lately admitted work that
+// goes after the given one.
 func (g *Gate) lessUrgentServed(now time.Time, k Kind, size float64) bool {
+	after := func(other Kind, f *faded) bool {
+		return f.recent(now) && other.Service == k.Service && goesBefore(k.Priority, size, other.Priority, f.Size)
+	}
 	for other, f := range g.own {
-		recent := !f.lastAdmitted.IsZero() && now.Sub(f.lastAdmitted) < yieldTime
-		if recent && other.Service == k.Service && goesBefore(k.Priority, size, other.Priority, f.Size) {
+		if after(other, f) {
 			return true
 		}
 	}
+	for other, peers := range g.heard {
+		for _, f := range peers {
+			if after(other, f) {
+				return true
+			}
+		}
+	}
 	return false
 }
 
+// recent reports whether work was let in so lately that more urgent work may not be
+// refused for lack of room.
+func (f *faded) recent(now time.Time) bool {
+	return !f.LastAdmitted.IsZero() && now.Sub(f.LastAdmitted) < yieldTime
+}
+
 // note counts a request and returns the counts of its kind.
 func (g *Gate) note(now time.Time, k Kind, prompt float64, late bool) *faded {
 	f := g.own[k]
@@ -195,7 +211,7 @@
 	}
 	for peer, f := range g.heard[k] {
 		f.fade(now)
-		if f.Offered < negligible {
+		if f.Offered < negligible && !f.recent(now) {
 			delete(g.heard[k], peer)
 			continue
 		}
@@ -205,11 +221,12 @@
 	return sum
 }
 
-// Own calls report for each kind of work of which this gateway expected some to be late.
+// Own calls report for each kind of work of which this gateway expected some to be
+// late, and for what it let in lately although more urgent work presses.
 func (g *Gate) Own(now time.Time, report func(Kind, Pressure)) {
 	for k, f := range g.own {
 		f.fade(now)
-		if f.Late >= negligible {
+		if f.Late >= negligible || f.recent(now) && g.shareBefore(now, k, f.Size) > 0 {
 			report(k, f.Pressure)
 		}
 	}
--- a/gateway/admission/gate_test.go
+++ b/gateway/admission/gate_test.go
@@ -216,3 +216,43 @@
 		t.Fatal("let in although even a guess ends after the deadline")
 	}
 }
+
+// Load pattern: four times the arrivals at many gateways, of which each admits few of
+// the larger, less urgent prompts. No gateway refuses urgent work while another one
+// lets those in; once all have stopped for a while, it may.
+func TestUrgentWorkIsNotRefusedWhileAPeerServesLessUrgent(t *testing.T) {
+	g := newGate()
+	now := start
+	less := plan(2)
+	heard := Kind{Service: less.Service, Route: less.Route, Priority: less.Priority}
+	g.Hear(now, "peer", heard, Pressure{Size: float64(less.Prompt), LastAdmitted: now})
+	if share := offer(g, &now, 50, chat(0), waiting(time.Second)); share != 1 {
+		t.Fatalf("%.2f of the late chats were admitted, want all", share)
+	}
+	now = now.Add(yieldTime)
+	if share := offer(g, &now, 50, chat(0), waiting(time.Second)); share != 0 {
+		t.Fatalf("%.2f of the late chats were admitted after less urgent work had ended, want none", share)
+	}
+}
+
+// Guards against peers that are not told what was let in under pressure.
+func TestGateStatesWhatItAdmittedUnderPressure(t *testing.T) {
+	g := newGate()
+	now := start
+	stated := func() (n int) {
+		g.Own(now, func(k Kind, p Pressure) {
+			if k.Route == "plan" && now.Sub(p.LastAdmitted) < yieldTime {
+				n++
+			}
+		})
+		return n
+	}
+	offer(g, &now, 5, plan(2), waiting(0))
+	if stated() != 0 {
+		t.Fatal("stated without pressure")
+	}
+	offer(g, &now, 5, chat(0), waiting(time.Second))
+	if stated() != 1 {
+		t.Fatal("not stated although more urgent work is late")
+	}
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -32,6 +32,8 @@
 	// returnNews is how long the return of the store is told: two statements of the
 	// largest site.
 	returnNews = 10 * time.Second
+	// longestAgo is the age up to which a time is stated.
+	longestAgo = time.Minute
 	// minWait is the time after a statement until the next look whether one is due.
 	minWait = 15 * time.Millisecond
 	// loadIntervals is how many intervals a peer's load counts without a new
@@ -169,6 +171,24 @@
 	x.gateway.heardOfStore(now, statement)
 }
 
+// agoMS states a time as the milliseconds since then, plus one; zero for a time that
+// is zero or too long ago to be of use.
+func agoMS(now, at time.Time) uint32 {
+	ago := now.Sub(at)
+	if at.IsZero() || ago > longestAgo {
+		return 0
+	}
+	return uint32(max(ago, 0).Milliseconds()) + 1
+}
+
+// timeAgo is the inverse of agoMS.
+func timeAgo(now time.Time, ago uint32) time.Time {
+	if ago == 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(ago-1) * time.Millisecond)
+}
+
 // storeAnswered is the time since the store's return for a statement; zero when it
 // is no news any more.
 func storeAnswered(now, at time.Time) uint32 {
@@ -216,6 +236,8 @@
 			Size:      uint32(r.Size),
 			Offered:   float32(r.Offered),
 			Late:      float32(r.Late),
+
+			AdmittedAgo: agoMS(now, r.LastAdmitted),
 		})
 	})
 	var suspects []*wire.Suspect
@@ -271,6 +293,7 @@
 		k := admission.Kind{Service: r.Service, Route: r.Kind, Priority: routing.Priority{Rank: int(r.Rank), RouteRank: int(r.RouteRank)}}
 		d.gate.Hear(now, s.Sender, k, admission.Pressure{
 			Size: float64(r.Size), Offered: float64(r.Offered), Late: float64(r.Late),
+			LastAdmitted: timeAgo(now, r.AdmittedAgo),
 		})
 	}
 	for _, suspect := range s.Suspects {
