Refuse no share where an engine is free; bind refusals across gateways

And the statement of admitted work, added in, made a kind of work yield to itself: a peer's typical size of the same kind can be twice the own one.

Change: work whose endpoint would begin it within an eighth of its target is not refused by a share. A peer's word binds only work of another kind with larger prompts; less urgent work is also held back for 5 s after more urgent work of smaller prompts was refused anywhere.

--- a/demo/count_test.go
+++ b/demo/count_test.go
@@ -1,7 +1,9 @@
 package demo_test
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -38,6 +40,8 @@
 	codes                           map[resultcode.Code]int64
 	// met and missed are the requests about which the two sides cannot differ.
 	met, missed int
+	// late describes the requests that callers saw miss their target.
+	late []string
 }
 
 // callerCounts collects the results by profile.
@@ -75,6 +79,7 @@
 		p.excluded++
 	case r.Outcome != loadgen.Whole || certainlyMissed(r, target):
 		p.missed++
+		p.late = append(p.late, fmt.Sprintf("outcome %v, code %d, sent %v late, first token %v, whole %v", r.Outcome, r.Code, r.SendDelay, r.FirstToken, r.Whole))
 	case certainlyMet(r, target):
 		p.met++
 	}
@@ -234,5 +239,6 @@
 	if int(l.Met) < c.met || int(l.Missed) < c.missed {
 		t.Errorf("%s: the report has %d met and %d missed; callers saw at least %d and %d",
 			l.Profile, l.Met, l.Missed, c.met, c.missed)
+		t.Logf("%s: missed at callers:\n%s", l.Profile, strings.Join(c.late, "\n"))
 	}
 }
--- a/gateway/admission/gate.go
+++ b/gateway/admission/gate.go
@@ -19,6 +19,9 @@
 	// kind before more urgent work may be refused for lack of room. What it takes
 	// from the engines lasts about as long.
 	yieldTime = 5 * time.Second
+	// freePart divides the target of a request: up to that wait, its endpoint counts as
+	// free. It is the wait that callers are said not to notice.
+	freePart = 8
 	// minOffered is the number of requests below which a share tells nothing.
 	minOffered = 3.0
 	// negligible is the count below which a kind of work is forgotten.
@@ -26,6 +29,10 @@
 	// sizeRatio is the ratio of typical prompt sizes from which the larger of two
 	// kinds of work of the same priority is refused first.
 	sizeRatio = 2.0
+	// largerRatio is the ratio of typical prompt sizes from which some prompts of the
+	// larger kind are over twice as large as those of the other: sizes of one kind
+	// differ by a factor of two.
+	largerRatio = 1.25
 	// sizeSmoothing is the weight of the newest prompt in a typical size.
 	sizeSmoothing = 0.05
 	// maxKinds bounds the kinds of work that are remembered. Beyond it, no new
@@ -50,6 +57,8 @@
 	Offered, Late float64
 	// LastAdmitted is when such work was let in last; zero for never.
 	LastAdmitted time.Time
+	// LastRefused is when such work was refused for lack of room last.
+	LastRefused time.Time
 }
 
 type faded struct {
@@ -100,19 +109,31 @@
 	switch {
 	case yields:
 		v = Verdict{Admitted: true}
-	case v.Admitted:
+	case v.Admitted && !g.free(now, k, f.Size, r, c):
 		v = g.makeRoom(now, k, f.Size)
 	}
 	if v.Admitted {
 		f.LastAdmitted = now
+	} else {
+		f.LastRefused = now
 	}
 	return v
 }
 
+// free reports whether the chosen endpoint would begin a request nearly at once, so
+// that refusing it leaves the endpoint idle. After more urgent work was refused, its
+// return comes first.
+func (g *Gate) free(now time.Time, k Kind, size float64, r Request, c Choice) bool {
+	return c.Wait <= r.Target/freePart && !g.moreUrgentRefused(now, k, size)
+}
+
 // makeRoom draws whether a request makes room for more urgent work. The advice to
 // return is spread, so that the refused do not come back as one crowd.
 func (g *Gate) makeRoom(now time.Time, k Kind, size float64) Verdict {
 	share := g.shareBefore(now, k, size)
+	if g.moreUrgentRefused(now, k, size) {
+		share = max(share, 1)
+	}
 	if share <= 0 || g.rng.Float64() >= share {
 		return Verdict{Admitted: true, Share: share}
 	}
@@ -120,20 +141,45 @@
 	return Verdict{Reason: MoreUrgentRefused, RetryAfter: after, Share: share}
 }
 
-// lessUrgentServed reports whether this gateway or a peer lately admitted work that
-// goes after the given one.
+// lessUrgentServed reports whether this gateway lately admitted work that goes after
+// the given one, or a peer such work with larger prompts. Work of the same size is
+// shed by all gateways at once: one kind after the other would take too long.
 func (g *Gate) lessUrgentServed(now time.Time, k Kind, size float64) bool {
-	after := func(other Kind, f *faded) bool {
-		return f.recent(now) && other.Service == k.Service && goesBefore(k.Priority, size, other.Priority, f.Size)
+	for other, f := range g.own {
+		if other.Service == k.Service && recent(now, f.LastAdmitted) && goesBefore(k.Priority, size, other.Priority, f.Size) {
+			return true
+		}
+	}
+	return g.heardAny(k, func(other Kind, f *faded) bool {
+		return recent(now, f.LastAdmitted) && f.Size > largerRatio*size && goesBefore(k.Priority, size, other.Priority, f.Size)
+	})
+}
+
+// moreUrgentRefused reports whether this gateway or a peer lately refused work that
+// goes before the given one and has smaller prompts. What is let in would be served
+// in the place of what was refused.
+func (g *Gate) moreUrgentRefused(now time.Time, k Kind, size float64) bool {
+	refused := func(other Kind, f *faded) bool {
+		return recent(now, f.LastRefused) && size > largerRatio*f.Size && goesBefore(other.Priority, f.Size, k.Priority, size)
 	}
 	for other, f := range g.own {
-		if after(other, f) {
+		if other.Service == k.Service && refused(other, f) {
 			return true
 		}
 	}
+	return g.heardAny(k, refused)
+}
+
+// heardAny reports whether some other kind of work of the same service has a property
+// at a peer. The typical sizes of one kind differ between gateways, which must not
+// make it compete with itself.
+func (g *Gate) heardAny(k Kind, has func(Kind, *faded) bool) bool {
 	for other, peers := range g.heard {
+		if other.Service != k.Service || other == k {
+			continue
+		}
 		for _, f := range peers {
-			if after(other, f) {
+			if has(other, f) {
 				return true
 			}
 		}
@@ -141,10 +187,13 @@
 	return false
 }
 
-// recent reports whether work was let in so lately that more urgent work may not be
-// refused for lack of room.
-func (f *faded) recent(now time.Time) bool {
-	return !f.LastAdmitted.IsZero() && now.Sub(f.LastAdmitted) < yieldTime
+// recent reports whether something was so lately that work of another urgency is
+// bound by it.
+func recent(now, at time.Time) bool { return !at.IsZero() && now.Sub(at) < yieldTime }
+
+// bound reports whether a kind of work binds others.
+func (f *faded) bound(now time.Time) bool {
+	return recent(now, f.LastAdmitted) || recent(now, f.LastRefused)
 }
 
 // note counts a request and returns the counts of its kind.
@@ -211,7 +260,7 @@
 	}
 	for peer, f := range g.heard[k] {
 		f.fade(now)
-		if f.Offered < negligible && !f.recent(now) {
+		if f.Offered < negligible && !f.bound(now) {
 			delete(g.heard[k], peer)
 			continue
 		}
@@ -222,12 +271,19 @@
 }
 
 // Own calls report for each kind of work of which this gateway expected some to be
-// late, and for what it let in lately although more urgent work presses.
+// late, and, without counts, for what it lately refused, or let in although more
+// urgent work presses. Counts of gateways that expect nothing to be late are not told:
+// the share that makes room follows from those where it is late.
 func (g *Gate) Own(now time.Time, report func(Kind, Pressure)) {
 	for k, f := range g.own {
 		f.fade(now)
-		if f.Late >= negligible || f.recent(now) && g.shareBefore(now, k, f.Size) > 0 {
+		if f.Late >= negligible {
 			report(k, f.Pressure)
+			continue
+		}
+		pressed := recent(now, f.LastAdmitted) && g.shareBefore(now, k, f.Size) > 0
+		if pressed || recent(now, f.LastRefused) {
+			report(k, Pressure{Size: f.Size, LastAdmitted: f.LastAdmitted, LastRefused: f.LastRefused})
 		}
 	}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -238,6 +238,7 @@
 			Late:      float32(r.Late),
 
 			AdmittedAgo: agoMS(now, r.LastAdmitted),
+			RefusedAgo:  agoMS(now, r.LastRefused),
 		})
 	})
 	var suspects []*wire.Suspect
@@ -294,6 +295,7 @@
 		d.gate.Hear(now, s.Sender, k, admission.Pressure{
 			Size: float64(r.Size), Offered: float64(r.Offered), Late: float64(r.Late),
 			LastAdmitted: timeAgo(now, r.AdmittedAgo),
+			LastRefused:  timeAgo(now, r.RefusedAgo),
 		})
 	}
 	for _, suspect := range s.Suspects {
