Log pauses of full endpoints; show the store's era and paused endpoints

Cause: on-call could not tell from logs or metrics that an endpoint had asked for no requests, or which era of the store a gateway knows.

Ruled out: a line for each 503, which a full site would write thousands of times.

Before: neither was shown.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -69,8 +69,10 @@
 	gateways int
 	// listed states that the endpoints were read once.
 	listed bool
-	// changed takes the changes that answers of endpoints cause.
+	// changed takes the changes that answers of endpoints cause, and paused the pauses
+	// that they begin.
 	changed func([]registry.Change)
+	paused  func(endpoint string, d time.Duration)
 }
 
 func newDispatcher(s Settings, rng *rand.Rand) *dispatcher {
@@ -97,6 +99,7 @@
 		rng:      rng,
 		settings: s,
 		changed:  func([]registry.Change) {},
+		paused:   func(string, time.Duration) {},
 	}
 }
 
@@ -157,8 +160,8 @@
 		}
 	}
 	now := time.Now()
-	if n.Pause > 0 {
-		d.pauses.Asked(now, placement.Hash(i.ID), now.Add(n.Pause))
+	if n.Pause > 0 && d.pauses.Asked(now, placement.Hash(i.ID), now.Add(n.Pause)) {
+		d.paused(i.ID, n.Pause)
 	}
 	if !n.Leaving {
 		return nil
@@ -300,6 +303,13 @@
 	return changes
 }
 
+// pausedEndpoints returns the number of endpoints that want no requests for a while.
+func (d *dispatcher) pausedEndpoints() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pauses.Len(time.Now())
+}
+
 // speeds calls report with the prefill speed of each service's engines.
 func (d *dispatcher) speeds(report func(service string, s placement.Speed)) {
 	d.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,7 +113,7 @@
 // New returns a Gateway that does not listen yet.
 func New(o Options) *Gateway {
 	g := &Gateway{o: o, log: o.Log, dispatcher: newDispatcher(o.Settings, o.Rand)}
-	g.dispatcher.changed = g.logChanges
+	g.dispatcher.changed, g.dispatcher.paused = g.logChanges, g.logPause
 	g.grace.Store(int64(o.Settings.GracePeriod()))
 	g.outage = follow.NewOutage(rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())))
 	g.pool = upstream.NewPool(upstream.Options{Dialed: func(_ string, err error) {
@@ -419,6 +419,10 @@
 	}
 }
 
+func (g *Gateway) logPause(endpoint string, d time.Duration) {
+	g.log.Info().Str("endpoint", endpoint).Int64("pause_ms", ms(d)).Msg("endpoint is full and wants no requests")
+}
+
 func (g *Gateway) logChanges(changes []registry.Change) {
 	for _, c := range changes {
 		g.log.Info().Str("endpoint", c.Entry.ID).Str("service", c.Entry.Service).Str("address", c.Entry.Address).
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -10,8 +10,12 @@
 	"github.com/pistachiowind/pistachiowind/telemetry"
 )
 
-// unknownRoute is the label of requests without a route.
-const unknownRoute = "none"
+const (
+	// unknownRoute is the label of requests without a route.
+	unknownRoute = "none"
+	// statePaused is the label of endpoints that are full and want no requests.
+	statePaused = "paused"
+)
 
 // Finished implements relay.Observer.
 func (g *Gateway) Finished(r relay.Record) {
@@ -44,6 +48,10 @@
 		draining := countDraining(entries)
 		set(float64(len(entries)-draining), telemetry.StateLabels{State: registry.StateReady})
 		set(float64(draining), telemetry.StateLabels{State: registry.StateDraining})
+		set(float64(g.dispatcher.pausedEndpoints()), telemetry.StateLabels{State: statePaused})
+	})
+	m.StoreEra.Observe(func(set func(float64, telemetry.NoLabels)) {
+		set(float64(g.outage.Era()), telemetry.NoLabels{})
 	})
 	m.Peers.Observe(func(set func(float64, telemetry.NoLabels)) {
 		set(float64(g.peers.Load()), telemetry.NoLabels{})
--- a/gateway/reach/pauses.go
+++ b/gateway/reach/pauses.go
@@ -23,13 +23,21 @@
 	return &Pauses{own: make(map[uint64]time.Time), hints: make(map[uint64]time.Time)}
 }
 
-// Asked notes that an endpoint told this gateway to send it nothing until a time.
-// An earlier, longer pause stays.
-func (p *Pauses) Asked(now time.Time, endpoint uint64, until time.Time) {
+// Asked notes that an endpoint told this gateway to send it nothing until a time, and
+// reports whether a pause begins. An earlier, longer one stays.
+func (p *Pauses) Asked(now time.Time, endpoint uint64, until time.Time) bool {
 	p.expire(now)
+	begins := p.own[endpoint].IsZero()
 	if until.After(p.own[endpoint]) && (len(p.own) < maxPauses || !p.own[endpoint].IsZero()) {
 		p.own[endpoint] = until
 	}
+	return begins
+}
+
+// Len returns the number of endpoints that paused this gateway.
+func (p *Pauses) Len(now time.Time) int {
+	p.expire(now)
+	return len(p.own)
 }
 
 // Hear takes a peer's statement of the time for which the endpoint paused it.
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -17,6 +17,7 @@
 	Peers          *Gauge[NoLabels]
 	PrefillRate    *Gauge[ClassLabels]
 	StoreUp        *Gauge[ReasonLabels]
+	StoreEra       *Gauge[NoLabels]
 	PlatformCalls  *Counter[OutcomeLabels]
 	DroppedLogs    *ObservedCounter[NoLabels]
 	PlatformTiming *Duration[OutcomeLabels]
@@ -31,10 +32,11 @@
 		Attempts:       newCounter[ResultLabels](p, "gateway_attempts", maxOutcomes, "Attempts at endpoints that ended, by result as in the log."),
 		Connections:    newCounter[ResultLabels](p, "gateway_connections", maxOutcomes, "New connections to endpoints. Outcomes: ok, failed."),
 		ConfigVersion:  newGauge[NoLabels](p, "gateway_config_version", "", 1, "Version of the configuration in force; 0 before the first."),
-		Endpoints:      newGauge[StateLabels](p, "gateway_endpoints", "", maxOutcomes, "Known endpoints by state: ready, draining."),
+		Endpoints:      newGauge[StateLabels](p, "gateway_endpoints", "", maxOutcomes, "Known endpoints by state: ready, draining; paused ones, which are full and want no requests, count twice."),
 		Peers:          newGauge[NoLabels](p, "gateway_peers", "", 1, "Other gateways heard within 5 s."),
 		PrefillRate:    newGauge[ClassLabels](p, "gateway_prefill_rate", "", maxClasses, "Prompt tokens per millisecond that an engine is assumed to read, by service, as all gateways observed it."),
 		StoreUp:        newGauge[ReasonLabels](p, "gateway_store_up", "", maxOutcomes, "1 while the table of the store answers, otherwise 0."),
+		StoreEra:       newGauge[NoLabels](p, "gateway_store_era", "", 1, "Number of times that the store came back from an older copy, as it states; 0 if it states none."),
 		PlatformCalls:  newCounter[OutcomeLabels](p, "gateway_platform_calls", maxOutcomes, "Calls of the platform's store. Outcomes: ok, conflict, not_found, unavailable, unknown, rejected."),
 		DroppedLogs:    newObservedCounter[NoLabels](p, "gateway_log_lines_dropped", 1, "Log lines beyond the rate of the settings."),
 		PlatformTiming: newDuration[OutcomeLabels](p, "gateway_platform_call", requestBounds, maxOutcomes, "Time of a call of the platform's store; a feed waits for changes."),
