--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -32,17 +32,6 @@
 	allowanceShare = 0.7
 	// condemnedRetryAfter is the advice for a request that crashes endpoints.
 	condemnedRetryAfter = 30 * time.Second
-	// patienceFactor and minPatience: of plain calls, about 1 in 100 takes five
-	// times the mean.
-	patienceFactor = 5
-	minPatience    = 50 * time.Millisecond
-	// returnSpread is the time over which callers of one rank come back when all
-	// endpoints were full; the next rank follows after it.
-	returnSpread = 500 * time.Millisecond
-	// maxLeavingTold bounds the leaving endpoints that are told to peers, and
-	// leavingTold how long: some statements of the largest site.
-	maxLeavingTold = 64
-	leavingTold    = 15 * time.Second
 	// ratioShare is the part of the retry ratio that is used.
 	ratioShare = 0.9
 )
@@ -136,59 +125,6 @@
 	return t, nil
 }
 
-// returnTime is the advice while no endpoint accepts work: when the first of those
-// that are full wants requests again, or a fixed time without such. Callers of a
-// lower rank come back later, and those of one rank spread.
-func (d *dispatcher) returnTime(now time.Time, p routing.Priority) time.Duration {
-	wait := d.pauses.Earliest(now)
-	if wait <= 0 {
-		return admission.NoEndpointRetryAfter
-	}
-	spread := time.Duration(d.rng.Int64N(int64(returnSpread)))
-	return wait + time.Duration(max(p.Rank, 0))*returnSpread + spread
-}
-
-// noticed takes what the endpoint at an address said of itself in an answer to a
-// request for the given start of an endpoint.
-func (d *dispatcher) noticed(i registry.Incarnation, address string, n relay.Notice) []registry.Change {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if n.Other {
-		var known bool
-		if i, known = d.registry.At(address, i.ID); !known {
-			return nil
-		}
-	}
-	now := time.Now()
-	if n.Pause > 0 && d.pauses.Asked(now, placement.Hash(i.ID), now.Add(n.Pause)) {
-		d.paused(i.ID, n.Pause)
-	}
-	if !n.Leaving {
-		return nil
-	}
-	d.leaving = append(d.leaving, departed{i, now})
-	d.leaving = d.leaving[max(len(d.leaving)-maxLeavingTold, 0):]
-	return d.leave(now, i)
-}
-
-// leave gives no more work to a start of an endpoint that is leaving. The mutex is
-// held.
-func (d *dispatcher) leave(now time.Time, i registry.Incarnation) []registry.Change {
-	c, changed := d.registry.Leave(now, i)
-	if !changed {
-		return nil
-	}
-	changes := []registry.Change{c}
-	d.apply(now, changes)
-	return changes
-}
-
-// departed is a start of an endpoint that said that it leaves.
-type departed struct {
-	registry.Incarnation
-	at time.Time
-}
-
 // FirstAttempt implements relay.Placer.
 func (d *dispatcher) FirstAttempt(service, account string) {
 	d.mu.Lock()
@@ -406,83 +342,3 @@
 	defer d.mu.Unlock()
 	return r.Pick(d.rng)
 }
-
-// ticket is an attempt under way. It implements relay.Ticket.
-type ticket struct {
-	dispatcher *dispatcher
-	request    crashes.Fingerprint
-	target     time.Duration
-	choice     placement.Choice
-	// incarnation is the start of the endpoint that the request was sent to.
-	incarnation registry.Incarnation
-	flight      *placement.Flight
-	sentAt      time.Time
-	streaming   bool
-	started     bool
-}
-
-// Choice implements relay.Ticket.
-func (t *ticket) Choice() placement.Choice { return t.choice }
-
-// Patience implements relay.Ticket: some times the expected service time, and at
-// least half of the target, so that a second endpoint can still meet it.
-func (t *ticket) Patience() time.Duration {
-	return max(patienceFactor*t.choice.Expected, t.target/2, minPatience)
-}
-
-// Noticed implements relay.Ticket.
-func (t *ticket) Noticed(n relay.Notice) {
-	t.dispatcher.changed(t.dispatcher.noticed(t.incarnation, t.choice.Endpoint.Address, n))
-}
-
-// relative is the time since the send in units of what was expected, as a
-// duration: requests of different sizes become comparable.
-func (t *ticket) relative(now time.Time) time.Duration {
-	return time.Duration(t.flight.Ratio(now) * float64(time.Second))
-}
-
-// Started implements relay.Ticket.
-func (t *ticket) Started() {
-	if t.started {
-		return
-	}
-	t.dispatcher.mu.Lock()
-	defer t.dispatcher.mu.Unlock()
-	t.started = true
-	now := time.Now()
-	t.dispatcher.reach.Answered(now, placement.Hash(t.choice.Endpoint.ID))
-	t.dispatcher.health.Record(now, health.Observation{
-		Endpoint: t.choice.Endpoint.ID, Kind: health.FirstToken, Duration: t.relative(now), Sent: t.sentAt,
-	})
-	t.flight.Started(now)
-}
-
-// Ended implements relay.Ticket.
-func (t *ticket) Ended(r relay.Result) {
-	d := t.dispatcher
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	t.flight.End(now)
-	delete(d.flights, t)
-	kinds := map[relay.Result]health.Kind{
-		relay.Whole:       health.Success,
-		relay.Broken:      health.Failure,
-		relay.Erring:      health.Failure,
-		relay.Unreachable: health.Failure,
-		relay.Replaced:    health.Failure,
-		relay.Rejected:    health.Refusal,
-	}
-	switch r {
-	case relay.Unreachable, relay.Replaced:
-		d.reach.Failed(now, placement.Hash(t.choice.Endpoint.ID))
-	case relay.Whole:
-		d.crashes.Succeeded(t.request)
-	case relay.Broken:
-		d.crashes.Broke(crashes.Observation{Request: t.request, Endpoint: placement.Hash(t.choice.Endpoint.ID), At: now})
-	}
-	kind, counts := kinds[r]
-	if counts {
-		d.health.Record(now, health.Observation{Endpoint: t.choice.Endpoint.ID, Kind: kind, Sent: t.sentAt})
-	}
-}
