Rest between peers' hints of full endpoints; fetch beside the health loop

Change: a hint counts for 1 s, then rests for 2 s; pauses count by service; the fetch runs beside its caller, one at a time.

Ruled out: dropping hints, which let each of many gateways find a full endpoint by itself.

--- a/gateway/ahead.go
+++ b/gateway/ahead.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// catchUp fetches the configuration of a peer that is ahead: this gateway is cut off
+// catchUp fetches, beside its caller, the configuration of a peer that is ahead: this gateway is cut off
 // from the store, or began with an older copy of it.
 func (g *Gateway) catchUp(ctx context.Context) {
 	ahead, table, now := g.ahead.Load(), g.table.Load(), time.Now()
@@ -62,6 +62,17 @@
 		return
 	}
 	g.ahead.CompareAndSwap(ahead, nil)
+	if !g.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer g.fetching.Store(false)
+		g.fetchConfig(ctx, ahead)
+	}()
+}
+
+// fetchConfig takes the configuration of a peer, but not its endpoints.
+func (g *Gateway) fetchConfig(ctx context.Context, ahead *peerAhead) {
 	state := g.askPeer(ctx, ahead.address)
 	if state == nil {
 		return
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -102,7 +102,7 @@
 	}
 	choice, found := d.fleet.Choose(now, w)
 	if !found {
-		return nil, &relay.Refusal{Reason: "no_endpoint", RetryAfter: d.returnTime(now, q.Priority)}
+		return nil, &relay.Refusal{Reason: "no_endpoint", RetryAfter: d.returnTime(now, w.Service, q.Priority)}
 	}
 	verdict := d.gate.Decide(now, admission.Request{
 		Service:   w.Service,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,6 +102,8 @@
 	somePeers func(n int) []string
 	// ahead is a peer whose configuration is newer.
 	ahead atomic.Pointer[peerAhead]
+	// fetching states that its configuration is being fetched.
+	fetching atomic.Bool
 	// startedAt is when the process began to serve.
 	startedAt time.Time
 	// outage is shared by the followers of the store's tables.
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -20,11 +20,11 @@
 	leavingTold    = 15 * time.Second
 )
 
-// returnTime is the advice while no endpoint accepts work: when the first of those
+// returnTime is the advice while no endpoint of a service accepts work: when the first of those
 // that are full wants requests again, or a fixed time without such. Callers of a
 // lower rank come back later, and those of one rank spread.
-func (d *dispatcher) returnTime(now time.Time, p routing.Priority) time.Duration {
-	wait := d.pauses.Earliest(now)
+func (d *dispatcher) returnTime(now time.Time, service string, p routing.Priority) time.Duration {
+	wait := d.pauses.Earliest(now, func(endpoint uint64) bool { return d.fleet.ServiceOf(endpoint) == service })
 	if wait <= 0 {
 		return admission.NoEndpointRetryAfter
 	}
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -219,6 +219,14 @@
 	return ""
 }
 
+// ServiceOf returns the service of the endpoint with a hash; empty for none.
+func (f *Fleet) ServiceOf(hash uint64) string {
+	if e := f.byHash[hash]; e != nil {
+		return e.Service
+	}
+	return ""
+}
+
 // Drain keeps an endpoint known and gives it no more work.
 func (f *Fleet) Drain(id string) {
 	if e := f.endpoints[id]; e != nil {
--- a/gateway/reach/pauses.go
+++ b/gateway/reach/pauses.go
@@ -4,8 +4,10 @@
 
 const (
 	// hintAge is how long a peer's statement that an endpoint is full counts. Own
-	// requests then confirm it or not: an endpoint can turn one gateway away.
-	hintAge = time.Second
+	// requests then confirm it or not, for hintRest: an endpoint can turn one gateway
+	// away.
+	hintAge  = time.Second
+	hintRest = 2 * time.Second
 	// maxPauses bounds the endpoints that are remembered.
 	maxPauses = 4096
 )
@@ -42,9 +44,11 @@
 
 // Hear takes a peer's statement of the time for which the endpoint paused it.
 func (p *Pauses) Hear(now time.Time, endpoint uint64, left time.Duration) {
-	if len(p.hints) < maxPauses {
-		p.hints[endpoint] = now.Add(min(left, hintAge))
+	until, known := p.hints[endpoint]
+	if known && now.Before(until.Add(hintRest)) || !known && len(p.hints) >= maxPauses {
+		return
 	}
+	p.hints[endpoint] = now.Add(min(left, hintAge))
 }
 
 // Leave forgets an endpoint.
@@ -63,10 +67,14 @@
 	return now.Before(p.hints[endpoint])
 }
 
-// Earliest returns the time until the first pause ends; zero without pauses.
-func (p *Pauses) Earliest(now time.Time) time.Duration {
+// Earliest returns the time until the first pause of the endpoints that counts accepts
+// ends; zero without such pauses.
+func (p *Pauses) Earliest(now time.Time, counts func(endpoint uint64) bool) time.Duration {
 	earliest := time.Duration(0)
-	for _, until := range p.own {
+	for endpoint, until := range p.own {
+		if !counts(endpoint) {
+			continue
+		}
 		if left := until.Sub(now); left > 0 && (earliest == 0 || left < earliest) {
 			earliest = left
 		}
@@ -89,7 +97,7 @@
 		}
 	}
 	for endpoint, until := range p.hints {
-		if !now.Before(until) {
+		if !now.Before(until.Add(hintRest)) {
 			delete(p.hints, endpoint)
 		}
 	}
--- a/gateway/reach/pauses_test.go
+++ b/gateway/reach/pauses_test.go
@@ -19,9 +19,13 @@
 	if p.Closed(began, 2) {
 		t.Error("another endpoint is closed")
 	}
-	if left := p.Earliest(began.Add(time.Second)); left != 2*time.Second {
+	all := func(uint64) bool { return true }
+	if left := p.Earliest(began.Add(time.Second), all); left != 2*time.Second {
 		t.Errorf("%v until the first pause ends, want 2s", left)
 	}
+	if left := p.Earliest(began, func(uint64) bool { return false }); left != 0 {
+		t.Errorf("%v until a pause of no endpoint ends", left)
+	}
 	p.Leave(1)
 	if p.Closed(began, 1) {
 		t.Error("an endpoint that is gone is closed")
@@ -39,3 +43,19 @@
 		t.Errorf("the hint does not end after %v", hintAge)
 	}
 }
+
+// Guards against an endpoint that is left out for as long as one peer repeats that it
+// is full, although it would answer this gateway.
+func TestRepeatedHintLeavesTimeForOwnRequests(t *testing.T) {
+	p := NewPauses()
+	out := 0
+	for now := began; now.Before(began.Add(30 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		p.Hear(now, 1, time.Hour)
+		if p.Hinted(now, 1) {
+			out++
+		}
+	}
+	if out < 90 || out > 110 {
+		t.Fatalf("left out in %d of 300 steps, want a third", out)
+	}
+}
