--- a/gateway/placement/strict.go
+++ b/gateway/placement/strict.go
@@ -12,7 +12,7 @@
 	// strictSlots is the part of an endpoint's slots that they take.
 	strictSlots = 0.5
 	// apartCost is the cost of a strict stream outside of these endpoints, and of a
-	// long prompt on them. A wait beyond two thirds of the target costs as much, so
+	// long prompt on them. An expected time of half of the target costs as much, so
 	// that a crowd on one side spills over.
 	apartCost = 0.4
 	// demandSmoothing is the weight of the newest strict stream.
