Tell peers of a leaving endpoint once

Cause, read in the diff: each answer of a leaving endpoint added it again to what peers are told, up to 64 times in a statement.

Change: only the first notice of a start of an endpoint is told.

Ruled out: a set in place of the list, which would need an order for its bound.

Before: TestLeavingEndpointGetsNoFurtherRequest counted 3 statements of one endpoint.

--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -20,9 +20,9 @@
 	leavingTold    = 15 * time.Second
 )
 
-// returnTime is the advice while no endpoint of a service accepts work: when the first of those
-// that are full wants requests again, or a fixed time without such. Callers of a
-// lower rank come back later, and those of one rank spread.
+// returnTime is the advice while no endpoint of a service accepts work: when the
+// first of those that are full wants requests again, or a fixed time without such.
+// Callers of a lower rank come back later, and those of one rank spread.
 func (d *dispatcher) returnTime(now time.Time, service string, p routing.Priority) time.Duration {
 	wait := d.pauses.Earliest(now, func(endpoint uint64) bool { return d.fleet.ServiceOf(endpoint) == service })
 	if wait <= 0 {
@@ -50,9 +50,12 @@
 	if !n.Leaving {
 		return nil
 	}
-	d.leaving = append(d.leaving, departed{i, now})
-	d.leaving = d.leaving[max(len(d.leaving)-maxLeavingTold, 0):]
-	return d.leave(now, i)
+	changes := d.leave(now, i)
+	if len(changes) > 0 {
+		d.leaving = append(d.leaving, departed{i, now})
+		d.leaving = d.leaving[max(len(d.leaving)-maxLeavingTold, 0):]
+	}
+	return changes
 }
 
 // leave gives no more work to a start of an endpoint that is leaving. The mutex is
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -37,7 +37,12 @@
 	d, peer := twoEndpoints(t), twoEndpoints(t)
 	first, _ := ask(t, d, 0)
 	leaving := first.Choice().Endpoint.ID
-	first.Noticed(relay.Notice{Leaving: true})
+	for range 3 {
+		first.Noticed(relay.Notice{Leaving: true})
+	}
+	if told := d.statement(time.Now(), time.Now()).Leaving; len(told) != 1 {
+		t.Fatalf("peers are told %d times, want once", len(told))
+	}
 	peer.heard(time.Now(), &wire.Statement{Sender: "10.0.0.9:9", Leaving: d.statement(time.Now(), time.Now()).Leaving})
 	for _, gateway := range []*dispatcher{d, peer} {
 		gateway.update(func(_ time.Time, r *registry.Registry) []registry.Change {
