Log the limits that endpoints name and the sources of fetches

Change: the gateway decodes the rate of requests that an endpoint names, logs each change of it, counts the limited endpoints in gateway_endpoints, and logs the source of a fetch. A limit is lowered at once, but raised or lifted only by the response to a request sent after it was last confirmed, as responses overtake each other. No decision uses it yet.

--- a/gateway/cachedparts.go
+++ b/gateway/cachedparts.go
@@ -150,8 +150,9 @@
 func (g *Gateway) loadPartsOf(ctx context.Context, e registry.Entry) {
 	ctx, cancel := context.WithTimeout(ctx, askPartsTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	parts, notice, err := g.options.PartLister.List(ctx, e.Address)
-	g.logEndpointChanges(g.dispatcher.applyNotice(e.Incarnation(), e.Address, notice))
+	g.logEndpointChanges(g.dispatcher.applyNotice(e.Incarnation(), e.Address, sentAt, notice))
 	if err != nil {
 		g.log.Warn().Str("endpoint", e.ID).Err(err).Msg("could not list the cached parts of an engine")
 		return
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -8,6 +8,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/admission"
 	"github.com/pistachiowind/pistachiowind/gateway/crashes"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/ratelimit"
 	"github.com/pistachiowind/pistachiowind/gateway/reach"
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
@@ -52,6 +53,7 @@
 	crashes  *crashes.Table
 	reach    *reach.Table
 	pauses   *reach.Pauses
+	limits   *ratelimit.Table
 	// recentlyLeaving are the endpoints that recently announced in a response to this
 	// gateway that they are leaving, oldest first.
 	recentlyLeaving []leavingEndpoint
@@ -62,10 +64,12 @@
 	maxGatewaysSeen int
 	// endpointsListed is set once the endpoints have been listed.
 	endpointsListed bool
-	// onEndpointChanges is called with the changes that an endpoint's response causes, and
-	// onPause when an endpoint asks for a pause.
+	// onEndpointChanges is called with the changes that an endpoint's response causes,
+	// onPause when an endpoint asks for a pause, and onLimit when it changes the rate of
+	// requests that it accepts.
 	onEndpointChanges func([]registry.Change)
 	onPause           func(endpoint string, d time.Duration)
+	onLimit           func(endpoint string, r ratelimit.Report)
 }
 
 func newDispatcher(s Settings, rng *rand.Rand) *dispatcher {
@@ -89,10 +93,12 @@
 		crashes:           crashes.New(),
 		reach:             reachable,
 		pauses:            pauses,
+		limits:            ratelimit.New(),
 		rng:               rng,
 		settings:          s,
 		onEndpointChanges: func([]registry.Change) {},
 		onPause:           func(string, time.Duration) {},
+		onLimit:           func(string, ratelimit.Report) {},
 	}
 }
 
@@ -260,6 +266,13 @@
 	return d.pauses.Len(time.Now())
 }
 
+// limitedEndpoints returns the number of endpoints that name a limit.
+func (d *dispatcher) limitedEndpoints() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.limits.Len()
+}
+
 // prefillSpeeds calls report with the estimated prefill speed of each service's
 // engines.
 func (d *dispatcher) prefillSpeeds(report func(service string, s placement.Speed)) {
@@ -280,6 +293,7 @@
 			d.drainEndpoint(c.Entry)
 		case registry.StateRestarted:
 			d.removeEndpoint(now, c.Entry.ID)
+			d.limits.Forget(placement.Hash(c.Entry.ID))
 			d.putEndpoint(now, c.Entry)
 			d.drainEndpoint(c.Entry)
 		case registry.StateReady:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/pistachiowind/pistachiowind/gateway/follow"
+	"github.com/pistachiowind/pistachiowind/gateway/ratelimit"
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
@@ -127,7 +128,7 @@
 // New returns a Gateway that does not listen yet; see Serve.
 func New(o Options) *Gateway {
 	g := &Gateway{options: o, log: o.Log, dispatcher: newDispatcher(o.Settings, o.Rand)}
-	g.dispatcher.onEndpointChanges, g.dispatcher.onPause = g.logEndpointChanges, g.logPause
+	g.dispatcher.onEndpointChanges, g.dispatcher.onPause, g.dispatcher.onLimit = g.logEndpointChanges, g.logPause, g.logLimit
 	g.gracePeriod.Store(int64(o.Settings.GracePeriod()))
 	g.storeStatus = follow.NewStoreStatus(rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())))
 	g.pool = upstream.NewPool(upstream.Options{OnDial: func(_ string, err error) {
@@ -366,6 +367,14 @@
 	g.log.Info().Str("endpoint", endpoint).Int64("pause_ms", ms(d)).Msg("endpoint is full and wants no requests")
 }
 
+func (g *Gateway) logLimit(endpoint string, r ratelimit.Report) {
+	if r.State != ratelimit.Limited {
+		g.log.Info().Str("endpoint", endpoint).Msg("endpoint names no limit any more")
+		return
+	}
+	g.log.Info().Str("endpoint", endpoint).Float64("per_s", r.PerSecond).Msg("endpoint names a limit")
+}
+
 func (g *Gateway) logEndpointChanges(changes []registry.Change) {
 	for _, c := range changes {
 		g.log.Info().Str("endpoint", c.Entry.ID).Str("service", c.Entry.Service).Str("address", c.Entry.Address).
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -50,7 +50,7 @@
 	if len(r.Attempts) > 0 {
 		attempts := zerolog.Arr()
 		for _, a := range r.Attempts {
-			attempts = attempts.Dict(zerolog.Dict().
+			attempt := zerolog.Dict().
 				Str("endpoint", a.Endpoint).
 				Str("result", a.Result).
 				Int64("expected_ms", ms(a.Expected)).
@@ -60,7 +60,11 @@
 				Int("running", a.Load.Running).
 				Float64("tight", a.Load.Tight).
 				Int("prefill", a.Load.Prefill).
-				Int64("load_age_ms", ms(a.LoadAge)))
+				Int64("load_age_ms", ms(a.LoadAge))
+			if a.FetchedFrom != "" {
+				attempt = attempt.Str("fetched_from", a.FetchedFrom)
+			}
+			attempts = attempts.Dict(attempt)
 		}
 		event = event.Array("attempts", attempts)
 	}
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -34,9 +34,9 @@
 }
 
 // applyNotice handles the notice in a response from an address to a request that was
-// sent to endpoint i. The notice applies to i, or, if n.OtherEndpoint is set, to the
-// other endpoint that now has the address.
-func (d *dispatcher) applyNotice(i registry.Incarnation, address string, n relay.Notice) []registry.Change {
+// sent to endpoint i at sentAt. The notice applies to i, or, if n.OtherEndpoint is set,
+// to the other endpoint that now has the address.
+func (d *dispatcher) applyNotice(i registry.Incarnation, address string, sentAt time.Time, n relay.Notice) []registry.Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if n.OtherEndpoint {
@@ -49,6 +49,7 @@
 	if n.Pause > 0 && d.pauses.SetPause(now, placement.Hash(i.ID), now.Add(n.Pause)) {
 		d.onPause(i.ID, n.Pause)
 	}
+	d.observeLimit(now, sentAt, i, n)
 	if !n.Leaving {
 		return nil
 	}
@@ -60,6 +61,17 @@
 	return changes
 }
 
+// observeLimit records what a notice says about the rate of requests that endpoint i
+// accepts. The mutex is held.
+func (d *dispatcher) observeLimit(now, sentAt time.Time, i registry.Incarnation, n relay.Notice) {
+	if !n.ToThisRequest {
+		sentAt = time.Time{}
+	}
+	if d.limits.Observe(now, sentAt, placement.Hash(i.ID), n.Limit) {
+		d.onLimit(i.ID, n.Limit)
+	}
+}
+
 // markLeaving stops assigning work to a leaving endpoint. A later process with the same
 // id is not affected. The mutex is held.
 func (d *dispatcher) markLeaving(now time.Time, i registry.Incarnation) []registry.Change {
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -63,7 +63,7 @@
 // expected endpoint out of use, and against losing the notice for the other one.
 func TestNoticeOfAnotherEndpointAtTheAddress(t *testing.T) {
 	d := twoEndpointDispatcher(t)
-	d.applyNotice(registry.Incarnation{ID: "a", Born: 1}, "10.0.0.2:1", relay.Notice{Leaving: true, OtherEndpoint: true})
+	d.applyNotice(registry.Incarnation{ID: "a", Born: 1}, "10.0.0.2:1", time.Now(), relay.Notice{Leaving: true, OtherEndpoint: true})
 	for range 10 {
 		if attempt, _ := admit(t, d, 0); attempt.Choice().Endpoint.ID != "a" {
 			t.Fatal("the leaving endpoint was chosen")
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -16,6 +16,9 @@
 	// statePaused is the state label of endpoints that are full and asked for no
 	// requests.
 	statePaused = "paused"
+	// stateLimited is the state label of endpoints that name the rate of requests that
+	// they accept.
+	stateLimited = "limited"
 )
 
 // Finished implements relay.Observer: it records the metrics of a request and logs it.
@@ -51,6 +54,7 @@
 		set(float64(len(entries)-draining), telemetry.StateLabels{State: registry.StateReady})
 		set(float64(draining), telemetry.StateLabels{State: registry.StateDraining})
 		set(float64(g.dispatcher.pausedEndpoints()), telemetry.StateLabels{State: statePaused})
+		set(float64(g.dispatcher.limitedEndpoints()), telemetry.StateLabels{State: stateLimited})
 	})
 	m.StoreEra.Observe(func(set func(float64, telemetry.NoLabels)) {
 		set(float64(g.storeStatus.Era()), telemetry.NoLabels{})
--- a/gateway/placedattempt.go
+++ b/gateway/placedattempt.go
@@ -45,7 +45,7 @@
 
 // HandleNotice implements relay.PlacedAttempt.
 func (a *placedAttempt) HandleNotice(n relay.Notice) {
-	a.dispatcher.onEndpointChanges(a.dispatcher.applyNotice(a.incarnation, a.choice.Endpoint.Address, n))
+	a.dispatcher.onEndpointChanges(a.dispatcher.applyNotice(a.incarnation, a.choice.Endpoint.Address, a.sentAt, n))
 }
 
 // relativeTime returns the time since the send as a multiple of the expected time, with
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -89,6 +89,7 @@
 		Expected:       choice.Expected,
 		UncachedTokens: choice.Uncached,
 		FetchedTokens:  choice.Fetched,
+		FetchedFrom:    choice.FetchFrom,
 		Load:           choice.Load,
 		LoadAge:        choice.LoadAge,
 	})
--- a/gateway/relay/protocol.go
+++ b/gateway/relay/protocol.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/ratelimit"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
 )
 
@@ -63,11 +64,14 @@
 	// OtherEndpoint states that another endpoint than the expected one responds at its
 	// address.
 	OtherEndpoint bool
+	// Limit is the rate of requests that the endpoint accepts from all gateways
+	// together.
+	Limit ratelimit.Report
+	// ToThisRequest states that the response answers the request of the attempt, so that
+	// the endpoint made it after the request was sent. The Relay sets it.
+	ToThisRequest bool
 }
 
-// empty reports whether the endpoint states neither Leaving nor Pause.
-func (n Notice) empty() bool { return !n.Leaving && n.Pause <= 0 }
-
 // Protocol converts between HTTP headers and the fields that a Relay uses.
 type Protocol interface {
 	// DecodeRequest decodes the headers of a caller's request.
--- a/gateway/relay/record.go
+++ b/gateway/relay/record.go
@@ -51,6 +51,8 @@
 	// FetchedTokens is the expected number of prompt tokens that the endpoint fetches from
 	// the cache of another one.
 	FetchedTokens int
+	// FetchedFrom is the address of that other endpoint; empty for no fetch.
+	FetchedFrom string
 	// Load is the load that was assumed of the endpoint. LoadAge is the time since a
 	// peer last updated its part of it; zero if none ever did.
 	Load    placement.Load
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -84,10 +84,10 @@
 		HasBody: x.r.ContentLength != 0 || x.r.Header.Get("Content-Length") != "",
 		Correlate: func(status int, h http.Header) upstream.Correlation {
 			fields := x.options.Protocol.DecodeResponse(status, h)
-			if !fields.Notice.empty() {
-				placed.HandleNotice(fields.Notice)
-			}
-			return x.correlate(fields)
+			correlation := x.correlate(fields)
+			fields.Notice.ToThisRequest = correlation == upstream.ThisRequest
+			placed.HandleNotice(fields.Notice)
+			return correlation
 		},
 	}
 	if !x.state.Repeatable {
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -34,7 +34,7 @@
 		Attempts:        newCounter[ResultLabels](p, "gateway_attempts", maxOutcomes, "Attempts at endpoints that ended, by result as in the log."),
 		Connections:     newCounter[ResultLabels](p, "gateway_connections", maxOutcomes, "New connections to endpoints. Outcomes: ok, failed."),
 		ConfigVersion:   newGauge[NoLabels](p, "gateway_config_version", "", 1, "Version of the configuration in force; 0 before the first."),
-		Endpoints:       newGauge[StateLabels](p, "gateway_endpoints", "", maxOutcomes, "Known endpoints by state: ready, draining; paused ones, which are full and want no requests, count twice."),
+		Endpoints:       newGauge[StateLabels](p, "gateway_endpoints", "", maxOutcomes, "Known endpoints by state: ready, draining; paused ones, which are full and want no requests, and limited ones, which name a rate of requests, count again."),
 		Peers:           newGauge[NoLabels](p, "gateway_peers", "", 1, "Other gateways heard within 5 s."),
 		PrefillRate:     newGauge[ClassLabels](p, "gateway_prefill_rate", "", maxClasses, "Prompt tokens per millisecond that an engine is assumed to read, by service, as all gateways observed it."),
 		StoreUp:         newGauge[ReasonLabels](p, "gateway_store_up", "", maxOutcomes, "1 while the table of the store answers, otherwise 0."),
