Keep the limits of endpoints over all gateways together

Cause: the gateway did not read the limit. It is a rate for all gateways together, so that reading it at each gateway alone would not do: with five gateways the endpoint would get five times as much. Change: package gateway/ratelimit. Gateways state to each other which limits they know and how much they would send. A limit divides a time that all gateways share into slots of one request; a slot belongs to one gateway, by rendezvous hashing of the slot and the gateways with their demand as weights. A limit that is large for the number of gateways is split by weight instead. Each gateway counts itself with its lowest and its peers with their highest recent weight, so that no allowance is claimed twice while statements are on the way. Silent peers keep their share for 30 s, as they may only be cut off; a new gateway claims nothing until its peers have heard of it. What a limit does not allow goes to other endpoints; if there is none, the request is refused with the time at which its turn comes, and less urgent work yields to it. Retries, the list of cached parts and fetches from an engine's cache count too; a limited engine is no source of fetches.

--- a/gateway/admission/gate.go
+++ b/gateway/admission/gate.go
@@ -133,6 +133,16 @@
 	return decision
 }
 
+// CountRefused records a stream that no endpoint accepted, because those that are in need
+// limit their requests. Less urgent work then yields to it, as if it had been late.
+func (g *Gate) CountRefused(now time.Time, r Request) {
+	if g.rule == DeadlineOnly || !r.Streaming || r.IsRetry {
+		return
+	}
+	k := RequestClass{Service: r.Service, Route: r.Route, Priority: r.Priority}
+	g.countRequest(now, k, float64(r.Prompt), true).LastRefused = now
+}
+
 // endpointIdle reports whether the chosen endpoint would begin a request nearly at
 // once, so that a refusal would leave it idle. It is false for a while after more
 // urgent requests were refused, which keeps the endpoint for their retries.
--- a/gateway/cachedparts.go
+++ b/gateway/cachedparts.go
@@ -148,6 +148,10 @@
 
 // loadPartsOf asks one engine for its cached parts and handles the notice in its response.
 func (g *Gateway) loadPartsOf(ctx context.Context, e registry.Entry) {
+	if !g.dispatcher.allowListing(e.ID) {
+		g.log.Info().Str("endpoint", e.ID).Msg("limited engine is not asked for its cached parts")
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, askPartsTimeout)
 	defer cancel()
 	sentAt := time.Now()
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -54,6 +54,7 @@
 	reach    *reach.Table
 	pauses   *reach.Pauses
 	limits   *ratelimit.Table
+	returns  returnTimes
 	// recentlyLeaving are the endpoints that recently announced in a response to this
 	// gateway that they are leaving, oldest first.
 	recentlyLeaving []leavingEndpoint
@@ -66,10 +67,10 @@
 	endpointsListed bool
 	// onEndpointChanges is called with the changes that an endpoint's response causes,
 	// onPause when an endpoint asks for a pause, and onLimit when it changes the rate of
-	// requests that it accepts.
+	// requests that it accepts, as it or a peer states.
 	onEndpointChanges func([]registry.Change)
 	onPause           func(endpoint string, d time.Duration)
-	onLimit           func(endpoint string, r ratelimit.Report)
+	onLimit           func(endpoint string, r ratelimit.Report, byPeer bool)
 }
 
 func newDispatcher(s Settings, rng *rand.Rand) *dispatcher {
@@ -83,6 +84,8 @@
 		return reachable.LeftOut(now, endpoint) || pauses.Hinted(now, endpoint)
 	})
 	fleet.SetPaused(pauses.Paused)
+	limits := ratelimit.New(time.Now(), s.Listen.Peers)
+	fleet.SetLimits(limits)
 	return &dispatcher{
 		fleet:             fleet,
 		health:            health.New(health.Options{Window: 5 * time.Second, OpenTime: 2 * time.Second, MaxOpenTime: 8 * time.Second, RampTime: 3 * time.Second}),
@@ -93,12 +96,13 @@
 		crashes:           crashes.New(),
 		reach:             reachable,
 		pauses:            pauses,
-		limits:            ratelimit.New(),
+		limits:            limits,
+		returns:           make(returnTimes),
 		rng:               rng,
 		settings:          s,
 		onEndpointChanges: func([]registry.Change) {},
 		onPause:           func(string, time.Duration) {},
-		onLimit:           func(string, ratelimit.Report) {},
+		onLimit:           func(string, ratelimit.Report, bool) {},
 	}
 }
 
@@ -112,7 +116,7 @@
 	}
 	choice, found := d.fleet.Choose(now, w)
 	if !found {
-		return nil, &relay.Refusal{Reason: "no_endpoint", RetryAfter: d.retryAfter(now, w.Service, r.Priority)}
+		return nil, d.refuseNoEndpoint(now, w, r)
 	}
 	decision := d.gate.Decide(now, admission.Request{
 		Service:   w.Service,
@@ -133,6 +137,7 @@
 	}
 	// Every endpoint of the fleet has an entry in the registry.
 	a.incarnation, _ = d.registry.Incarnation(choice.Endpoint.ID)
+	d.limits.Take(now, placement.Hash(choice.Endpoint.ID))
 	d.health.Sent(now, choice.Endpoint.ID)
 	d.inFlight[a] = struct{}{}
 	return a, nil
@@ -193,12 +198,13 @@
 	}
 }
 
-// needsEarlyStatement reports whether so much work was sent to endpoints since the
-// last statement that the peers should know of it before the next regular one.
+// needsEarlyStatement reports whether the peers should know before the next regular
+// statement how much work was sent to endpoints since the last one, or that the limit of
+// an endpoint has changed.
 func (d *dispatcher) needsEarlyStatement() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.fleet.UnstatedPromptTokens() >= earlyStatementTokens
+	return d.fleet.UnstatedPromptTokens() >= earlyStatementTokens || d.limits.HasUnstated()
 }
 
 // expirePeerLoads drops the loads of peers without a statement for maxAge.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -22,7 +22,7 @@
 	// placementRepeat is the number of successive statements that include a placement,
 	// so that the loss of a datagram does not lose it.
 	placementRepeat = 3
-	// maxLoads to maxPauses bound the entries of each kind in a statement and keep it
+	// maxLoads to maxLimits bound the entries of each kind in a statement and keep it
 	// below peers.MaxDatagram.
 	maxLoads       = 300
 	maxPlacements  = 200
@@ -30,6 +30,7 @@
 	maxSpeeds      = 8
 	maxUnreachable = 200
 	maxPauses      = 200
+	maxLimits      = 64
 	// storeReturnStatedFor is how long statements tell peers that the store answers
 	// again: two intervals of the largest site.
 	storeReturnStatedFor = 10 * time.Second
@@ -124,6 +125,7 @@
 	x.gateway.storeStatus.SetGateways(known + 1)
 	x.gateway.dispatcher.expirePeerLoads(now, peerLoadIntervals*interval)
 	statement := x.gateway.dispatcher.statement(now, x.sentAt[0])
+	x.gateway.dispatcher.addLimits(now, interval, statement)
 	copy(x.sentAt[:], x.sentAt[1:])
 	x.sentAt[placementRepeat-1] = now
 	x.gateway.addStoreState(statement)
@@ -322,6 +324,7 @@
 	for _, p := range s.Placements {
 		d.fleet.PeerPlacement(now, p.Endpoint, placement.Part{ID: p.Part, Tokens: int(p.Tokens)})
 	}
+	d.applyLimits(now, s)
 	for _, p := range s.Pauses {
 		d.pauses.AddHint(now, p.Endpoint, time.Duration(p.LeftMs)*time.Millisecond)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -367,12 +367,12 @@
 	g.log.Info().Str("endpoint", endpoint).Int64("pause_ms", ms(d)).Msg("endpoint is full and wants no requests")
 }
 
-func (g *Gateway) logLimit(endpoint string, r ratelimit.Report) {
+func (g *Gateway) logLimit(endpoint string, r ratelimit.Report, byPeer bool) {
 	if r.State != ratelimit.Limited {
-		g.log.Info().Str("endpoint", endpoint).Msg("endpoint names no limit any more")
+		g.log.Info().Str("endpoint", endpoint).Bool("by_peer", byPeer).Msg("endpoint names no limit any more")
 		return
 	}
-	g.log.Info().Str("endpoint", endpoint).Float64("per_s", r.PerSecond).Msg("endpoint names a limit")
+	g.log.Info().Str("endpoint", endpoint).Float64("per_s", r.PerSecond).Bool("by_peer", byPeer).Msg("endpoint names a limit")
 }
 
 func (g *Gateway) logEndpointChanges(changes []registry.Change) {
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -27,3 +27,179 @@
 		site.check(t)
 	})
 }
+
+// stepped returns a limit that changes at the given times; a negative one is none.
+func stepped(steps map[time.Duration]float64) func(time.Duration) (float64, bool) {
+	return func(at time.Duration) (float64, bool) {
+		latest, current := time.Duration(-1), -1.0
+		for from, perSecond := range steps {
+			if from <= at && from > latest {
+				latest, current = from, perSecond
+			}
+		}
+		return max(current, 0), current >= 0
+	}
+}
+
+// limitScenario is a site with limits, and what happens there.
+type limitScenario struct {
+	name      string
+	endpoints func() []*limitedEndpoint
+	// gateways are the demands of the gateways in requests a second.
+	gateways []float64
+	events   func(s *limitSite)
+	// minUsed is the least share of the first endpoint's allowance that is used while the
+	// demand is at least twice that of all limits; zero where it is not.
+	minUsed float64
+}
+
+// limitTarget is the share of an allowance that is to be used while the demand is at least
+// twice of it, and limitTargetFaults that while gateways fail or limits change.
+const (
+	limitTarget       = 0.7
+	limitTargetFaults = 0.4
+)
+
+func limitedPool(perSecond ...float64) func() []*limitedEndpoint {
+	return func() []*limitedEndpoint {
+		var pool []*limitedEndpoint
+		for i, l := range perSecond {
+			pool = append(pool, &limitedEndpoint{id: string(rune('a' + i)), limit: limitedFrom(5*time.Second, l)})
+		}
+		return pool
+	}
+}
+
+func repeated(n int, perSecond float64) []float64 {
+	demands := make([]float64, n)
+	for i := range demands {
+		demands[i] = perSecond
+	}
+	return demands
+}
+
+// later schedules an event for each of the given gateways, 3 s apart from 15 s on.
+func later(do func(g *limitGateway), gateways ...int) func(s *limitSite) {
+	return func(s *limitSite) {
+		for i, n := range gateways {
+			s.after(15*time.Second+time.Duration(i)*3*time.Second, func() { do(s.gateways[n]) })
+		}
+	}
+}
+
+var limitScenarios = []limitScenario{
+	{name: "demands differ", endpoints: limitedPool(1, 3, 0.3), gateways: []float64{20, 10, 3, 1, 0.2}, minUsed: limitTarget},
+	{name: "limits above the gateways", endpoints: limitedPool(10, 5, 7), gateways: []float64{20, 15, 8, 4, 1}, minUsed: limitTarget},
+	{name: "one gateway has all the demand", endpoints: limitedPool(1, 2, 1), gateways: []float64{8, 0, 0, 0, 0}, minUsed: limitTarget},
+	{name: "one gateway", endpoints: limitedPool(2, 1), gateways: []float64{8}, minUsed: limitTarget},
+	{name: "sixty gateways", endpoints: limitedPool(1, 10, 20), gateways: repeated(60, 2), minUsed: limitTarget},
+	{name: "limit of zero", endpoints: limitedPool(0, 0.25), gateways: repeated(5, 3)},
+	{name: "demand below the limits", endpoints: limitedPool(4, 4, 4), gateways: repeated(5, 0.5)},
+	{name: "limits change and end", gateways: repeated(5, 6), minUsed: limitTargetFaults, endpoints: func() []*limitedEndpoint {
+		return []*limitedEndpoint{
+			{id: "a", limit: stepped(map[time.Duration]float64{5 * time.Second: 4, 15 * time.Second: 1, 25 * time.Second: 6, 40 * time.Second: 0.5, 50 * time.Second: 3})},
+			{id: "b", limit: stepped(map[time.Duration]float64{8 * time.Second: 2, 20 * time.Second: -1, 30 * time.Second: 0.5})},
+			{id: "c", limit: unlimited},
+		}
+	}},
+	{name: "gateways join", endpoints: limitedPool(2, 1), gateways: repeated(4, 4), minUsed: limitTargetFaults, events: func(s *limitSite) {
+		for i := range 8 {
+			s.after(12*time.Second+time.Duration(i)*2*time.Second, func() { s.add(steady(4)) })
+		}
+	}},
+	{name: "gateways restart", endpoints: limitedPool(2, 1), gateways: repeated(6, 4), minUsed: limitTargetFaults,
+		events: later(func(g *limitGateway) { g.stop(time.Second) }, 0, 1, 2, 3, 4, 5)},
+	{name: "all gateways restart at once", endpoints: limitedPool(2, 1), gateways: repeated(6, 4), minUsed: limitTargetFaults, events: func(s *limitSite) {
+		s.after(20*time.Second, func() {
+			for _, g := range s.gateways {
+				g.stop(time.Second)
+			}
+		})
+	}},
+	{name: "gateways freeze", endpoints: limitedPool(2, 1), gateways: repeated(6, 4), minUsed: limitTargetFaults,
+		events: later(func(g *limitGateway) { g.freeze(6 * time.Second) }, 1, 2, 3)},
+	{name: "gateways are cut off", endpoints: limitedPool(2, 1), gateways: repeated(6, 4), minUsed: limitTargetFaults,
+		events: later(func(g *limitGateway) { g.cut(20 * time.Second) }, 1, 2, 3)},
+	{name: "half of the gateways are cut off from all", endpoints: limitedPool(1, 0.5), gateways: repeated(16, 4), minUsed: limitTargetFaults, events: func(s *limitSite) {
+		s.after(15*time.Second, func() {
+			for _, g := range s.gateways[8:] {
+				g.cut(20 * time.Second)
+			}
+		})
+	}},
+	{name: "many gateways join at once", endpoints: limitedPool(1, 0.5), gateways: repeated(4, 4), minUsed: limitTargetFaults, events: func(s *limitSite) {
+		s.after(20*time.Second, func() {
+			for range 40 {
+				s.add(steady(4))
+			}
+		})
+	}},
+	{name: "demand returns after a pause", endpoints: limitedPool(1, 4, 30), gateways: repeated(30, 0), events: func(s *limitSite) {
+		for _, g := range s.gateways {
+			g.demand = func(at time.Duration) float64 {
+				if at < 15*time.Second || at > 40*time.Second {
+					return 8
+				}
+				return 0
+			}
+		}
+	}},
+	{name: "demand moves between many gateways", endpoints: limitedPool(1, 2), gateways: repeated(30, 0), minUsed: limitTargetFaults, events: func(s *limitSite) {
+		for i, g := range s.gateways {
+			g.demand = func(at time.Duration) float64 {
+				if int(at.Seconds()/4)%3 == i%3 {
+					return 10
+				}
+				return 0
+			}
+		}
+	}},
+	{name: "gateways drain", endpoints: limitedPool(2, 1), gateways: repeated(6, 4), minUsed: limitTargetFaults,
+		events: later(func(g *limitGateway) {
+			g.demand = steady(0)
+			g.site.after(3*time.Second, func() { g.stop(time.Hour) })
+		}, 1, 2)},
+	{name: "statements are lost", endpoints: limitedPool(2, 1), gateways: repeated(6, 4), minUsed: limitTargetFaults, events: func(s *limitSite) {
+		for _, g := range s.gateways {
+			g.lost = 0.2
+		}
+	}},
+	{name: "endpoints reject and requests are repeated", gateways: repeated(5, 6), minUsed: limitTarget, endpoints: func() []*limitedEndpoint {
+		pool := limitedPool(2, 1, 3)()
+		for _, e := range pool {
+			e.fails = 0.5
+		}
+		return pool
+	}},
+}
+
+// Guards against a sum over all gateways that exceeds the limit of an endpoint although
+// each gateway keeps it: while demands differ, gateways join, restart, freeze, drain, lose
+// statements or are cut off, limits change or end, and requests are repeated. Guards as
+// well against a limit of which a large part is never used.
+func TestLimitHoldsForTheSumOfGatewaysThatDiffer(t *testing.T) {
+	const until = 60 * time.Second
+	for _, c := range limitScenarios {
+		for seed := uint64(1); seed <= 2; seed++ {
+			t.Run(c.name, func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					site := newLimitSite(seed, c.endpoints()...)
+					for _, perSecond := range c.gateways {
+						site.add(steady(perSecond))
+					}
+					if c.events != nil {
+						c.events(site)
+					}
+					site.run(until)
+					site.check(t)
+					used := site.endpoints[0].used(15*time.Second, until)
+					t.Logf("seed %d: %.2f of the allowance of the first endpoint used", seed, used)
+					if used < c.minUsed {
+						t.Errorf("seed %d: %.2f of the allowance used, want %.2f", seed, used, c.minUsed)
+					}
+				})
+			})
+		}
+	}
+}
--- a/gateway/limitsite_test.go
+++ b/gateway/limitsite_test.go
@@ -18,7 +18,8 @@
 
 // The users' rule on limits: from limitNotice after an endpoint first named its limit, it
 // gets in no limitWindow more than limitFactor times what that allows, and limitExtra
-// requests, summed over the gateways that were told toldBefore earlier.
+// requests, summed over the gateways that were told toldBefore earlier. The rule excuses
+// gateways that restart, freeze or are cut off; here they count like the others.
 const (
 	limitNotice = 3 * time.Second
 	limitWindow = 4 * time.Second
@@ -48,7 +49,7 @@
 
 type limitArrival struct {
 	at time.Duration
-	// counted is true if the gateway had been told of a limit and is not excused.
+	// counted is true if the gateway had been told of a limit.
 	counted bool
 }
 
@@ -63,9 +64,8 @@
 	// toldAt is when each endpoint last named a limit in a response to this gateway.
 	toldAt map[string]time.Duration
 	// down, frozen and cutOff hold while the gateway does not run, stands still, or does not
-	// reach its peers. excusedUntil is when the rule counts it again.
+	// reach its peers.
 	down, frozen, cutOff bool
-	excusedUntil         time.Duration
 	nextSend             time.Time
 	inbox                [][]byte
 	served, refused      int
@@ -121,28 +121,20 @@
 	g.gateway.dispatcher.updateRegistry(func(now time.Time, r *registry.Registry) []registry.Change { return r.Replace(now, entries) })
 }
 
-// excuse marks the gateway as restarted, frozen or cut off, for d and limitNotice after it.
-func (g *limitGateway) excuse(d time.Duration) {
-	g.excusedUntil = max(g.excusedUntil, g.site.now()+d+limitNotice)
-}
-
 // stop ends the process of a gateway for d.
 func (g *limitGateway) stop(d time.Duration) {
-	g.excuse(d)
 	g.down = true
 	g.site.after(d, g.boot)
 }
 
 // freeze stops a gateway for d; it continues with what it knew.
 func (g *limitGateway) freeze(d time.Duration) {
-	g.excuse(d)
 	g.frozen = true
 	g.site.after(d, func() { g.frozen = false })
 }
 
 // cut separates a gateway from its peers for d; it still reaches callers and endpoints.
 func (g *limitGateway) cut(d time.Duration) {
-	g.excuse(d)
 	g.cutOff = true
 	g.site.after(d, func() { g.cutOff = false })
 }
@@ -217,7 +209,7 @@
 func (g *limitGateway) arrive(e *limitedEndpoint, work *placement.Work, attempt relay.PlacedAttempt, isRetry bool) {
 	now := g.site.now()
 	told, known := g.toldAt[e.id]
-	e.arrivals = append(e.arrivals, limitArrival{now, known && told+toldBefore <= now && now >= g.excusedUntil})
+	e.arrivals = append(e.arrivals, limitArrival{now, known && told+toldBefore <= now})
 	rejected := !isRetry && g.site.rng.Float64() < e.fails
 	took := limitServiceTime
 	if rejected {
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -61,17 +61,6 @@
 	return changes
 }
 
-// observeLimit records what a notice says about the rate of requests that endpoint i
-// accepts. The mutex is held.
-func (d *dispatcher) observeLimit(now, sentAt time.Time, i registry.Incarnation, n relay.Notice) {
-	if !n.ToThisRequest {
-		sentAt = time.Time{}
-	}
-	if d.limits.Observe(now, sentAt, placement.Hash(i.ID), n.Limit) {
-		d.onLimit(i.ID, n.Limit)
-	}
-}
-
 // markLeaving stops assigning work to a leaving endpoint. A later process with the same
 // id is not affected. The mutex is held.
 func (d *dispatcher) markLeaving(now time.Time, i registry.Incarnation) []registry.Change {
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -47,7 +47,7 @@
 	maxNewNamed = 32
 	knownNamed  = 4
 	// MaxDatagram is the largest encoded statement in bytes; a larger one is not sent.
-	MaxDatagram = 16 << 10
+	MaxDatagram = 24 << 10
 )
 
 // Exchange is the state of one gateway's exchange with its peers.
--- a/gateway/placement/cache.go
+++ b/gateway/placement/cache.go
@@ -123,7 +123,7 @@
 	strictShare float64
 }
 
-// homes returns the preferred endpoints for a request; strictShare is not set.
+// homes returns the preferred endpoints for a request; source and strictShare are not set.
 func (s *service) homes(now time.Time, w *Work, usable func(*endpoint) bool) partHomes {
 	shared := w.shared()
 	if len(shared) == 0 {
@@ -133,26 +133,43 @@
 	var h partHomes
 	var firstRank, secondRank uint64
 	for _, e := range s.members {
-		if !usable(e) || e.leaving {
+		if !usable(e) || e.draining {
 			continue
 		}
-		if !e.draining {
-			rank := mix(key ^ e.hash)
-			switch {
-			case h.first == nil || rank > firstRank:
-				h.second, secondRank = h.first, firstRank
-				h.first, firstRank = e, rank
-			case h.second == nil || rank > secondRank:
-				h.second, secondRank = e, rank
-			}
-		}
-		if read := e.cachedTokens(now, shared); read > h.sourceTokens {
-			h.source, h.sourceTokens = e, read
+		rank := mix(key ^ e.hash)
+		switch {
+		case h.first == nil || rank > firstRank:
+			h.second, secondRank = h.first, firstRank
+			h.first, firstRank = e, rank
+		case h.second == nil || rank > secondRank:
+			h.second, secondRank = e, rank
 		}
 	}
 	return h
 }
 
+// isSource reports whether cached parts may be fetched from an endpoint. A fetch is a
+// request to its source, so an endpoint that names a limit is none.
+func (f *Fleet) isSource(now time.Time, e *endpoint) bool {
+	limited, _ := f.checkLimit(now, e)
+	return f.usable(now, e) && !e.leaving && !limited
+}
+
+// fetchSource returns the endpoint among those for which isSource is true that has the most
+// tokens of the leading shared parts in its cache, and their number; nil for none.
+func (s *service) fetchSource(now time.Time, w *Work, isSource func(*endpoint) bool) (source *endpoint, tokens int) {
+	shared := w.shared()
+	if len(shared) == 0 {
+		return nil, 0
+	}
+	for _, e := range s.members {
+		if read := e.cachedTokens(now, shared); read > tokens && isSource(e) {
+			source, tokens = e, read
+		}
+	}
+	return source, tokens
+}
+
 // mix is the finalizer of splitmix64.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -124,6 +124,20 @@
 // endpoint accepts it; nil means none.
 func (f *Fleet) SetPaused(isPaused EndpointFilter) { f.isPaused = isPaused }
 
+// Limits holds the rates of requests that endpoints accept. An endpoint is given by the
+// hash of its id.
+type Limits interface {
+	// Check reports whether the endpoint names a limit, and whether it allows a request of
+	// this gateway now.
+	Check(now time.Time, endpoint uint64) (limited, allowed bool)
+	// Want counts a request that would be sent to the endpoint without its limit.
+	Want(now time.Time, endpoint uint64)
+}
+
+// SetLimits sets the limits of the endpoints; nil means none. An endpoint whose limit does
+// not allow a request gets none, even if no other endpoint accepts it.
+func (f *Fleet) SetLimits(l Limits) { f.limits = l }
+
 // Fleet holds the endpoints of all services with their estimated load, speed and cache
 // contents, as known to one gateway.
 type Fleet struct {
@@ -141,6 +155,10 @@
 	// all; nil means none.
 	isLeftOut EndpointFilter
 	isPaused  EndpointFilter
+	// limits is nil for none; limitedCosts are the costs of the limited endpoints in the
+	// last choice.
+	limits       Limits
+	limitedCosts []limitedCost
 	// rule is empty for Cheapest; rng is used by the other rules only.
 	rule Rule
 	rng  *rand.Rand
@@ -253,6 +271,15 @@
 	return ""
 }
 
+// EachOf calls visit with the hash of each endpoint of a service.
+func (f *Fleet) EachOf(service string, visit func(endpoint uint64)) {
+	if s := f.services[service]; s != nil {
+		for _, e := range s.members {
+			visit(e.hash)
+		}
+	}
+}
+
 // Drain excludes an endpoint from new requests but keeps it as a source of cached
 // parts.
 func (f *Fleet) Drain(id string) {
@@ -334,31 +361,59 @@
 	if !found {
 		best, found = f.cheapest(now, s, w, func(*endpoint) bool { return true })
 	}
+	for _, l := range f.limitedCosts {
+		f.limits.Want(now, l.endpoint)
+	}
 	return best, found
 }
 
+// limitedCost is the cost of a request at an endpoint that names a limit.
+type limitedCost struct {
+	endpoint uint64
+	cost     float64
+}
+
+// checkLimit reports whether an endpoint names a limit and whether it allows a request.
+func (f *Fleet) checkLimit(now time.Time, e *endpoint) (limited, allowed bool) {
+	if f.limits == nil {
+		return false, true
+	}
+	return f.limits.Check(now, e.hash)
+}
+
 // usable reports whether an endpoint is neither ejected nor left out.
 func (f *Fleet) usable(now time.Time, e *endpoint) bool {
 	return !e.ejected && (f.isLeftOut == nil || !f.isLeftOut(now, e.hash))
 }
 
 // cheapest returns the endpoint with the lowest cost among those for which accept is
-// true; false if there is none. Draining, paused and excluded ones are skipped.
+// true; false if there is none. Draining, paused and excluded ones are skipped, and those
+// whose limit allows no request. It sets limitedCosts to the limited endpoints that are
+// cheaper than all others, whether or not they allow the request.
 func (f *Fleet) cheapest(now time.Time, s *service, w *Work, accept func(*endpoint) bool) (Choice, bool) {
 	homes := s.homes(now, w, func(e *endpoint) bool { return f.usable(now, e) })
+	homes.source, homes.sourceTokens = s.fetchSource(now, w, func(e *endpoint) bool { return f.isSource(now, e) })
 	homes.strictShare = s.strictShare(now)
 	var best Choice
-	bestCost := math.Inf(1)
+	bestCost, cheapestUnlimited := math.Inf(1), math.Inf(1)
+	f.limitedCosts = f.limitedCosts[:0]
 	for _, e := range s.members {
 		if e.draining || f.isPaused != nil && f.isPaused(now, e.hash) || !accept(e) || contains(w.Excluded, e.ID) {
 			continue
 		}
 		c, cost := f.estimate(now, s, e, w, homes)
 		cost = f.ruleCost(e, cost)
-		if cost < bestCost {
+		limited, allowed := f.checkLimit(now, e)
+		if limited {
+			f.limitedCosts = append(f.limitedCosts, limitedCost{e.hash, cost})
+		} else {
+			cheapestUnlimited = min(cheapestUnlimited, cost)
+		}
+		if allowed && cost < bestCost {
 			best, bestCost = c, cost
 		}
 	}
+	f.limitedCosts = slices.DeleteFunc(f.limitedCosts, func(l limitedCost) bool { return l.cost > cheapestUnlimited })
 	return best, !math.IsInf(bestCost, 1)
 }
 
--- a/gateway/ratelimit/table.go
+++ b/gateway/ratelimit/table.go
@@ -1,28 +1,88 @@
 package ratelimit
 
-import "time"
+import (
+	"slices"
+	"time"
 
-// maxEndpoints bounds the endpoints with a known limit; the limits of further ones are
-// not recorded.
-const maxEndpoints = 4096
+	"github.com/cespare/xxhash/v2"
+)
 
-// Table holds the limits of the endpoints, by the hash of their ids.
+const (
+	// maxEndpoints bounds the endpoints with a known limit; at the bound, the one confirmed
+	// longest ago is dropped.
+	maxEndpoints = 4096
+	// maxPeers bounds the peers that share the limits; further ones get no share, and are
+	// not known to the exchange of statements either.
+	maxPeers = 1024
+	// peerHoldTime is how long a silent peer keeps its share of each limit. It may be cut
+	// off from this gateway and still send to the endpoints.
+	peerHoldTime = 30 * time.Second
+	// minJoinTime and joinIntervals, a number of statement intervals, are how long a
+	// gateway that has started claims no share: until its peers have heard of it and it
+	// has heard of them.
+	minJoinTime   = 3 * time.Second
+	joinIntervals = 3
+	// spreadIntervals is the number of statement intervals after which all gateways know
+	// what one stated, even if a statement is lost.
+	spreadIntervals = 3
+	// liftedStatedFor is how long peers are told that a limit was lifted: a few statements
+	// of the largest site.
+	liftedStatedFor = 15 * time.Second
+)
+
+// Table holds the limits of the endpoints, by the hash of their ids, and this gateway's
+// share of each.
 type Table struct {
+	// self is the hash of the own address; zero if there are no peers.
+	self      uint64
+	startedAt time.Time
+	clock     clock
+	// interval is the time between two statements.
+	interval time.Duration
+	// spread is the time after which all gateways know a stated weight.
+	spread time.Duration
+	// peers holds when each peer last sent a statement, by the hash of its address.
+	peers     map[uint64]time.Time
 	endpoints map[uint64]*endpoint
+	// unstated is set while a limit has changed since the last statement.
+	unstated bool
 }
 
-// endpoint is an endpoint that names a limit.
+// endpoint is an endpoint that names a limit, or did so until recently.
 type endpoint struct {
+	id        uint64
 	perSecond float64
-	// at is the latest time at which the limit is known to have been in force.
-	at time.Time
+	lifted    bool
+	// at is the latest time at which the limit, or its end, is known to have been in force.
+	at       time.Time
+	wanted   demand
+	statedAt time.Time
+	own      *recentWeights
+	peers    map[uint64]*recentWeights
+	allowance
 }
 
-// New returns an empty Table.
-func New() *Table { return &Table{endpoints: make(map[uint64]*endpoint)} }
+// New returns an empty Table of the gateway at an address, which has started now; empty if
+// it has no peers.
+func New(now time.Time, address string) *Table {
+	t := &Table{startedAt: now, peers: make(map[uint64]time.Time), endpoints: make(map[uint64]*endpoint)}
+	t.clock.set(now, 0)
+	if address != "" {
+		t.self = xxhash.Sum64String(address)
+	}
+	return t
+}
 
 // Len returns the number of endpoints with a limit.
-func (t *Table) Len() int { return len(t.endpoints) }
+func (t *Table) Len() int {
+	n := 0
+	for _, e := range t.endpoints {
+		if !e.lifted {
+			n++
+		}
+	}
+	return n
+}
 
 // Observe records what a response says. sentAt is when the request that it answers was
 // sent, or zero if the response may answer another one. Observe reports whether the
@@ -32,25 +92,175 @@
 // by the response to a request that was sent after the limit was last confirmed.
 func (t *Table) Observe(now, sentAt time.Time, id uint64, r Report) bool {
 	e := t.endpoints[id]
+	unlimited := e == nil || e.lifted
 	switch {
-	case r.State == Unreadable || e == nil && (r.State == Unlimited || len(t.endpoints) >= maxEndpoints):
+	case r.State == Unreadable || r.State == Unlimited && unlimited:
 		return false
-	case e == nil:
-		t.endpoints[id] = &endpoint{perSecond: r.PerSecond, at: now}
-		return true
-	case r.State == Limited && r.PerSecond <= e.perSecond:
-		changed := r.PerSecond != e.perSecond
-		e.perSecond, e.at = r.PerSecond, now
-		return changed
+	case r.State == Limited && (unlimited || r.PerSecond <= e.perSecond):
+		return t.set(now, id, r, now)
 	case !sentAt.After(e.at):
 		return false
-	case r.State == Unlimited:
-		delete(t.endpoints, id)
-		return true
 	}
-	e.perSecond, e.at = r.PerSecond, sentAt
-	return true
+	return t.set(now, id, r, sentAt)
+}
+
+// set records a limit, or that there is none, as of a time, and reports whether it changes.
+func (t *Table) set(now time.Time, id uint64, r Report, at time.Time) bool {
+	e := t.endpoints[id]
+	if e == nil {
+		t.makeRoom()
+		e = &endpoint{id: id, lifted: true, own: newRecentWeights(now), peers: make(map[uint64]*recentWeights)}
+		t.endpoints[id] = e
+	}
+	changed := e.lifted != (r.State == Unlimited) || e.perSecond != r.PerSecond
+	e.lifted, e.perSecond, e.at = r.State == Unlimited, r.PerSecond, at
+	if changed {
+		t.unstated, e.statedAt = true, time.Time{}
+		e.reset(t.clock.since(now), e.rate())
+	}
+	return changed
+}
+
+// makeRoom drops the endpoint that was confirmed longest ago if the table is full.
+func (t *Table) makeRoom() {
+	if len(t.endpoints) < maxEndpoints {
+		return
+	}
+	var oldest *endpoint
+	for _, e := range t.endpoints {
+		if oldest == nil || e.at.Before(oldest.at) {
+			oldest = e
+		}
+	}
+	delete(t.endpoints, oldest.id)
 }
 
 // Forget removes an endpoint that has restarted.
 func (t *Table) Forget(id uint64) { delete(t.endpoints, id) }
+
+// Want counts a request that would be sent to an endpoint if it had no limit.
+func (t *Table) Want(now time.Time, id uint64) {
+	if e := t.endpoints[id]; e != nil {
+		e.wanted.count(now)
+	}
+}
+
+// HasUnstated reports whether a limit has changed since the last statement.
+func (t *Table) HasUnstated() bool { return t.unstated }
+
+// Entry is what a statement to peers says about one endpoint.
+type Entry struct {
+	Endpoint uint64
+	// PerSecond is the limit in requests a second; Lifted is set if there is none any more.
+	PerSecond float64
+	Lifted    bool
+	// At is the site time at which the limit was last known to be in force.
+	At time.Duration
+	// Wanted is the number of requests a second that the gateway would send to the endpoint
+	// without the limit.
+	Wanted float64
+}
+
+// Statement returns the site time and up to n entries for the next statement; the interval
+// is the time until the one after it. Beyond n endpoints, those that changed come first,
+// then those that were stated longest ago.
+func (t *Table) Statement(now time.Time, interval time.Duration, n int) (site time.Duration, entries []Entry) {
+	t.interval = interval
+	t.dropLifted(now)
+	t.dropSilentPeers(now)
+	due := make([]*endpoint, 0, len(t.endpoints))
+	for _, e := range t.endpoints {
+		t.claim(now, e)
+		due = append(due, e)
+	}
+	slices.SortFunc(due, func(a, b *endpoint) int { return a.statedAt.Compare(b.statedAt) })
+	rounds := (len(due) + n - 1) / n
+	t.spread = spreadIntervals * interval * time.Duration(max(rounds, 1))
+	for _, e := range due[:min(len(due), n)] {
+		weight := e.wanted.weight(now)
+		e.own.add(now, weight, t.spread)
+		e.statedAt = now
+		entries = append(entries, Entry{
+			Endpoint: e.id, PerSecond: e.perSecond, Lifted: e.lifted, At: t.clock.since(e.at), Wanted: weight,
+		})
+	}
+	t.unstated = false
+	return t.clock.since(now), entries
+}
+
+// dropLifted drops the endpoints whose peers had time to hear that the limit was lifted.
+func (t *Table) dropLifted(now time.Time) {
+	for id, e := range t.endpoints {
+		if e.lifted && now.Sub(e.at) >= liftedStatedFor {
+			delete(t.endpoints, id)
+		}
+	}
+}
+
+func (t *Table) dropSilentPeers(now time.Time) {
+	for peer, at := range t.peers {
+		if now.Sub(at) < peerHoldTime {
+			continue
+		}
+		delete(t.peers, peer)
+		for _, e := range t.endpoints {
+			delete(e.peers, peer)
+		}
+	}
+}
+
+// ApplyStatement applies a peer's statement: its address, site time and entries. It returns
+// the limits that change.
+func (t *Table) ApplyStatement(now time.Time, sender string, site time.Duration, entries []Entry) []Entry {
+	peer := xxhash.Sum64String(sender)
+	if _, known := t.peers[peer]; !known && len(t.peers) >= maxPeers {
+		return nil
+	}
+	t.peers[peer] = now
+	t.followClock(now, site)
+	var changes []Entry
+	for _, stated := range entries {
+		e := t.endpoints[stated.Endpoint]
+		at := t.clock.local(stated.At)
+		if e == nil && !stated.Lifted || e != nil && at.After(e.at) {
+			if t.set(now, stated.Endpoint, stated.Report(), at) {
+				changes = append(changes, stated)
+			}
+			e = t.endpoints[stated.Endpoint]
+		}
+		if e == nil {
+			continue
+		}
+		weights := e.peers[peer]
+		if weights == nil {
+			weights = newRecentWeights(now)
+			e.peers[peer] = weights
+		}
+		weights.add(now, stated.Wanted, t.spread)
+	}
+	return changes
+}
+
+// Report returns the limit of the entry.
+func (s *Entry) Report() Report {
+	if s.Lifted {
+		return Report{State: Unlimited}
+	}
+	return Report{State: Limited, PerSecond: s.PerSecond}
+}
+
+// followClock sets the site time to that of a peer if it is later. The allowance of the
+// skipped time was or will be used by peers, so this gateway claims none of it.
+func (t *Table) followClock(now time.Time, site time.Duration) {
+	if !t.clock.isBehind(now, site) {
+		return
+	}
+	for _, e := range t.endpoints {
+		t.claim(now, e)
+	}
+	skipped := site - t.clock.since(now)
+	t.clock.set(now, site)
+	for _, e := range t.endpoints {
+		e.skip(skipped, site, e.rate())
+	}
+}
--- a/gateway/relay/failure.go
+++ b/gateway/relay/failure.go
@@ -22,6 +22,7 @@
 	"body_memory":               resultcode.RouterSaturated,
 	"condemned":                 resultcode.RequestCondemned,
 	"no_endpoint":               resultcode.NoEndpoint,
+	"endpoint_limit":            resultcode.NoEndpoint,
 	admission.OutOfTime:         resultcode.TimeTooShort,
 	admission.OutOfReach:        resultcode.TargetOutOfReach,
 	admission.MoreUrgentRefused: resultcode.MoreUrgentWork,
