Let an agent send nothing while its engine asks for a pause

What callers saw: requests that were started at an engine that had just refused one with a Retry-After, and were refused as well. Change: the agent starts nothing before its end, preempts nothing for work that cannot start, and refuses at once, with that time, what cannot wait so long, so that routers go to other agents. Result: TestEngineStatesHowLongItIsFull and TestEndpointThatAskedForAPauseGetsNoWork failed before (no Retry-After; work started in the pause) and pass; the tests of agent, router, e2e, demo, invariants and measure pass. Looked at as well: an agent is the only sender to its endpoint, so a sum over machines does not arise there; routers send to agents only, whose loads and refusals they read.

--- a/agent/concurrency/scheduler.go
+++ b/agent/concurrency/scheduler.go
@@ -30,6 +30,8 @@
 	running           [catalog.TierCount]int
 	// meanRunTime is the mean time that successful requests run at the endpoint.
 	meanRunTime movingAverage
+	// pausedUntil is the time until which the endpoint asked for no requests.
+	pausedUntil time.Time
 }
 
 // runTimeWeight is the weight of one answer in the mean run time.
@@ -43,15 +45,22 @@
 	return &Scheduler{limiter: New(opts.Limiter), firstTokenTargets: opts.FirstTokenTargets}
 }
 
-// Admit returns nil if req may enter q, otherwise the refusal; see Limiter.Admit.
+// Admit returns nil if req may enter q, otherwise the refusal: TargetOutOfReach if the
+// endpoint asked for no requests for longer than req can wait, or see Limiter.Admit.
 func (s *Scheduler) Admit(now time.Time, req *rpc.RunRequest, q *queue.Queue, running []queue.Running) *resultcode.Error {
 	tier := int(req.GetTier())
 	waitLimit := time.Duration(req.GetWaitLimitMs()) * time.Millisecond
 	if left := req.GetFirstTokenLeftMs(); left > 0 {
 		waitLimit = min(waitLimit, time.Duration(left)*time.Millisecond)
 	}
+	pause := s.pausedUntil.Sub(now)
+	if pause > waitLimit {
+		return resultcode.New(resultcode.TargetOutOfReach, "the endpoint wants no requests for %s, the wait limit is %s",
+			pause.Round(time.Millisecond), waitLimit).
+			WithRetryAfter(pause)
+	}
 	state := QueueState{
-		HasSlot:      s.limiter.HasSlot(now, tier, Occupancy{Running: s.running}),
+		HasSlot:      pause <= 0 && s.limiter.HasSlot(now, tier, Occupancy{Running: s.running}),
 		ClassWaiting: q.ClassLen(tier, req.GetClass()),
 		Preemptible:  queue.Preemptible(now, s.limiter.ReservedBelowUrgent(), running),
 	}
@@ -59,7 +68,7 @@
 	for t := range state.Waiting {
 		state.Waiting[t] = q.TierLen(t)
 		ahead += q.TierLen(t)
-		state.ExpectedDelay[t] = max(q.ExpectedDelay(now, t), s.drainTime(now, ahead))
+		state.ExpectedDelay[t] = max(q.ExpectedDelay(now, t), s.drainTime(now, ahead), pause)
 	}
 	return s.limiter.Admit(now, tier, waitLimit, state)
 }
@@ -83,6 +92,9 @@
 
 // popForSlot takes from q the next item that may use the free slot, if any.
 func (s *Scheduler) popForSlot(now time.Time, q *queue.Queue, o Occupancy) (queue.Item, bool) {
+	if s.isPaused(now) {
+		return queue.Item{}, false
+	}
 	switch s.limiter.NextSlot(now, o) {
 	case SlotUrgent:
 		return q.PopUrgent(now)
@@ -93,6 +105,10 @@
 	}
 }
 
+// isPaused reports whether the endpoint asked for no requests for a time that has not
+// ended.
+func (s *Scheduler) isPaused(now time.Time) bool { return now.Before(s.pausedUntil) }
+
 func occupancy(q *queue.Queue, running []queue.Running) Occupancy {
 	var o Occupancy
 	for _, r := range running {
@@ -107,7 +123,7 @@
 // Preempt returns the ID of the running item to cancel for waiting work, if no
 // slot is free for it.
 func (s *Scheduler) Preempt(now time.Time, q *queue.Queue, running []queue.Running) (string, bool) {
-	if s.limiter.NextSlot(now, occupancy(q, running)) != SlotNone {
+	if s.isPaused(now) || s.limiter.NextSlot(now, occupancy(q, running)) != SlotNone {
 		return "", false
 	}
 	return q.PreemptFor(now, s.limiter.ReservedBelowUrgent(), running)
@@ -129,13 +145,20 @@
 	s.limiter.ObserveToken(now, gap)
 }
 
-// Ended records that req ended at the endpoint after running for used.
+// Ended records that req ended at the endpoint after running for used. An endpoint that
+// refused it and named a Retry-After gets no further work for that time.
 func (s *Scheduler) Ended(now time.Time, req *rpc.RunRequest, used time.Duration, err *resultcode.Error) {
 	if err == nil {
 		s.meanRunTime.add(used, runTimeWeight)
 	}
 	s.running[req.GetTier()] = max(0, s.running[req.GetTier()]-1)
 	s.limiter.ObserveEnd(now, outcomeOf(err))
+	if err == nil || err.Code != resultcode.EndpointOverloaded {
+		return
+	}
+	if until := now.Add(err.RetryAfter); until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
 }
 
 func outcomeOf(err *resultcode.Error) Outcome {
--- a/agent/concurrency/scheduler_test.go
+++ b/agent/concurrency/scheduler_test.go
@@ -144,3 +144,28 @@
 		t.Errorf("first urgent request refused for streams that cannot be preempted: %v", err)
 	}
 }
+
+// Guards against work that is started, or for which other work is stopped, at an endpoint
+// that has asked for no requests for a while, and against a pause that never ends.
+func TestEndpointThatAskedForAPauseGetsNoWork(t *testing.T) {
+	s := concurrency.NewScheduler(concurrency.SchedulerOptions{})
+	q := queue.New(queue.Options{})
+	urgent := &rpc.RunRequest{WaitLimitMs: 500}
+	s.Started(start, urgent)
+	s.Ended(start, urgent, 0, resultcode.New(resultcode.EndpointOverloaded, "full").WithRetryAfter(2*time.Second))
+	if err := s.Admit(start, urgent, q, nil); err == nil {
+		t.Error("a request that cannot wait for the end of the pause was admitted")
+	}
+	if err := s.Admit(start, &rpc.RunRequest{WaitLimitMs: 60_000}, q, nil); err != nil {
+		t.Errorf("a request that can wait was refused: %v", err)
+	}
+	if _, err := q.Push(start, queue.Item{ID: "u", Account: "a", WaitUntil: start.Add(time.Minute)}); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := s.Next(start.Add(1999*time.Millisecond), q, nil); ok {
+		t.Error("work was started during the pause")
+	}
+	if _, ok := s.Next(start.Add(2*time.Second), q, nil); !ok {
+		t.Error("no work was started after the pause")
+	}
+}
--- a/agent/endpoint/engine.go
+++ b/agent/endpoint/engine.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/resultcode"
+	"github.com/pistachiowind/pistachiowind/retryafter"
 	"github.com/pistachiowind/pistachiowind/rpc"
 )
 
@@ -191,6 +192,10 @@
 	return json.Marshal(message)
 }
 
+// maxPause is the longest time for which an engine gets no requests. A longer Retry-After
+// is a mistake: the engine would be out of use although its health checks pass.
+const maxPause = time.Minute
+
 // engineRefusal converts a response with a status other than 200. Engines
 // validate a request before they run it, so a 4xx status proves that it did not
 // run.
@@ -199,7 +204,8 @@
 	message := errorMessage(text)
 	switch {
 	case resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable:
-		return resultcode.New(resultcode.EndpointOverloaded, "the engine answered %d: %s", resp.StatusCode, message)
+		return resultcode.New(resultcode.EndpointOverloaded, "the engine answered %d: %s", resp.StatusCode, message).
+			WithRetryAfter(retryafter.Parse(resp.Header, maxPause))
 	case resp.StatusCode == http.StatusNotFound:
 		return resultcode.New(resultcode.UnknownModel, "the engine answered 404: %s", message)
 	case resp.StatusCode < http.StatusInternalServerError:
--- a/agent/endpoint/engine_test.go
+++ b/agent/endpoint/engine_test.go
@@ -1,8 +1,13 @@
 package endpoint
 
 import (
+	"io"
+	"net/http"
+	"strings"
 	"testing"
+	"time"
 
+	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
 )
 
@@ -36,3 +41,35 @@
 		}
 	}
 }
+
+// Guards against an engine that says for how long it wants no requests and gets them all
+// the same, and against a pause that is read from anything but a valid Retry-After of a
+// refusal for load.
+func TestEngineStatesHowLongItIsFull(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int
+		header string
+		want   time.Duration
+	}{
+		"seconds":      {503, "2", 2 * time.Second},
+		"fraction":     {429, " 0.25 ", 250 * time.Millisecond},
+		"absurd":       {503, "1e300", maxPause},
+		"negative":     {503, "-1", 0},
+		"text":         {503, "soon", 0},
+		"not a number": {503, "NaN", 0},
+		"absent":       {503, "", 0},
+		"other status": {400, "2", 0},
+	} {
+		resp := &http.Response{StatusCode: c.status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(""))}
+		if c.header != "" {
+			resp.Header.Set("Retry-After", c.header)
+		}
+		err := engineRefusal(resp)
+		if err.RetryAfter != c.want {
+			t.Errorf("%s: Retry-After %s, want %s", name, err.RetryAfter, c.want)
+		}
+		if c.status >= 429 && err.Code != resultcode.EndpointOverloaded {
+			t.Errorf("%s: code %d", name, err.Code)
+		}
+	}
+}
