--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -1,9 +1,17 @@
 package gateway
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/pistachiowind/pistachiowind/gateway/admission"
+	"github.com/pistachiowind/pistachiowind/gateway/peers"
+	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/ratelimit"
+	"github.com/pistachiowind/pistachiowind/gateway/registry"
 )
 
 // Guards against an endpoint that gets the traffic of the whole site after it has named a
@@ -203,3 +211,44 @@
 		}
 	}
 }
+
+// Guards against a statement that is too large to be sent at the largest site: all
+// that is bounded is at its bound.
+func TestFullStatementIsSent(t *testing.T) {
+	d := newDispatcher(Settings{AvailabilityZone: "z", Listen: Listen{Peers: "10.0.0.1:9"}}, rand.New(rand.NewPCG(1, 2)))
+	now := time.Now()
+	var entries []registry.Entry
+	for i := range 4 * max(maxLoads, maxPauses, maxUnreachable, maxLimits) {
+		entries = append(entries, registry.Entry{ID: fmt.Sprintf("i-%010d", i), Service: "s", Zone: "z", Slots: 64, Born: now.UnixMilli()})
+	}
+	d.updateRegistry(func(now time.Time, r *registry.Registry) []registry.Change { return r.Replace(now, entries) })
+	for i, e := range entries {
+		id := placement.Hash(e.ID)
+		choice := placement.Choice{Endpoint: placement.Endpoint{ID: e.ID}, Uncached: 200_000}
+		d.fleet.Send(now, &placement.Work{Service: "s", Streaming: true, PromptTokens: 200_000, OutputTokens: 50_000, Parts: []placement.Part{{ID: 1 << 63, Tokens: 200_000}, {ID: 2}}}, choice)
+		d.limits.Observe(now, now, id, ratelimit.Report{State: ratelimit.Limited, PerSecond: 1.5})
+		d.pauses.SetPause(now, id, now.Add(time.Hour))
+		if i < maxUnreachable {
+			d.reach.RecordFailure(now, id)
+		}
+		if i < maxLeavingStated {
+			d.recentlyLeaving = append(d.recentlyLeaving, leavingEndpoint{e.Incarnation(), now})
+		}
+	}
+	for i := range maxPressures {
+		d.gate.CountRefused(now, admission.Request{Service: "s", Streaming: true, Route: fmt.Sprintf("route-%03d", i), Prompt: 20_000})
+	}
+	s := d.statement(now, now)
+	d.addLimits(now, time.Second, s)
+	exchange := peers.New("10.0.0.1:9", nil, now)
+	datagram, err := exchange.Compose(now, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(s.Loads) != maxLoads || len(s.Limits) != maxLimits || len(s.Pauses) != maxPauses || len(s.Unreachable) != maxUnreachable ||
+		len(s.Placements) != maxPlacements || len(s.Leaving) != maxLeavingStated || len(s.Pressures) != maxPressures {
+		t.Errorf("%d loads, %d limits, %d pauses, %d unreachable, %d placements, %d leaving and %d pressures are not all at their bounds",
+			len(s.Loads), len(s.Limits), len(s.Pauses), len(s.Unreachable), len(s.Placements), len(s.Leaving), len(s.Pressures))
+	}
+	t.Logf("%d bytes", len(datagram))
+}
