Let the soak check the limits of endpoints with real gateways

Change: endpoints of the soak name limits of 1, 4 and 2 requests a second, and a run of eleven seconds with all faults but restarts checks the users' rule on what three gateway processes send. Restarted gateways have not been told, which the rule excuses.

--- a/soak/endpoint_test.go
+++ b/soak/endpoint_test.go
@@ -44,6 +44,9 @@
 	proxy      *faultProxy
 	mu         sync.Mutex
 	rng        *rand.Rand
+	// limit is the rate in requests a second that the endpoint names; zero for none.
+	limit    float64
+	arrivals []time.Time
 }
 
 func newEndpoint(id string, w *executionLog, seed uint64) (*endpoint, error) {
@@ -61,6 +64,37 @@
 	return b.rng.Float64() < probability
 }
 
+// limitNotice is the time after which the limit of an endpoint must be kept, and limitWindow
+// the time in which it may then get one and a half times what the limit allows, and
+// limitExtra requests.
+const (
+	limitNotice = 3 * time.Second
+	limitWindow = 4 * time.Second
+	limitExtra  = 5
+)
+
+func (b *endpoint) setLimit(perSecond float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = perSecond
+}
+
+// mostInWindow returns the largest number of arrivals in limitWindow after limitNotice.
+func (b *endpoint) mostInWindow() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	most, first := 0, 0
+	for last, at := range b.arrivals {
+		for at.Sub(b.arrivals[first]) >= limitWindow || b.arrivals[first].Sub(b.arrivals[0]) < limitNotice && first < last {
+			first++
+		}
+		if b.arrivals[first].Sub(b.arrivals[0]) >= limitNotice {
+			most = max(most, last-first+1)
+		}
+	}
+	return most
+}
+
 func signature(id, endpoint string) string { return id + "@" + endpoint }
 
 func (b *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -69,6 +103,13 @@
 	}
 	id := r.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", id)
+	b.mu.Lock()
+	b.arrivals = append(b.arrivals, time.Now())
+	limit := b.limit
+	b.mu.Unlock()
+	if limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
+	}
 	if r.Header.Get("Expected-Replica") != b.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -210,9 +210,13 @@
 	s.writeRow(url, "op", "config", fmt.Sprintf(configTemplate, s.configVersion))
 }
 
-// injectFault injects one random fault and returns when it is over. A lasting fault
-// is removed after a random time. Concurrent calls make faults overlap.
-func (s *site) injectFault(rng *rand.Rand) {
+// restartFaults is the number of faults of injectFault that restart a gateway, which come
+// first.
+const restartFaults = 2
+
+// injectFault injects one random fault, except for the first few, and returns when it is
+// over. A lasting fault is removed after a random time. Concurrent calls make faults overlap.
+func (s *site) injectFault(rng *rand.Rand, except int) {
 	g := s.gateways[rng.IntN(len(s.gateways))]
 	b := s.endpoints[rng.IntN(len(s.endpoints))]
 	p := b.proxy
@@ -221,7 +225,8 @@
 	}
 	pause := time.Duration(100+rng.IntN(900)) * time.Millisecond
 	direction := rng.IntN(3)
-	switch rng.IntN(9) {
+	const faults = 9
+	switch except + rng.IntN(faults-except) {
 	case 0:
 		s.reportError(g.restart(syscall.SIGKILL, pause/4))
 	case 1:
@@ -345,9 +350,9 @@
 	}
 }
 
-// runSeed sends requests and injects faults for faultDuration, and checks recovery
-// while the requests continue.
-func (s *site) runSeed(seed uint64) {
+// runSeed sends requests and injects faults for the given time, except for the first few of
+// injectFault, and checks recovery while the requests continue.
+func (s *site) runSeed(seed uint64, duration time.Duration, except int) {
 	stop := make(chan struct{})
 	var callers, faults sync.WaitGroup
 	for c := range callerCount {
@@ -357,7 +362,7 @@
 			s.sendRequests(c, rand.New(rand.NewPCG(seed, uint64(c))), stop)
 		}()
 	}
-	end := time.Now().Add(*faultDuration)
+	end := time.Now().Add(duration)
 	for worker := range 3 {
 		faults.Add(1)
 		go func() {
@@ -365,7 +370,7 @@
 			rng := rand.New(rand.NewPCG(seed, 100+uint64(worker)))
 			for time.Now().Before(end) {
 				time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
-				s.injectFault(rng)
+				s.injectFault(rng, except)
 			}
 		}()
 	}
@@ -375,19 +380,52 @@
 	callers.Wait()
 }
 
+func buildGateway(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "gateway")
+	if out, err := exec.Command("go", "build", "-buildvcs=false", "-o", binary, "../cmd/pistachiowind-gateway").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return binary
+}
+
+// Guards against gateway processes that together send an endpoint more than the limit that
+// it names, while connections, the store and single gateways stand still or fail. A gateway
+// that restarts has not been told of the limit, so none does here.
+func TestSoakLimits(t *testing.T) {
+	binary := buildGateway(t)
+	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			s := newSite(t, binary, seed)
+			for i, limit := range map[int]float64{0: 1, 1: 4, 3: 2} {
+				s.endpoints[i].setLimit(limit)
+			}
+			s.runSeed(seed, limitNotice+2*limitWindow, restartFaults)
+			for _, b := range s.endpoints {
+				allowed := int(1.5*b.limit*limitWindow.Seconds()) + limitExtra
+				most := b.mostInWindow()
+				t.Logf("%s: limit %v, at most %d requests in %v", b.id, b.limit, most, limitWindow)
+				if b.limit > 0 && most > allowed {
+					t.Errorf("%s got %d requests in %v, allowed %d", b.id, most, limitWindow, allowed)
+				}
+			}
+			if t.Failed() {
+				s.keepLogs(seed)
+			}
+		})
+	}
+}
+
 // Guards against requests that run twice, are reported wrongly, reach an endpoint
 // under another account or get an incomplete or foreign answer while processes,
 // connections and the store fail, and against a site that does not recover from
 // these faults.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "gateway")
-	if out, err := exec.Command("go", "build", "-buildvcs=false", "-o", binary, "../cmd/pistachiowind-gateway").CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, out)
-	}
+	binary := buildGateway(t)
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			s := newSite(t, binary, seed)
-			s.runSeed(seed)
+			s.runSeed(seed, *faultDuration, 0)
 			if t.Failed() {
 				s.keepLogs(seed)
 			}
