--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -202,7 +202,7 @@
 					site.run(until)
 					site.check(t)
 					used := site.endpoints[0].used(15*time.Second, until)
-					t.Logf("seed %d: %.2f of the allowance of the first endpoint used", seed, used)
+					t.Logf("%s, seed %d: %.2f of the allowance of the first endpoint used", c.name, seed, used)
 					if used < c.minUsed {
 						t.Errorf("seed %d: %.2f of the allowance used, want %.2f", seed, used, c.minUsed)
 					}
