Give the soak's gateways addresses that nothing else takes

Its only log line is "listen tcp 127.0.0.1:41399: bind: address already in use": the harness looked for a free port, and an outgoing connection took it before the process listened. Change: each gateway listens at its own loopback address, which no outgoing connection uses as its source, on fixed ports below the ephemeral ones. Ruled out: a gateway that stops serving: the process had ended at its start, and the other 59 served.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -121,15 +120,13 @@
 	return g.exitedCh
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
+// Ports of a gateway, each at its own loopback address, which no outgoing connection uses
+// as its source. A free port of 127.0.0.1 could be taken before a restarted gateway listens.
+const (
+	peersPort = 20000 + iota
+	callersPort
+	readyPort
+)
 
 func newSite(t *testing.T, binary string, seed uint64) *site {
 	s := &site{t: t, dir: t.TempDir(), binary: binary, executions: &executionLog{runsByID: map[string]int{}, accountByID: map[string]string{}}}
@@ -150,21 +147,23 @@
 			`{"backend":%q,"address":%q,"zone":"z","capacity":64,"phase":"ready","born":1}`, service, b.proxy.address()))
 	}
 	s.writeConfig(server.URL)
+	hosts := make([]string, *gatewayCount)
 	peers := make([]string, *gatewayCount)
-	for i := range peers {
-		peers[i] = fmt.Sprintf("127.0.%d.%d:%d", seed%200+1, i+1, 20000+os.Getpid()%20000)
+	for i := range hosts {
+		hosts[i] = fmt.Sprintf("127.%d.%d.%d", os.Getpid()%250+1, seed%250+1, i+1)
+		peers[i] = fmt.Sprintf("%s:%d", hosts[i], peersPort)
 	}
-	for i := range peers {
-		s.startGateway(i, peers)
+	for i, host := range hosts {
+		s.startGateway(i, host, peers)
 	}
 	return s
 }
 
-func (s *site) startGateway(i int, peers []string) {
-	g := &gateway{binary: s.binary, callersAddress: freeAddress(s.t), settings: filepath.Join(s.dir, fmt.Sprintf("g%d.json", i))}
+func (s *site) startGateway(i int, host string, peers []string) {
+	g := &gateway{binary: s.binary, callersAddress: fmt.Sprintf("%s:%d", host, callersPort), settings: filepath.Join(s.dir, fmt.Sprintf("g%d.json", i))}
 	settings := map[string]any{
 		"name": fmt.Sprintf("g%d", i), "region": "r", "availability_zone": "z",
-		"listen":        map[string]string{"callers": g.callersAddress, "ready": freeAddress(s.t), "peers": peers[i]},
+		"listen":        map[string]string{"callers": g.callersAddress, "ready": fmt.Sprintf("%s:%d", host, readyPort), "peers": peers[i]},
 		"store_address": s.store.address(), "peer_seeds": peers, "memory_mb": 200, "grace_period_s": 4,
 		"retry_ratio": 0.2, "retry_window_s": 10, "retry_allowance": 56,
 	}
