Ignore limits of a peer that are no numbers

Cause: read in the diff: a rate or demand of a faulty peer that is not a number makes every comparison of slots false, so that a gateway claims all slots, or none. Change: such entries of a statement are left out. Result: TestEntriesOfAFaultyPeerAreIgnored failed before, with each of its five entries applied.

--- a/gateway/ratelimit/table.go
+++ b/gateway/ratelimit/table.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -220,6 +221,9 @@
 	t.followClock(now, site)
 	var changes []Entry
 	for _, stated := range entries {
+		if !isRate(stated.PerSecond) || !isRate(stated.Wanted) {
+			continue
+		}
 		e := t.endpoints[stated.Endpoint]
 		at := t.clock.local(stated.At)
 		if e == nil && !stated.Lifted || e != nil && at.After(e.at) {
@@ -241,6 +245,9 @@
 	return changes
 }
 
+// isRate reports whether a number can be a number of requests a second.
+func isRate(n float64) bool { return n >= 0 && !math.IsInf(n, 1) }
+
 // Report returns the limit of the entry.
 func (s *Entry) Report() Report {
 	if s.Lifted {
--- a/gateway/ratelimit/table_test.go
+++ b/gateway/ratelimit/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -107,6 +108,21 @@
 	}
 }
 
+// Guards against a faulty peer whose numbers make every comparison false, so that a limit is
+// never kept or never used.
+func TestEntriesOfAFaultyPeerAreIgnored(t *testing.T) {
+	for _, entry := range []Entry{
+		{Endpoint: 1, PerSecond: math.NaN()}, {Endpoint: 1, PerSecond: math.Inf(1)}, {Endpoint: 1, PerSecond: -1},
+		{Endpoint: 1, PerSecond: 1, Wanted: math.NaN()}, {Endpoint: 1, PerSecond: 1, Wanted: math.Inf(1)},
+	} {
+		table := New(start, "10.0.0.1:9")
+		table.ApplyStatement(start, "10.0.0.2:9", 0, []Entry{entry})
+		if limited, _ := table.Check(start, 1); limited {
+			t.Errorf("%+v was applied", entry)
+		}
+	}
+}
+
 // Guards against an absurd limit whose slots take the processor's time and memory.
 func TestAbsurdLimitIsBounded(t *testing.T) {
 	table := New(start, "")
