State limits to peers with full precision

Cause: read in the diff: a limit such as 0.3 went to peers as a 32-bit number and came back as another one. Each response and each statement then counted as a change: the limit began anew, a log line was written and the next statement was early.

--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		s.Limits = append(s.Limits, &wire.Limit{
-			Endpoint: e.Endpoint, Born: i.Born, PerSecond: float32(e.PerSecond), Lifted: e.Lifted,
+			Endpoint: e.Endpoint, Born: i.Born, PerSecond: e.PerSecond, Lifted: e.Lifted,
 			AtMs: uint64(max(e.At, 0).Milliseconds()), Wanted: float32(e.Wanted),
 		})
 	}
@@ -88,7 +88,7 @@
 			continue
 		}
 		entries = append(entries, ratelimit.Entry{
-			Endpoint: l.Endpoint, PerSecond: float64(l.PerSecond), Lifted: l.Lifted,
+			Endpoint: l.Endpoint, PerSecond: l.PerSecond, Lifted: l.Lifted,
 			At: time.Duration(l.AtMs) * time.Millisecond, Wanted: float64(l.Wanted),
 		})
 	}
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -290,3 +290,27 @@
 		}
 	})
 }
+
+// Guards against a limit that changes on its way to a peer, such as 0.3 as a number of lower
+// precision: each response and each statement would then count as a change, which begins
+// the limit anew and makes a statement early.
+func TestLimitIsTheSameAtPeers(t *testing.T) {
+	now := time.Now()
+	gateways := make([]*dispatcher, 2)
+	for i := range gateways {
+		d := newDispatcher(Settings{AvailabilityZone: "z", Listen: Listen{Peers: fmt.Sprintf("10.0.0.%d:9", i+1)}}, rand.New(rand.NewPCG(1, 2)))
+		d.updateRegistry(func(now time.Time, r *registry.Registry) []registry.Change {
+			return r.Replace(now, []registry.Entry{{ID: "a", Service: "s", Zone: "z", Slots: 64}})
+		})
+		gateways[i] = d
+	}
+	report := ratelimit.Report{State: ratelimit.Limited, PerSecond: 0.3}
+	gateways[0].limits.Observe(now, now, placement.Hash("a"), report)
+	s := gateways[0].statement(now, now)
+	gateways[0].addLimits(now, time.Second, s)
+	s.Sender = "10.0.0.1:9"
+	gateways[1].applyStatement(now, s)
+	if gateways[1].limits.Observe(now.Add(time.Second), now, placement.Hash("a"), report) {
+		t.Error("the limit that a peer stated differs from the one that the endpoint names")
+	}
+}
