Log the parts of prompts and the head of attempts that break

Change: the line of a request with a broken attempt, or one refused as condemned, names the request's fingerprint and the parts of its prompt; such an attempt states whether a head of an answer arrived and how many writes of events were passed on.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -112,7 +112,7 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	if d.crashes.Condemned(now, r.Fingerprint) {
-		return nil, &relay.Refusal{Reason: "condemned", RetryAfter: condemnedRetryAfter}
+		return nil, &relay.Refusal{Reason: relay.Condemned, RetryAfter: condemnedRetryAfter}
 	}
 	choice, found := d.fleet.Choose(now, w)
 	if !found {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -2,10 +2,12 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
 )
 
@@ -36,6 +38,9 @@
 	if r.Events > 0 {
 		event = event.Int("events", r.Events).Int64("max_pause_ms", ms(r.MaxPause))
 	}
+	if r.Broken() || r.Result == relay.Condemned {
+		event = event.Str("fingerprint", hex(uint64(r.Fingerprint))).Array("parts", partIDs(r.Parts))
+	}
 	if r.Refusal != nil && r.Refusal.Choice != nil {
 		c := r.Refusal.Choice
 		event = event.Dict("refused", zerolog.Dict().
@@ -64,6 +69,9 @@
 			if a.FetchedFrom != "" {
 				attempt = attempt.Str("fetched_from", a.FetchedFrom)
 			}
+			if a.Broken {
+				attempt = attempt.Bool("head", a.HeadReceived).Int("events", a.Events)
+			}
 			attempts = attempts.Dict(attempt)
 		}
 		event = event.Array("attempts", attempts)
@@ -72,3 +80,17 @@
 }
 
 func ms(d time.Duration) int64 { return d.Milliseconds() }
+
+// maxLoggedParts bounds the parts of a prompt in one line.
+const maxLoggedParts = 16
+
+// partIDs returns the ids of the first maxLoggedParts parts of a prompt.
+func partIDs(parts []placement.Part) *zerolog.Array {
+	ids := zerolog.Arr()
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		ids = ids.Str(hex(p.ID))
+	}
+	return ids
+}
+
+func hex(n uint64) string { return strconv.FormatUint(n, 16) }
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -35,6 +35,7 @@
 	}
 	x.events.lastID = x.fields.LastEventID
 	x.fingerprint = x.requestFingerprint()
+	x.record.Fingerprint, x.record.Parts = x.fingerprint, x.fields.Parts
 	for x.attempt(ctx, service) {
 	}
 }
@@ -93,7 +94,7 @@
 		Load:           choice.Load,
 		LoadAge:        choice.LoadAge,
 	})
-	start := time.Now()
+	start, eventsBefore := time.Now(), x.record.Events
 	attemptCtx, cancel := x.attemptContext(ctx, placed)
 	end := x.send(ctx, attemptCtx, placed)
 	if end.err != nil && attemptCtx.Err() != nil {
@@ -103,6 +104,8 @@
 	cancel()
 	last := &x.record.Attempts[len(x.record.Attempts)-1]
 	last.Duration, last.Result = time.Since(start), end.resultName
+	last.HeadReceived, last.Broken = end.headReceived, end.broken
+	last.Events = x.record.Events - eventsBefore
 	if end.err != nil {
 		x.record.Cause = end.err.Error()
 	}
@@ -133,6 +136,9 @@
 	body     []byte
 	// delivered states that the response was passed on, so that nothing follows.
 	delivered bool
+	// headReceived states that a valid head of a response arrived, and broken that the
+	// attempt was reported as ResultBroken.
+	headReceived, broken bool
 }
 
 // decideNext updates the state of the request after an attempt, decides what
--- a/gateway/relay/failure.go
+++ b/gateway/relay/failure.go
@@ -20,7 +20,7 @@
 	"body_too_large":            resultcode.BodyTooLarge,
 	"body_timeout":              resultcode.BodyTimeout,
 	"body_memory":               resultcode.RouterSaturated,
-	"condemned":                 resultcode.RequestCondemned,
+	Condemned:                   resultcode.RequestCondemned,
 	"no_endpoint":               resultcode.NoEndpoint,
 	"endpoint_limit":            resultcode.NoEndpoint,
 	admission.OutOfTime:         resultcode.TimeTooShort,
--- a/gateway/relay/record.go
+++ b/gateway/relay/record.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
+	"github.com/pistachiowind/pistachiowind/gateway/crashes"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
 	"github.com/pistachiowind/pistachiowind/resultcode"
@@ -38,6 +40,16 @@
 	Events int
 	// MaxPause is the longest time between two such writes.
 	MaxPause time.Duration
+	// Fingerprint is the hash by which a request that crashes endpoints is recognised, and
+	// Parts are the segments of its prompt.
+	Fingerprint crashes.Fingerprint
+	Parts       []placement.Part
+}
+
+// Broken reports whether an attempt of the request ended with the connection to its
+// endpoint.
+func (r *Record) Broken() bool {
+	return slices.ContainsFunc(r.Attempts, func(a AttemptRecord) bool { return a.Broken })
 }
 
 // AttemptRecord is the part of a Record about one attempt.
@@ -61,6 +73,12 @@
 	Duration time.Duration
 	// Result names the outcome of the attempt, such as "delivered" or "unanswered".
 	Result string
+	// HeadReceived is true if a valid head of a response arrived, and Events is the number
+	// of writes of events to the caller in this attempt.
+	HeadReceived bool
+	Events       int
+	// Broken is true if the attempt counts as one whose connection broke.
+	Broken bool
 }
 
 // Observer receives the records of finished requests, for the log and the
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -125,6 +125,9 @@
 	ResultReplaced
 )
 
+// Condemned is the Reason of the refusal of a request that crashes endpoints.
+const Condemned = "condemned"
+
 // Refusal is a decision not to forward a request.
 type Refusal struct {
 	// Reason is the result in the log, which also selects the result code.
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -35,7 +35,7 @@
 	if err := checkResponse(response, fields); err != nil {
 		response.Abort()
 		placed.Ended(ResultBroken)
-		return attemptEnd{kind: outcome.Unknown, resultName: "answer_spoiled", err: err}
+		return attemptEnd{kind: outcome.Unknown, resultName: "answer_spoiled", err: err, headReceived: true, broken: true}
 	}
 	if x.route.Kind == routing.Streaming && isSuccess(response.StatusCode) {
 		return x.forwardStream(ctx, placed, response)
@@ -128,6 +128,7 @@
 		result = ResultInconclusive
 	}
 	placed.Ended(result)
+	end.broken = result == ResultBroken
 	return end
 }
 
@@ -159,7 +160,7 @@
 			result = ResultInconclusive
 		}
 		placed.Ended(result)
-		return attemptEnd{kind: outcome.Unknown, resultName: "answer_truncated", err: err}
+		return attemptEnd{kind: outcome.Unknown, resultName: "answer_truncated", err: err, headReceived: true, broken: result == ResultBroken}
 	}
 	response.Finish()
 	if response.StatusCode >= http.StatusInternalServerError {
@@ -235,7 +236,7 @@
 		x.record.Cause = err.Error()
 		x.abort("stream_broken")
 	}
-	return attemptEnd{kind: outcome.Unknown, resultName: "stream_broken", err: err}
+	return attemptEnd{kind: outcome.Unknown, resultName: "stream_broken", err: err, headReceived: true, broken: result == ResultBroken}
 }
 
 // sendHead sends the head of a streaming response to the caller.
