Let simulated sites other than that with limits use its gateways

Change: simSite holds the gateways, their network and the clock; the site with limits keeps its endpoints and its check.

--- a/gateway/limitsite_test.go
+++ b/gateway/limitsite_test.go
@@ -1,15 +1,10 @@
 package gateway
 
 import (
-	"fmt"
-	"math/rand/v2"
-	"net"
 	"slices"
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/ratelimit"
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
@@ -28,14 +23,8 @@
 	toldBefore  = 500 * time.Millisecond
 )
 
-const (
-	// limitSiteStep is the resolution of the simulated time.
-	limitSiteStep = 10 * time.Millisecond
-	// limitSiteDelay is the delay of a request, a response or a statement.
-	limitSiteDelay = 2 * time.Millisecond
-	// limitServiceTime is the time that an endpoint takes for a request.
-	limitServiceTime = 50 * time.Millisecond
-)
+// limitServiceTime is the time that an endpoint takes for a request.
+const limitServiceTime = 50 * time.Millisecond
 
 // limitedEndpoint is an endpoint whose limit depends on the time.
 type limitedEndpoint struct {
@@ -53,139 +42,51 @@
 	counted bool
 }
 
-// limitGateway is a gateway without sockets.
+// limitGateway is a gateway whose callers ask for requests at a rate.
 type limitGateway struct {
-	site     *limitSite
-	address  string
-	gateway  *Gateway
-	exchange *peerExchange
+	*simGateway
+	site *limitSite
 	// demand is the number of requests a second.
 	demand func(at time.Duration) float64
 	// toldAt is when each endpoint last named a limit in a response to this gateway.
-	toldAt map[string]time.Duration
-	// down, frozen and cutOff hold while the gateway does not run, stands still, or does not
-	// reach its peers.
-	down, frozen, cutOff bool
-	nextSend             time.Time
-	inbox                [][]byte
-	served, refused      int
-	lost                 float64
+	toldAt          map[string]time.Duration
+	served, refused int
 }
 
-// limitSite is a simulated site.
+// limitSite is a simulated site whose endpoints name limits.
 type limitSite struct {
-	start     time.Time
-	rng       *rand.Rand
+	*simSite
 	endpoints []*limitedEndpoint
 	gateways  []*limitGateway
-	later     []limitEvent
-}
-
-// limitEvent is something that happens at a later time.
-type limitEvent struct {
-	at time.Duration
-	do func()
 }
 
 func newLimitSite(seed uint64, endpoints ...*limitedEndpoint) *limitSite {
-	return &limitSite{start: time.Now(), rng: rand.New(rand.NewPCG(seed, 1)), endpoints: endpoints}
-}
-
-func (s *limitSite) now() time.Duration { return time.Since(s.start) }
-
-// after schedules do.
-func (s *limitSite) after(delay time.Duration, do func()) {
-	s.later = append(s.later, limitEvent{s.now() + delay, do})
-}
-
-// add adds a gateway with the given demand; the first two are the seeds of all.
-func (s *limitSite) add(demand func(at time.Duration) float64) *limitGateway {
-	g := &limitGateway{site: s, address: fmt.Sprintf("10.0.%d.%d:9", len(s.gateways)/200, 1+len(s.gateways)%200), demand: demand}
-	s.gateways = append(s.gateways, g)
-	g.boot()
-	return g
-}
-
-// boot starts the process of a gateway, which knows nothing but its seeds.
-func (g *limitGateway) boot() {
-	g.toldAt = make(map[string]time.Duration)
-	g.inbox, g.nextSend, g.down = nil, time.Time{}, false
-	settings := Settings{AvailabilityZone: "z", RetryRatio: 1, RetryAllowance: 1000, PeerSeeds: []string{"10.0.0.1:9", "10.0.0.2:9"}}
-	settings.Listen.Peers = g.address
-	g.gateway = New(Options{Settings: settings, Log: zerolog.Nop(), Rand: rand.New(rand.NewPCG(g.site.rng.Uint64(), 2))})
-	g.exchange = newExchange(g.gateway, time.Now())
+	s := &limitSite{endpoints: endpoints}
 	var entries []registry.Entry
-	for _, e := range g.site.endpoints {
+	for _, e := range endpoints {
 		entries = append(entries, registry.Entry{ID: e.id, Service: "s", Address: e.id, Zone: "z", Slots: 64, Born: 1})
 	}
-	g.gateway.dispatcher.updateRegistry(func(now time.Time, r *registry.Registry) []registry.Change { return r.Replace(now, entries) })
-}
-
-// stop ends the process of a gateway for d.
-func (g *limitGateway) stop(d time.Duration) {
-	g.down = true
-	g.site.after(d, g.boot)
-}
-
-// freeze stops a gateway for d; it continues with what it knew.
-func (g *limitGateway) freeze(d time.Duration) {
-	g.frozen = true
-	g.site.after(d, func() { g.frozen = false })
-}
-
-// cut separates a gateway from its peers for d; it still reaches callers and endpoints.
-func (g *limitGateway) cut(d time.Duration) {
-	g.cutOff = true
-	g.site.after(d, func() { g.cutOff = false })
-}
-
-// limitSocket delivers the statements of a gateway to its peers.
-type limitSocket struct {
-	net.PacketConn
-	sender *limitGateway
-}
-
-// WriteTo implements net.PacketConn.
-func (s limitSocket) WriteTo(b []byte, to net.Addr) (int, error) {
-	site := s.sender.site
-	for _, g := range site.gateways {
-		if g.address != to.String() || s.sender.cutOff || site.rng.Float64() < s.sender.lost {
-			continue
-		}
-		datagram := slices.Clone(b)
-		site.after(limitSiteDelay, func() {
-			if !g.down && !g.cutOff {
-				g.inbox = append(g.inbox, datagram)
-			}
-		})
+	s.simSite = newSimSite(seed, func() []registry.Entry { return entries })
+	s.serve = func(g *simGateway) {
+		i := slices.IndexFunc(s.gateways, func(l *limitGateway) bool { return l.simGateway == g })
+		s.gateways[i].serve()
 	}
-	return len(b), nil
+	return s
 }
 
-// step lets a gateway handle its datagrams, send its statement and serve callers.
-func (g *limitGateway) step() {
-	if g.down || g.frozen {
-		return
-	}
-	for _, datagram := range g.inbox {
-		g.exchange.handleDatagram(datagram)
-	}
-	g.inbox = nil
-	if now := time.Now(); !now.Before(g.nextSend) {
-		g.nextSend = now.Add(g.exchange.send(limitSocket{sender: g}))
-	}
-	for range poisson(g.site.rng, g.demand(g.site.now())*limitSiteStep.Seconds()) {
-		g.request()
-	}
+// add adds a gateway with the given demand.
+func (s *limitSite) add(demand func(at time.Duration) float64) *limitGateway {
+	g := &limitGateway{site: s, demand: demand}
+	s.gateways = append(s.gateways, g)
+	g.simGateway = s.join(func() { g.toldAt = make(map[string]time.Duration) })
+	return g
 }
 
-// poisson draws the number of events in a step from their mean, which is well below 1.
-func poisson(rng *rand.Rand, mean float64) int {
-	n := 0
-	for mean > 0 && rng.Float64() < mean/float64(n+1) {
-		n++
+// serve sends the requests of one step.
+func (g *limitGateway) serve() {
+	for range poisson(g.site.rng, g.demand(g.site.now())*simStep.Seconds()) {
+		g.request()
 	}
-	return n
 }
 
 // request sends one request, and once more elsewhere if an endpoint rejects it.
@@ -202,7 +103,7 @@
 	}
 	id := attempt.Choice().Endpoint.ID
 	e := g.site.endpoints[slices.IndexFunc(g.site.endpoints, func(e *limitedEndpoint) bool { return e.id == id })]
-	g.site.after(limitSiteDelay, func() { g.arrive(e, work, attempt, isRetry) })
+	g.site.after(simDelay, func() { g.arrive(e, work, attempt, isRetry) })
 }
 
 // arrive handles a request at its endpoint and schedules the response.
@@ -221,7 +122,7 @@
 		if perSecond, limited := e.limit(g.site.now()); limited {
 			notice.Limit = ratelimit.Report{State: ratelimit.Limited, PerSecond: perSecond}
 		}
-		g.site.after(limitSiteDelay, func() {
+		g.site.after(simDelay, func() {
 			if g.gateway != process || g.down {
 				return
 			}
@@ -247,30 +148,11 @@
 	g.served++
 }
 
-// run simulates the site until a time.
-func (s *limitSite) run(until time.Duration) {
-	for s.now() < until {
-		due := s.later
-		s.later = nil
-		for _, event := range due {
-			if event.at <= s.now() {
-				event.do()
-				continue
-			}
-			s.later = append(s.later, event)
-		}
-		for _, g := range s.gateways {
-			g.step()
-		}
-		time.Sleep(limitSiteStep)
-	}
-}
-
 // allowedAt returns the limit that counts at a time, the highest of the last limitNotice; false
 // if the endpoint named none in some of that time.
 func (e *limitedEndpoint) allowedAt(at time.Duration) (float64, bool) {
 	highest := 0.0
-	for t := max(at-limitNotice, 0); t <= at; t += 10 * limitSiteStep {
+	for t := max(at-limitNotice, 0); t <= at; t += 10 * simStep {
 		perSecond, limited := e.limit(t)
 		if !limited {
 			return 0, false
@@ -327,9 +209,9 @@
 			n++
 		}
 	}
-	for t := from; t < to; t += limitSiteStep {
+	for t := from; t < to; t += simStep {
 		perSecond, _ := e.limit(t)
-		allowed += perSecond * limitSiteStep.Seconds()
+		allowed += perSecond * simStep.Seconds()
 	}
 	return n / allowed
 }
