Condemn parts of prompts that crash endpoints over all gateways

Callers saw 502 and broken streams: every request beside one with the deadly part was cut off, on one engine after the other.

Cause: a request was condemned by its whole fingerprint. Suspicions were no state of the site either: a restart of all gateways forgot them.

Change: gateway/crashes holds crashes instead of single breaks. What stood in three rounds of crashes without an answer to its end in between is condemned; endpoints that fail within 250 ms count once. Suspects of the same crashes can't be told apart, so only requests that hold all of them are refused, and the others show which one is at fault. Gateways state crashes early, repeat the suspects of several crashes for those that join, and state what is cleared. Suspects of several crashes are kept in one row of the store, which is read once at the start and, by a gateway that has lost its peers, each second. A condemned suspect that is asked for often is tried with a single request, at most twice.

--- a/cmd/pistachiowind-gateway/main.go
+++ b/cmd/pistachiowind-gateway/main.go
@@ -128,6 +128,7 @@
 		Endpoints:      platform.EndpointFeed(store, metrics),
 		ConfigSink:     func(g *gateway.Gateway) follow.Sink { return platform.ConfigSink{Handler: g} },
 		EndpointSink:   func(g *gateway.Gateway) follow.Sink { return platform.EndpointSink{Handler: g} },
+		Rows:           platform.NewTable(store).WithObserver(metrics),
 		PartLister:     platform.NewCachedPartsClient(),
 		Log:            log,
 		Metrics:        *metrics,
--- a/gateway/crashsite_test.go
+++ b/gateway/crashsite_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -10,6 +13,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 // The users' rule on parts of prompts that crash endpoints: from deadlyNotice after the
@@ -60,10 +64,6 @@
 	begun   bool
 }
 
-func (r *crashRequest) has(part uint64) bool {
-	return slices.ContainsFunc(r.work.Parts, func(p placement.Part) bool { return p.ID == part })
-}
-
 // crashEndpoint is an endpoint that crashes as it begins an answer to a deadly request.
 type crashEndpoint struct {
 	id      string
@@ -72,7 +72,14 @@
 	running []*crashRequest
 }
 
-type crashGateway struct{ *simGateway }
+// crashGateway is a gateway whose callers send requests that crash endpoints among others.
+type crashGateway struct {
+	*simGateway
+	keeper  *suspectKeeper
+	checkAt time.Duration
+	// draining gateways get no requests.
+	draining bool
+}
 
 // soundCount counts sound requests that hold one part, by whether they began at the first
 // attempt.
@@ -90,6 +97,8 @@
 	deadlyPerS          func(at time.Duration) float64
 	// mixed lets requests with deadlyPart hold other parts than rarePart, too.
 	mixed     bool
+	store     *memoryRows
+	added     func(*crashGateway)
 	crashedAt []time.Duration
 	// deadlySent holds when the counted deadly requests that reached endpoints were sent.
 	deadlySent []time.Duration
@@ -98,19 +107,75 @@
 }
 
 func newCrashSite(seed uint64, endpoints, gateways int) *crashSite {
-	s := &crashSite{sound: make(map[int]map[uint64]*soundCount), soundPerS: 60 / float64(gateways), rarePerS: 2 / float64(gateways)}
+	s := &crashSite{store: &memoryRows{}, sound: make(map[int]map[uint64]*soundCount), soundPerS: 60 / float64(gateways), rarePerS: 2 / float64(gateways)}
 	for i := range endpoints {
 		s.endpoints = append(s.endpoints, &crashEndpoint{id: fmt.Sprintf("e%d", i), born: 1})
 	}
 	s.simSite = newSimSite(seed, s.entries)
-	s.serve = func(g *simGateway) { s.serveGateway(&crashGateway{g}) }
+	byGateway := make(map[*simGateway]*crashGateway)
+	s.serve = func(g *simGateway) { s.serveGateway(byGateway[g]) }
+	s.added = func(g *crashGateway) { byGateway[g.simGateway] = g }
 	for range gateways {
 		s.add()
 	}
 	return s
 }
 
-func (s *crashSite) add() { s.gateways = append(s.gateways, &crashGateway{s.join(nil)}) }
+func (s *crashSite) add() {
+	g := &crashGateway{}
+	s.gateways = append(s.gateways, g)
+	var sim *simGateway
+	booted := func(of *simGateway) {
+		g.keeper = &suspectKeeper{gateway: of.gateway, rows: s.store, rng: rand.New(rand.NewPCG(s.rng.Uint64(), 4))}
+		g.checkAt = s.now() + time.Duration(s.rng.Int64N(int64(suspectsCheckInterval)))
+	}
+	sim = s.join(nil)
+	g.simGateway = sim
+	sim.booted = func() { booted(sim) }
+	booted(sim)
+	s.added(g)
+}
+
+// memoryRows is the store of a simulated site, with one row.
+type memoryRows struct {
+	down    bool
+	value   []byte
+	version int
+	calls   int
+}
+
+// Get implements RowStore.
+func (m *memoryRows) Get(context.Context, string) (storage.Row, error) {
+	m.calls++
+	switch {
+	case m.down:
+		return storage.Row{}, storage.ErrUnavailable
+	case m.version == 0:
+		return storage.Row{}, storage.ErrNotFound
+	}
+	return storage.Row{Value: m.value, Revision: m.revision()}, nil
+}
+
+func (m *memoryRows) revision() storage.Revision {
+	if m.version == 0 {
+		return ""
+	}
+	return storage.Revision(strconv.Itoa(m.version))
+}
+
+// Put implements RowStore.
+func (m *memoryRows) Put(_ context.Context, _ string, value []byte, expected storage.Revision) (storage.Row, error) {
+	m.calls++
+	switch {
+	case m.down:
+		return storage.Row{}, storage.ErrUnavailable
+	case expected != m.revision():
+		return storage.Row{}, storage.ErrConflict
+	}
+	m.value = value
+	m.version++
+	return storage.Row{}, nil
+}
 
 func (s *crashSite) entries() []registry.Entry {
 	var entries []registry.Entry
@@ -122,6 +187,13 @@
 
 // serveGateway sends the requests of one step.
 func (s *crashSite) serveGateway(g *crashGateway) {
+	if s.now() >= g.checkAt {
+		g.checkAt = s.now() + suspectsCheckInterval
+		g.keeper.check(context.Background(), time.Now())
+	}
+	if g.draining {
+		return
+	}
 	send := func(perSecond float64, deadly bool, second func() uint64) {
 		for range poisson(s.rng, perSecond*simStep.Seconds()) {
 			parts := []placement.Part{{ID: firstPart, Tokens: 2000}, {ID: second(), Tokens: 500}}
@@ -291,7 +363,9 @@
 	if len(s.crashedAt) == 0 {
 		t.Fatal("no endpoint crashed")
 	}
-	last := s.crashedAt[min(deadlyCrashes, len(s.crashedAt))-1]
+	// The users' rule looks at the time after the fifth crash; the part is at fault for all to
+	// see after the third.
+	last := s.crashedAt[min(3, len(s.crashedAt))-1]
 	for name, part := range map[string]uint64{"first": firstPart, "rare": rarePart} {
 		share, asked := s.soundShare(part, last+2*deadlyNotice, until-2*time.Second)
 		t.Logf("%s part: %.2f of %d sound requests served; %d crashes, %d late", name, share, asked, len(s.crashedAt), s.sentAfter())
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -55,6 +55,10 @@
 	pauses   *reach.Pauses
 	limits   *ratelimit.Table
 	returns  returnTimes
+	// alivePeers are the addresses of the peers with a recent statement. isolated is set while
+	// this gateway has lost most of its peers.
+	alivePeers []string
+	isolated   bool
 	// recentlyLeaving are the endpoints that recently announced in a response to this
 	// gateway that they are leaving, oldest first.
 	recentlyLeaving []leavingEndpoint
@@ -71,6 +75,10 @@
 	onEndpointChanges func([]registry.Change)
 	onPause           func(endpoint string, d time.Duration)
 	onLimit           func(endpoint string, r ratelimit.Report, byPeer bool)
+	// onSuspects is called with the changes of suspects of crashing endpoints.
+	onSuspects func([]crashes.Change)
+	// onTrial is called with a request that is sent although its verdict condemns it.
+	onTrial func(request string, v crashes.Verdict)
 }
 
 func newDispatcher(s Settings, rng *rand.Rand) *dispatcher {
@@ -103,6 +111,8 @@
 		onEndpointChanges: func([]registry.Change) {},
 		onPause:           func(string, time.Duration) {},
 		onLimit:           func(string, ratelimit.Report, bool) {},
+		onSuspects:        func([]crashes.Change) {},
+		onTrial:           func(string, crashes.Verdict) {},
 	}
 }
 
@@ -111,8 +121,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	if d.crashes.Condemned(now, r.Fingerprint) {
-		return nil, &relay.Refusal{Reason: relay.Condemned, RetryAfter: condemnedRetryAfter}
+	suspects := suspectsOf(w, r.Fingerprint)
+	verdict := d.checkSuspects(now, suspects)
+	if verdict.Refused {
+		return nil, refuseCondemned(verdict)
 	}
 	choice, found := d.fleet.Choose(now, w)
 	if !found {
@@ -132,9 +144,14 @@
 		return nil, &relay.Refusal{Reason: decision.Reason, RetryAfter: decision.RetryAfter, Choice: &choice, RefusedShare: decision.Share}
 	}
 	a := &placedAttempt{
-		dispatcher: d, request: r.Fingerprint, target: w.Target, choice: choice,
+		dispatcher: d, suspects: suspects, target: w.Target, choice: choice,
 		flight: d.fleet.Send(now, w, choice), sentAt: now, streaming: w.Streaming,
 	}
+	if verdict.Trial {
+		d.crashes.BeginTrial(now, verdict.Suspect)
+		a.trialOf = &verdict.Suspect
+		d.onTrial(r.ID, verdict)
+	}
 	// Every endpoint of the fleet has an entry in the registry.
 	a.incarnation, _ = d.registry.Incarnation(choice.Endpoint.ID)
 	d.limits.Take(now, placement.Hash(choice.Endpoint.ID))
@@ -199,12 +216,12 @@
 }
 
 // needsEarlyStatement reports whether the peers should know before the next regular
-// statement how much work was sent to endpoints since the last one, or that the limit of
-// an endpoint has changed.
+// statement how much work was sent to endpoints since the last one, that the limit of an
+// endpoint has changed, or that an endpoint has crashed.
 func (d *dispatcher) needsEarlyStatement() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.fleet.UnstatedPromptTokens() >= earlyStatementTokens || d.limits.HasUnstated()
+	return d.fleet.UnstatedPromptTokens() >= earlyStatementTokens || d.limits.HasUnstated() || d.crashes.HasUnstated()
 }
 
 // expirePeerLoads drops the loads of peers without a statement for maxAge.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/gateway/admission"
-	"github.com/pistachiowind/pistachiowind/gateway/crashes"
 	"github.com/pistachiowind/pistachiowind/gateway/peers"
 	"github.com/pistachiowind/pistachiowind/gateway/peers/wire"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
@@ -126,6 +125,8 @@
 	x.gateway.dispatcher.expirePeerLoads(now, peerLoadIntervals*interval)
 	statement := x.gateway.dispatcher.statement(now, x.sentAt[0])
 	x.gateway.dispatcher.addLimits(now, interval, statement)
+	x.gateway.dispatcher.setAlivePeers(x.exchange.Alive(now), x.exchange.Isolated(now))
+	x.gateway.dispatcher.addCrashes(now, statement)
 	copy(x.sentAt[:], x.sentAt[1:])
 	x.sentAt[placementRepeat-1] = now
 	x.gateway.addStoreState(statement)
@@ -250,10 +251,6 @@
 			RefusedAgo:  encodeAge(now, r.LastRefused),
 		})
 	})
-	var suspects []*wire.Suspect
-	for _, o := range d.crashes.LocalObservations(now) {
-		suspects = append(suspects, &wire.Suspect{Request: uint64(o.Request), Endpoint: o.EndpointHash})
-	}
 	var speeds []*wire.Speed
 	d.fleet.OwnSpeeds(func(service string, s placement.Speed) {
 		if len(speeds) < maxSpeeds {
@@ -263,7 +260,7 @@
 	unreachable := d.reach.FailuresToReport(now)
 	return &wire.Statement{
 		Leaving: d.leavingToSend(now), Pauses: d.pausesToSend(now),
-		Loads: loads, Placements: placements, Pressures: pressures, Suspects: suspects, Speeds: speeds,
+		Loads: loads, Placements: placements, Pressures: pressures, Speeds: speeds,
 		Unreachable: unreachable[:min(len(unreachable), maxUnreachable)],
 	}
 }
@@ -312,9 +309,7 @@
 			LastRefused:  decodeAge(now, r.RefusedAgo),
 		})
 	}
-	for _, suspect := range s.Suspects {
-		d.crashes.Record(crashes.Observation{Request: crashes.Fingerprint(suspect.Request), EndpointHash: suspect.Endpoint, At: now})
-	}
+	d.applyCrashes(now, s)
 	for _, endpoint := range s.Unreachable {
 		d.reach.AddPeerReport(now, s.Sender, endpoint)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 //	├── peers         exchanges loads with other gateways over UDP
 //	├── peer state    serves site state and cached parts to other gateways
 //	├── ask peers     fetches the site state after a start without the store
+//	├── suspects      keeps what crashes endpoints in the store
 //	└── cached parts  asks engines, once, which prompt parts they have cached
 package gateway
 
@@ -73,6 +74,9 @@
 	// return sinks that decode their rows and pass them to the Gateway.
 	Config, Endpoints        follow.Source
 	ConfigSink, EndpointSink func(*Gateway) follow.Sink
+	// Rows keeps rows of the gateways in the platform's store; nil means that what crashes
+	// endpoints is not kept there.
+	Rows RowStore
 	// PartLister lists the prompt parts that an engine has cached; nil means that engines
 	// are not asked.
 	PartLister PartLister
@@ -129,6 +133,7 @@
 func New(o Options) *Gateway {
 	g := &Gateway{options: o, log: o.Log, dispatcher: newDispatcher(o.Settings, o.Rand)}
 	g.dispatcher.onEndpointChanges, g.dispatcher.onPause, g.dispatcher.onLimit = g.logEndpointChanges, g.logPause, g.logLimit
+	g.dispatcher.onSuspects, g.dispatcher.onTrial = g.logSuspects, g.logTrial
 	g.gracePeriod.Store(int64(o.Settings.GracePeriod()))
 	g.storeStatus = follow.NewStoreStatus(rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())))
 	g.pool = upstream.NewPool(upstream.Options{OnDial: func(_ string, err error) {
@@ -290,6 +295,10 @@
 			serviceFunc{"peer state", g.servePeers},
 			serviceFunc{"ask peers", g.askPeers})
 	}
+	if g.options.Rows != nil {
+		keeper := &suspectKeeper{gateway: g, rows: g.options.Rows, rng: seed()}
+		services = append(services, serviceFunc{"suspects", keeper.serve})
+	}
 	if g.options.PartLister != nil {
 		rng := seed()
 		services = append(services, serviceFunc{"cached parts", func(ctx context.Context) error { return g.loadCachedParts(ctx, rng) }})
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/gateway/admission"
+	"github.com/pistachiowind/pistachiowind/gateway/crashes"
 	"github.com/pistachiowind/pistachiowind/gateway/peers"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/ratelimit"
@@ -243,17 +244,26 @@
 	for i := range maxPressures {
 		d.gate.CountRefused(now, admission.Request{Service: "s", Streaming: true, Route: fmt.Sprintf("route-%03d", i), Prompt: 20_000})
 	}
+	for i := range 3 * maxLoads {
+		for n := range 2 {
+			at := now.Add(time.Duration(n-2) * time.Second)
+			suspects := []crashes.Suspect{{ID: 1<<63 + uint64(i)}, {IsPart: true, ID: 1<<62 + uint64(i)}}
+			d.crashes.RecordLocal(crashes.Crash{Endpoint: 1<<63 + uint64(2*i+n), At: at, Suspects: suspects})
+		}
+		d.crashes.RecordSuccess([]crashes.Suspect{{IsPart: true, ID: 1<<62 + uint64(i)}})
+	}
 	s := d.statement(now, now)
 	d.addLimits(now, time.Second, s)
+	d.addCrashes(now, s)
 	exchange := peers.New("10.0.0.1:9", nil, now)
 	datagram, err := exchange.Compose(now, s)
 	if err != nil {
 		t.Fatal(err)
 	}
 	if len(s.Loads) != maxLoads || len(s.Limits) != maxLimits || len(s.Pauses) != maxPauses || len(s.Unreachable) != maxUnreachable ||
-		len(s.Placements) != maxPlacements || len(s.Leaving) != maxLeavingStated || len(s.Pressures) != maxPressures {
-		t.Errorf("%d loads, %d limits, %d pauses, %d unreachable, %d placements, %d leaving and %d pressures are not all at their bounds",
-			len(s.Loads), len(s.Limits), len(s.Pauses), len(s.Unreachable), len(s.Placements), len(s.Leaving), len(s.Pressures))
+		len(s.Crashes) < 32 || len(s.Cleared) < 64 || len(s.Placements) != maxPlacements || len(s.Leaving) != maxLeavingStated || len(s.Pressures) != maxPressures {
+		t.Errorf("%d loads, %d limits, %d pauses, %d unreachable, %d placements, %d leaving, %d pressures, %d crashes and %d cleared suspects are not all at their bounds",
+			len(s.Loads), len(s.Limits), len(s.Pauses), len(s.Unreachable), len(s.Placements), len(s.Leaving), len(s.Pressures), len(s.Crashes), len(s.Cleared))
 	}
 	t.Logf("%d bytes", len(datagram))
 }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -41,6 +41,10 @@
 	if r.Broken() || r.Result == relay.Condemned {
 		event = event.Str("fingerprint", hex(uint64(r.Fingerprint))).Array("parts", partIDs(r.Parts))
 	}
+	if r.Refusal != nil && r.Result == relay.Condemned {
+		event = event.Dict("condemned", zerolog.Dict().
+			Bool("part", r.Refusal.Suspect.IsPart).Str("suspect", hex(r.Refusal.Suspect.ID)).Int("rounds", r.Refusal.CrashRounds))
+	}
 	if r.Refusal != nil && r.Refusal.Choice != nil {
 		c := r.Refusal.Choice
 		event = event.Dict("refused", zerolog.Dict().
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -9,6 +9,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/pistachiowind/pistachiowind/gateway/admission"
+	"github.com/pistachiowind/pistachiowind/gateway/crashes"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
@@ -29,6 +30,11 @@
 				RefusedShare: 0.5,
 			},
 		},
+		{
+			ID: "condemned", Route: "ask", Service: "pool", Account: "acme", Result: relay.Condemned, Status: 503, Code: resultcode.RequestCondemned,
+			RetryAfter: time.Second, Fingerprint: 0x2f, Parts: []placement.Part{{ID: 0xa1}, {ID: 0xdead}, {ID: 0xb2}},
+			Refusal: &relay.Refusal{Reason: relay.Condemned, Suspect: crashes.Suspect{IsPart: true, ID: 0xdead}, CrashRounds: 3},
+		},
 		{
 			ID: "unanswered", Route: "debit", Service: "ledger", Result: "unanswered", Status: 502, Code: resultcode.OutcomeUnknown, Cause: "read answer: EOF",
 			TimeLeft: 900 * time.Millisecond, Total: 43 * time.Millisecond,
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -19,6 +19,9 @@
 	// stateLimited is the state label of endpoints that name the rate of requests that
 	// they accept.
 	stateLimited = "limited"
+	// kindRequest and kindPart are the class labels of suspects of crashing endpoints.
+	kindRequest = "request"
+	kindPart    = "part"
 )
 
 // Finished implements relay.Observer: it records the metrics of a request and logs it.
@@ -62,6 +65,11 @@
 	m.Peers.Observe(func(set func(float64, telemetry.NoLabels)) {
 		set(float64(g.peerCount.Load()), telemetry.NoLabels{})
 	})
+	m.Condemned.Observe(func(set func(float64, telemetry.ClassLabels)) {
+		requests, parts := g.dispatcher.condemnedSuspects()
+		set(float64(requests), telemetry.ClassLabels{Class: kindRequest})
+		set(float64(parts), telemetry.ClassLabels{Class: kindPart})
+	})
 	m.PrefillRate.Observe(func(set func(float64, telemetry.ClassLabels)) {
 		g.dispatcher.prefillSpeeds(func(service string, s placement.Speed) {
 			set(s.Rate, telemetry.ClassLabels{Class: service})
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -46,6 +46,12 @@
 	// each other.
 	maxNewNamed = 32
 	knownNamed  = 4
+	// isolationGrace is the time after the start in which a gateway that hears no peer does
+	// not count as isolated yet: the regular interval of the largest site.
+	isolationGrace = 5 * time.Second
+	// lostPeersMemory is how long a gateway remembers how many peers it had. Until then it
+	// counts as isolated if it has lost more than half of them.
+	lostPeersMemory = 5 * time.Minute
 	// MaxDatagram is the largest encoded statement in bytes; a larger one is not sent.
 	MaxDatagram = 24 << 10
 )
@@ -54,8 +60,10 @@
 type Exchange struct {
 	// self is the gateway's own address.
 	self string
-	// incarnation is the gateway's start time in Unix microseconds.
+	// incarnation is the gateway's start time in Unix microseconds, and startedAt the same
+	// as a time.
 	incarnation uint64
+	startedAt   time.Time
 	// sequence is the number of the last statement within the incarnation.
 	sequence uint64
 	// sentAt is when the last statement was composed.
@@ -64,6 +72,10 @@
 	peers  map[string]*peer
 	// rotation counts the statements, to name other peers in each.
 	rotation int
+	// mostAlive is the largest number of alive peers of the last lostPeersMemory, and
+	// mostAliveAt when it was last reached.
+	mostAlive   int
+	mostAliveAt time.Time
 }
 
 type peer struct {
@@ -83,7 +95,7 @@
 // New returns an Exchange for the gateway at address self. Seeds are addresses of
 // gateways; self is left out.
 func New(self string, seeds []string, started time.Time) *Exchange {
-	e := &Exchange{self: self, incarnation: uint64(started.UnixMicro()), peers: make(map[string]*peer)}
+	e := &Exchange{self: self, incarnation: uint64(started.UnixMicro()), startedAt: started, peers: make(map[string]*peer)}
 	for _, s := range seeds {
 		if s != self {
 			e.seeds = append(e.seeds, s)
@@ -103,6 +115,16 @@
 	return n
 }
 
+// Isolated reports whether the gateway hears from less than half of the peers that it had
+// lately, or from none although it has seeds. It may be cut off from them.
+func (e *Exchange) Isolated(now time.Time) bool {
+	alive := e.AliveCount(now)
+	if alive >= e.mostAlive || now.Sub(e.mostAliveAt) > lostPeersMemory {
+		e.mostAlive, e.mostAliveAt = alive, now
+	}
+	return 2*alive < e.mostAlive || alive == 0 && len(e.seeds) > 0 && now.Sub(e.startedAt) > isolationGrace
+}
+
 // Alive returns the sorted addresses of the peers with a statement within
 // PeerTimeout.
 func (e *Exchange) Alive(now time.Time) []string {
--- a/gateway/placedattempt.go
+++ b/gateway/placedattempt.go
@@ -22,15 +22,19 @@
 // relay.PlacedAttempt.
 type placedAttempt struct {
 	dispatcher *dispatcher
-	request    crashes.Fingerprint
-	target     time.Duration
-	choice     placement.Choice
+	// suspects are the request and the parts of its prompt, in that order.
+	suspects []crashes.Suspect
+	// trialOf is the condemned suspect that the request tries; nil for none.
+	trialOf *crashes.Suspect
+	target  time.Duration
+	choice  placement.Choice
 	// incarnation identifies the endpoint process that the request was sent to.
 	incarnation registry.Incarnation
 	flight      *placement.Flight
 	sentAt      time.Time
 	streaming   bool
 	started     bool
+	startedAt   time.Time
 }
 
 // Choice implements relay.PlacedAttempt.
@@ -61,8 +65,8 @@
 	}
 	a.dispatcher.mu.Lock()
 	defer a.dispatcher.mu.Unlock()
-	a.started = true
 	now := time.Now()
+	a.started, a.startedAt = true, now
 	a.dispatcher.reach.RecordResponse(now, placement.Hash(a.choice.Endpoint.ID))
 	a.dispatcher.health.Record(now, health.Observation{
 		Endpoint: a.choice.Endpoint.ID, Kind: health.FirstToken, Duration: a.relativeTime(now), Sent: a.sentAt,
@@ -90,9 +94,12 @@
 	case relay.ResultUnreachable, relay.ResultReplaced:
 		d.reach.RecordFailure(now, placement.Hash(a.choice.Endpoint.ID))
 	case relay.ResultComplete:
-		d.crashes.RecordSuccess(a.request)
+		d.onSuspects(d.crashes.RecordSuccess(a.suspects))
 	case relay.ResultBroken:
-		d.crashes.RecordLocal(crashes.Observation{Request: a.request, EndpointHash: placement.Hash(a.choice.Endpoint.ID), At: now})
+		d.recordBroken(now, a)
+	}
+	if a.trialOf != nil && (r == relay.ResultUnreachable || r == relay.ResultReplaced || r == relay.ResultRejected) {
+		d.crashes.CancelTrial(*a.trialOf)
 	}
 	kind, counts := kinds[r]
 	if counts {
--- a/gateway/placement/cache.go
+++ b/gateway/placement/cache.go
@@ -125,7 +125,7 @@
 
 // homes returns the preferred endpoints for a request; source and strictShare are not set.
 func (s *service) homes(now time.Time, w *Work, usable func(*endpoint) bool) partHomes {
-	shared := w.shared()
+	shared := w.SharedParts()
 	if len(shared) == 0 {
 		return partHomes{}
 	}
@@ -158,7 +158,7 @@
 // fetchSource returns the endpoint among those for which isSource is true that has the most
 // tokens of the leading shared parts in its cache, and their number; nil for none.
 func (s *service) fetchSource(now time.Time, w *Work, isSource func(*endpoint) bool) (source *endpoint, tokens int) {
-	shared := w.shared()
+	shared := w.SharedParts()
 	if len(shared) == 0 {
 		return nil, 0
 	}
@@ -223,7 +223,7 @@
 // fetches from the cache of another one instead. It returns the expected time of the
 // fetch in milliseconds.
 func (s *service) planFetch(c *Choice, e *endpoint, w *Work, h partHomes) float64 {
-	cached := e.expectedCachedTokens(w.shared(), h)
+	cached := e.expectedCachedTokens(w.SharedParts(), h)
 	c.Uncached = max(w.PromptTokens-int(cached), 0)
 	missing := float64(h.sourceTokens) - cached
 	if h.source == nil || h.source == e || e.FetchRate <= 0 || missing < minFetchTokens {
--- a/gateway/placement/flight.go
+++ b/gateway/placement/flight.go
@@ -56,7 +56,7 @@
 		f.unstatedPromptTokens += c.Uncached
 		flight.load.Tight = w.strictness(s.strictestPauseMS)
 		s.strict.sent(flight.load.Tight)
-		for _, p := range w.shared() {
+		for _, p := range w.SharedParts() {
 			if e.cache.touch(p, now.Add(c.Expected), c.Load.Memory) {
 				f.recordPlacement(Placement{Endpoint: e.hash, Part: p, At: now})
 			}
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -57,8 +57,8 @@
 	return w.Parts[len(w.Parts)-1].Tokens
 }
 
-// shared returns the parts that other requests may share.
-func (w *Work) shared() []Part {
+// SharedParts returns the parts that other requests may share: all but the last.
+func (w *Work) SharedParts() []Part {
 	if len(w.Parts) == 0 {
 		return nil
 	}
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -68,6 +68,7 @@
 func (x *exchange) attempt(ctx context.Context, service string) bool {
 	isRetry := len(x.record.Attempts) > 0
 	request := AdmissionRequest{
+		ID:          x.fields.ID,
 		Route:       x.route.Name,
 		Priority:    x.priority,
 		Fingerprint: x.fingerprint,
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -74,6 +74,8 @@
 // AdmissionRequest holds what admission and placement need to know of a request besides
 // its placement.Work.
 type AdmissionRequest struct {
+	// ID identifies the caller's attempt, for the log.
+	ID    string
 	Route string
 	// Fingerprint is the hash by which requests that crash endpoints are recognised.
 	Fingerprint crashes.Fingerprint
@@ -136,6 +138,10 @@
 	RetryAfter time.Duration
 	// Choice is the endpoint that was considered; nil if there was none.
 	Choice *placement.Choice
+	// Suspect is what a condemned request is refused for, and CrashRounds the number of
+	// rounds of crashes in which it stood.
+	Suspect     crashes.Suspect
+	CrashRounds int
 	// RefusedShare is the fraction of such requests that is refused in favour of more
 	// urgent ones.
 	RefusedShare float64
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -16,6 +16,7 @@
 	ConfigVersion   *Gauge[NoLabels]
 	Endpoints       *Gauge[StateLabels]
 	Peers           *Gauge[NoLabels]
+	Condemned       *Gauge[ClassLabels]
 	PrefillRate     *Gauge[ClassLabels]
 	StoreUp         *Gauge[ReasonLabels]
 	StoreEra        *Gauge[NoLabels]
@@ -36,6 +37,7 @@
 		ConfigVersion:   newGauge[NoLabels](p, "gateway_config_version", "", 1, "Version of the configuration in force; 0 before the first."),
 		Endpoints:       newGauge[StateLabels](p, "gateway_endpoints", "", maxOutcomes, "Known endpoints by state: ready, draining; paused ones, which are full and want no requests, and limited ones, which name a rate of requests, count again."),
 		Peers:           newGauge[NoLabels](p, "gateway_peers", "", 1, "Other gateways heard within 5 s."),
+		Condemned:       newGauge[ClassLabels](p, "gateway_condemned", "", maxOutcomes, "Suspects that are condemned for crashing endpoints, by class: request, part."),
 		PrefillRate:     newGauge[ClassLabels](p, "gateway_prefill_rate", "", maxClasses, "Prompt tokens per millisecond that an engine is assumed to read, by service, as all gateways observed it."),
 		StoreUp:         newGauge[ReasonLabels](p, "gateway_store_up", "", maxOutcomes, "1 while the table of the store answers, otherwise 0."),
 		StoreEra:        newGauge[NoLabels](p, "gateway_store_era", "", 1, "Number of times that the store came back from an older copy, as it states; 0 if it states none."),
