Take a stream that ends inside an event as broken off

Callers could get a truncated answer that looked complete: the part of the last event that had arrived was passed on, and the answer ended as if whole.

The relay took every end without an error for the end of the answer. An engine that crashes on such a stream would also have cleared the part that crashed it.

Change: a stream with a part of an event at its end, and one without framing and without any event, counts as a broken attempt; it goes on elsewhere where the route allows that, otherwise the caller's connection is closed. Blank lines with carriage returns end an event as well.

--- a/gateway/relay/events.go
+++ b/gateway/relay/events.go
@@ -19,7 +19,19 @@
 // errEventTooLarge ends a stream whose endpoint sends bytes without ending an event.
 var errEventTooLarge = fmt.Errorf("event exceeds %d bytes", maxPartialEventBytes)
 
-var eventTerminator = []byte("\n\n")
+// eventTerminators are the blank lines that end an event, with either line ending.
+var eventTerminators = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
+// lastEventEnd returns the index after the last complete event in b; 0 if there is none.
+func lastEventEnd(b []byte) int {
+	end := 0
+	for _, terminator := range eventTerminators {
+		if i := bytes.LastIndex(b, terminator); i >= 0 {
+			end = max(end, i+len(terminator))
+		}
+	}
+	return end
+}
 
 // eventSplitter splits a stream of server-sent events into complete events and
 // keeps the id of the last one, so that a stream that broke inside an event can
@@ -39,8 +51,8 @@
 // result is valid until the next call.
 func (s *eventSplitter) push(b []byte) []byte {
 	s.pending = append(s.pending, b...)
-	end := bytes.LastIndex(s.pending, eventTerminator)
-	if end < 0 {
+	end := lastEventEnd(s.pending)
+	if end == 0 {
 		if len(s.pending) < maxBufferedEventBytes {
 			return nil
 		}
@@ -49,7 +61,6 @@
 		return s.flush()
 	}
 	s.partialBytes = 0
-	end += len(eventTerminator)
 	complete := s.pending[:end:end]
 	s.recordLastID(complete)
 	rest := make([]byte, len(s.pending)-end)
@@ -68,6 +79,9 @@
 	return b
 }
 
+// insideEvent reports whether a part of an event was received, but not its end.
+func (s *eventSplitter) insideEvent() bool { return len(s.pending) > 0 || s.partialBytes > 0 }
+
 // discardPending drops the part of an event that was not passed on.
 func (s *eventSplitter) discardPending() { s.pending = nil }
 
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -17,6 +17,8 @@
 var (
 	errUnsigned            = errors.New("success response without the endpoint's signature")
 	errUnrequestedEncoding = errors.New("response has a Content-Encoding that was not requested")
+	errEndsInsideEvent     = errors.New("stream ends inside an event")
+	errEndsWithoutEvent    = errors.New("stream without a length or chunks ends before its first event")
 	errResponseTooLarge    = fmt.Errorf("non-streaming response exceeds %d bytes", maxBufferedResponseBytes)
 )
 
@@ -181,6 +183,7 @@
 // forwardStream passes events on to the caller as they arrive.
 func (x *exchange) forwardStream(ctx context.Context, placed PlacedAttempt, response *upstream.Response) attemptEnd {
 	x.events.discardPending()
+	eventsBefore := x.record.Events
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		n, err := response.Body.Read(buffer)
@@ -199,21 +202,21 @@
 		if err == nil {
 			continue
 		}
-		if err != io.EOF {
-			return x.breakStream(ctx, placed, response, err)
+		switch {
+		case err != io.EOF:
+		case x.events.insideEvent():
+			err = errEndsInsideEvent
+		case response.CloseDelimited && x.record.Events == eventsBefore:
+			err = errEndsWithoutEvent
+		default:
+			return x.finishStream(placed, response)
 		}
-		return x.finishStream(placed, response)
+		return x.breakStream(ctx, placed, response, err)
 	}
 }
 
 // finishStream ends an attempt whose stream was read to its end.
 func (x *exchange) finishStream(placed PlacedAttempt, response *upstream.Response) attemptEnd {
-	if writeErr := x.forwardEvents(response, x.events.flush()); writeErr != nil {
-		response.Abort()
-		placed.Ended(ResultInconclusive)
-		x.record.Cause = writeErr.Error()
-		x.abort("caller_left")
-	}
 	if !x.headSent {
 		x.sendHead(response)
 	}
