--- a/gateway/log.go
+++ b/gateway/log.go
@@ -35,6 +35,9 @@
 	if r.RetryAfter > 0 {
 		event = event.Int64("retry_after_ms", ms(r.RetryAfter))
 	}
+	if r.LastEventID != "" {
+		event = event.Str("resumes", r.Resumes).Str("last_event", r.LastEventID)
+	}
 	if r.Events > 0 {
 		event = event.Int("events", r.Events).Int64("max_pause_ms", ms(r.MaxPause))
 	}
@@ -61,6 +64,7 @@
 		for _, a := range r.Attempts {
 			attempt := zerolog.Dict().
 				Str("endpoint", a.Endpoint).
+				Str("version", a.Version).
 				Str("result", a.Result).
 				Int64("expected_ms", ms(a.Expected)).
 				Int64("took_ms", ms(a.Duration)).
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -68,6 +68,8 @@
 // Endpoint describes an endpoint that requests can be sent to.
 type Endpoint struct {
 	ID, Service, Address, Zone string
+	// Version is the version of the endpoint's software; empty if unknown.
+	Version string
 	// Slots is the number of requests that run at the same time.
 	Slots int
 	// MemoryTokens is the size of the engine's KV cache in tokens; 0 for plain services.
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -34,6 +34,8 @@
 	Leaving bool
 	// Born is the start time of the endpoint in Unix milliseconds; 0 if unknown.
 	Born int64
+	// Version is the version of the endpoint's software; empty if unknown.
+	Version string
 }
 
 // Incarnation identifies one run of an endpoint, from its start to its end. An endpoint
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -88,6 +88,7 @@
 	x.work.Excluded = append(x.work.Excluded, choice.Endpoint.ID)
 	x.record.Attempts = append(x.record.Attempts, AttemptRecord{
 		Endpoint:       choice.Endpoint.ID,
+		Version:        choice.Endpoint.Version,
 		Expected:       choice.Expected,
 		UncachedTokens: choice.Uncached,
 		FetchedTokens:  choice.Fetched,
--- a/gateway/relay/protocol.go
+++ b/gateway/relay/protocol.go
@@ -18,8 +18,9 @@
 	// TimeLeft is the time until the caller gives up; valid if HasDeadline.
 	TimeLeft    time.Duration
 	HasDeadline bool
-	// LastEventID is set if the caller resumes a stream.
-	LastEventID string
+	// LastEventID is set if the caller resumes a stream, and Resumes to the ID of its attempt
+	// that brought the first event.
+	LastEventID, Resumes string
 	// PromptTokens and OutputTokens are the token counts that the caller states.
 	PromptTokens, OutputTokens int
 	// Parts are the parts of the prompt that other requests may share.
--- a/gateway/relay/record.go
+++ b/gateway/relay/record.go
@@ -40,6 +40,9 @@
 	Events int
 	// MaxPause is the longest time between two such writes.
 	MaxPause time.Duration
+	// Resumes is the id of the caller's attempt that brought the first event of a stream that
+	// it takes up, and LastEventID the last event that it has; empty for a new stream.
+	Resumes, LastEventID string
 	// Fingerprint is the hash by which a request that crashes endpoints is recognised, and
 	// Parts are the segments of its prompt.
 	Fingerprint crashes.Fingerprint
@@ -55,6 +58,8 @@
 // AttemptRecord is the part of a Record about one attempt.
 type AttemptRecord struct {
 	Endpoint string
+	// Version is the version of the endpoint's software.
+	Version string
 	// Expected is the estimated time to the first event or to the plain response.
 	Expected time.Duration
 	// UncachedTokens is the estimated number of prompt tokens that the endpoint has to
