Keep the rows of the site with one keeper

Change: the keeper reads all rows with the prefix "gateway/" in one call and knows the store's clock; the suspects are one of its rows.

--- a/gateway/crashsite_test.go
+++ b/gateway/crashsite_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"testing"
 	"time"
 
@@ -13,7 +12,6 @@
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
-	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 // The users' rule on parts of prompts that crash endpoints: from deadlyNotice after the
@@ -75,7 +73,7 @@
 // crashGateway is a gateway whose callers send requests that crash endpoints among others.
 type crashGateway struct {
 	*simGateway
-	keeper  *suspectKeeper
+	keeper  *rowKeeper
 	checkAt time.Duration
 	// draining gateways get no requests.
 	draining bool
@@ -107,7 +105,7 @@
 }
 
 func newCrashSite(seed uint64, endpoints, gateways int) *crashSite {
-	s := &crashSite{store: &memoryRows{}, sound: make(map[int]map[uint64]*soundCount), soundPerS: 60 / float64(gateways), rarePerS: 2 / float64(gateways)}
+	s := &crashSite{store: newMemoryRows(), sound: make(map[int]map[uint64]*soundCount), soundPerS: 60 / float64(gateways), rarePerS: 2 / float64(gateways)}
 	for i := range endpoints {
 		s.endpoints = append(s.endpoints, &crashEndpoint{id: fmt.Sprintf("e%d", i), born: 1})
 	}
@@ -126,8 +124,8 @@
 	s.gateways = append(s.gateways, g)
 	var sim *simGateway
 	booted := func(of *simGateway) {
-		g.keeper = &suspectKeeper{gateway: of.gateway, rows: s.store, rng: rand.New(rand.NewPCG(s.rng.Uint64(), 4))}
-		g.checkAt = s.now() + time.Duration(s.rng.Int64N(int64(suspectsCheckInterval)))
+		g.keeper = newRowKeeper(of.gateway, s.store, rand.New(rand.NewPCG(s.rng.Uint64(), 4)))
+		g.checkAt = s.now() + time.Duration(s.rng.Int64N(int64(siteRowsCheckInterval)))
 	}
 	sim = s.join(nil)
 	g.simGateway = sim
@@ -136,47 +134,6 @@
 	s.added(g)
 }
 
-// memoryRows is the store of a simulated site, with one row.
-type memoryRows struct {
-	down    bool
-	value   []byte
-	version int
-	calls   int
-}
-
-// Get implements RowStore.
-func (m *memoryRows) Get(context.Context, string) (storage.Row, error) {
-	m.calls++
-	switch {
-	case m.down:
-		return storage.Row{}, storage.ErrUnavailable
-	case m.version == 0:
-		return storage.Row{}, storage.ErrNotFound
-	}
-	return storage.Row{Value: m.value, Revision: m.revision()}, nil
-}
-
-func (m *memoryRows) revision() storage.Revision {
-	if m.version == 0 {
-		return ""
-	}
-	return storage.Revision(strconv.Itoa(m.version))
-}
-
-// Put implements RowStore.
-func (m *memoryRows) Put(_ context.Context, _ string, value []byte, expected storage.Revision) (storage.Row, error) {
-	m.calls++
-	switch {
-	case m.down:
-		return storage.Row{}, storage.ErrUnavailable
-	case expected != m.revision():
-		return storage.Row{}, storage.ErrConflict
-	}
-	m.value = value
-	m.version++
-	return storage.Row{}, nil
-}
-
 func (s *crashSite) entries() []registry.Entry {
 	var entries []registry.Entry
 	for _, e := range s.endpoints {
@@ -188,7 +145,7 @@
 // serveGateway sends the requests of one step.
 func (s *crashSite) serveGateway(g *crashGateway) {
 	if s.now() >= g.checkAt {
-		g.checkAt = s.now() + suspectsCheckInterval
+		g.checkAt = s.now() + siteRowsCheckInterval
 		g.keeper.check(context.Background(), time.Now())
 	}
 	if g.draining {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,7 +12,7 @@
 //	├── peers         exchanges loads with other gateways over UDP
 //	├── peer state    serves site state and cached parts to other gateways
 //	├── ask peers     fetches the site state after a start without the store
-//	├── suspects      keeps what crashes endpoints in the store
+//	├── site rows     keeps state of the site that outlasts all gateways in the store
 //	└── cached parts  asks engines, once, which prompt parts they have cached
 package gateway
 
@@ -74,8 +74,8 @@
 	// return sinks that decode their rows and pass them to the Gateway.
 	Config, Endpoints        follow.Source
 	ConfigSink, EndpointSink func(*Gateway) follow.Sink
-	// Rows keeps rows of the gateways in the platform's store; nil means that what crashes
-	// endpoints is not kept there.
+	// Rows keeps rows of the gateways in the platform's store; nil means that nothing is kept
+	// there.
 	Rows RowStore
 	// PartLister lists the prompt parts that an engine has cached; nil means that engines
 	// are not asked.
@@ -296,8 +296,7 @@
 			serviceFunc{"ask peers", g.askPeers})
 	}
 	if g.options.Rows != nil {
-		keeper := &suspectKeeper{gateway: g, rows: g.options.Rows, rng: seed()}
-		services = append(services, serviceFunc{"suspects", keeper.serve})
+		services = append(services, serviceFunc{"site rows", newRowKeeper(g, g.options.Rows, seed()).serve})
 	}
 	if g.options.PartLister != nil {
 		rng := seed()
--- a/gateway/simsite_test.go
+++ b/gateway/simsite_test.go
@@ -1,16 +1,20 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
+	"github.com/pistachiowind/pistachiowind/storage"
 )
 
 const (
@@ -185,3 +189,43 @@
 		time.Sleep(simStep)
 	}
 }
+
+// memoryRows is the store of a simulated site.
+type memoryRows struct {
+	down  bool
+	rows  map[string]storage.Row
+	calls int
+	start time.Time
+}
+
+func newMemoryRows() *memoryRows {
+	return &memoryRows{rows: make(map[string]storage.Row), start: time.Now()}
+}
+
+// Snapshot implements RowStore.
+func (m *memoryRows) Snapshot(_ context.Context, prefix string) ([]storage.Row, time.Duration, error) {
+	m.calls++
+	if m.down {
+		return nil, 0, storage.ErrUnavailable
+	}
+	var rows []storage.Row
+	for key, row := range m.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	return rows, time.Since(m.start), nil
+}
+
+// Put implements RowStore.
+func (m *memoryRows) Put(_ context.Context, key string, value []byte, expected storage.Revision) (storage.Row, error) {
+	m.calls++
+	switch {
+	case m.down:
+		return storage.Row{}, storage.ErrUnavailable
+	case m.rows[key].Revision != expected:
+		return storage.Row{}, storage.ErrConflict
+	}
+	m.rows[key] = storage.Row{Key: key, Value: value, Revision: storage.Revision(strconv.Itoa(m.calls))}
+	return m.rows[key], nil
+}
--- /dev/null
+++ b/gateway/versions/outbox.go
@@ -0,0 +1,176 @@
+package versions
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// stateRepeat is the number of successive statements that include a change or a broken
+	// stream, so that the loss of a datagram does not lose it.
+	stateRepeat = 3
+	// maxBroken bounds the broken streams that wait to be stated, and those in one
+	// statement; the oldest are dropped.
+	maxBroken = 256
+	// standingInterval and standingPerGateway determine how often a gateway states all
+	// designations, for gateways that start: each second, or as often as keeps the sum over
+	// all gateways at about 20 a second.
+	standingInterval   = time.Second
+	standingPerGateway = 50 * time.Millisecond
+	// maxStatedServices bounds the services in one statement.
+	maxStatedServices = 32
+)
+
+// outbox holds what is to be stated to the peers.
+type outbox struct {
+	broken []*brokenStream
+	// urgent is set while there is something that the peers should know soon.
+	urgent           bool
+	standingStatedAt time.Time
+	// nextService rotates the services if not all fit into a statement.
+	nextService int
+}
+
+type brokenStream struct {
+	BrokenStream
+	stated int
+}
+
+// BrokenStream is a stream that broke off, by the hash of the attempt that began it.
+type BrokenStream struct {
+	ID      uint64
+	Version string
+}
+
+func (o *outbox) addBroken(id uint64, version string) {
+	o.urgent = true
+	o.broken = append(o.broken, &brokenStream{BrokenStream: BrokenStream{id, version}})
+	o.broken = o.broken[max(len(o.broken)-maxBroken, 0):]
+}
+
+// HasUnstated reports whether something new was not stated to the peers yet.
+func (t *Table) HasUnstated() bool { return t.urgent }
+
+// Designations are those of one service, the current one last.
+type Designations struct {
+	Service  string
+	Sequence uint64
+	Spans    []Span
+	// MaxDeadline is the longest time that a caller allows for a stream.
+	MaxDeadline time.Duration
+}
+
+// Span is a designation.
+type Span struct {
+	Version string
+	// From is when it began; zero for the first one, which needed no record.
+	From time.Time
+}
+
+// Statement is what a gateway states to its peers.
+type Statement struct {
+	Broken       []BrokenStream
+	Designations []Designations
+	// Complete is true if Designations holds all that were ever recorded.
+	Complete bool
+}
+
+// Statement returns what to state now, given the number of gateways.
+func (t *Table) Statement(now time.Time, gateways int) Statement {
+	var s Statement
+	for _, b := range t.broken {
+		s.Broken = append(s.Broken, b.BrokenStream)
+		b.stated++
+	}
+	t.broken = slices.DeleteFunc(t.broken, func(b *brokenStream) bool { return b.stated >= stateRepeat })
+	recorded := t.sortedServices(func(s *service) bool { return s.sequence > 0 })
+	if t.complete && now.Sub(t.standingStatedAt) >= max(standingInterval, time.Duration(gateways)*standingPerGateway) {
+		t.standingStatedAt = now
+		s.Complete = len(recorded) <= maxStatedServices
+		s.Designations = t.designations(t.rotate(recorded))
+	} else {
+		fresh := t.sortedServices(func(s *service) bool { return s.sequence > 0 && s.stated < stateRepeat })
+		s.Designations = t.designations(fresh[:min(len(fresh), maxStatedServices)])
+	}
+	for _, d := range s.Designations {
+		t.services[d.Service].stated++
+	}
+	t.urgent = false
+	return s
+}
+
+// rotate returns up to maxStatedServices of the names, others with each call.
+func (t *Table) rotate(names []string) []string {
+	if len(names) <= maxStatedServices {
+		return names
+	}
+	start := t.nextService % len(names)
+	t.nextService = start + maxStatedServices
+	return slices.Concat(names[start:], names[:start])[:maxStatedServices]
+}
+
+func (t *Table) designations(names []string) []Designations {
+	var list []Designations
+	for _, name := range names {
+		s := t.services[name]
+		d := Designations{Service: name, Sequence: s.sequence, MaxDeadline: s.maxDeadline}
+		for _, span := range s.spans {
+			d.Spans = append(d.Spans, Span{span.version, span.from})
+		}
+		list = append(list, d)
+	}
+	return list
+}
+
+// RecordBroken records a broken stream of a peer.
+func (t *Table) RecordBroken(now time.Time, b BrokenStream) {
+	t.streams.Add(b.ID, stream{b.Version, now})
+}
+
+// RecordComplete records that the designations that a peer or the store stated are all
+// there are.
+func (t *Table) RecordComplete() { t.complete = true }
+
+// Record applies the designations that a peer or the store stated. Those with the higher
+// sequence hold. Of two with the same one, which gateways made without hearing of each
+// other, both count for streams that began since, and the last by name for new ones.
+func (t *Table) Record(d Designations) (Change, bool) {
+	s := t.service(d.Service)
+	if s == nil || len(d.Spans) == 0 || d.Sequence == 0 {
+		return Change{}, false
+	}
+	s.maxDeadline = max(s.maxDeadline, d.MaxDeadline)
+	before := s.current()
+	switch stated := d.Spans[len(d.Spans)-1]; {
+	case d.Sequence < s.sequence:
+		return Change{}, false
+	case d.Sequence == s.sequence && stated.Version == before:
+		return Change{}, false
+	case d.Sequence == s.sequence:
+		s.addSibling(span{stated.Version, stated.From})
+	default:
+		s.spans = s.spans[:0:0]
+		for _, x := range d.Spans[max(len(d.Spans)-maxSpans, 0):] {
+			s.spans = append(s.spans, span{x.Version, x.From})
+		}
+		s.sequence = d.Sequence
+	}
+	s.stated = 0
+	if s.current() == before {
+		return Change{}, false
+	}
+	return Change{Service: d.Service, Version: s.current(), Sequence: s.sequence, ByPeer: true}, true
+}
+
+// addSibling adds a designation that another gateway made with the same sequence.
+func (s *service) addSibling(other span) {
+	last := s.spans[len(s.spans)-1]
+	if slices.ContainsFunc(s.spans, func(x span) bool { return x.version == other.version && x.from.Equal(other.from) }) {
+		return
+	}
+	if other.version < last.version {
+		other, last = last, other
+	}
+	s.spans = append(s.spans[:len(s.spans)-1], last, other)
+	s.spans = s.spans[max(len(s.spans)-maxSpans, 0):]
+}
--- /dev/null
+++ b/gateway/versions/stored.go
@@ -0,0 +1,89 @@
+package versions
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// storedServices is the JSON form of the designations in the store, by service.
+type storedServices struct {
+	Services map[string]storedService `json:"services"`
+}
+
+type storedService struct {
+	Sequence   uint64       `json:"sequence"`
+	Spans      []storedSpan `json:"spans"`
+	DeadlineMS int64        `json:"deadline_ms,omitempty"`
+}
+
+// storedSpan is a designation since a time of the store's clock.
+type storedSpan struct {
+	Version string `json:"version"`
+	FromMS  int64  `json:"from_ms"`
+}
+
+// Unstored reports whether the store lacks a designation.
+func (t *Table) Unstored() bool {
+	for _, s := range t.services {
+		if s.unstored {
+			return true
+		}
+	}
+	return false
+}
+
+// Load applies the designations in the store. The value is that of Encode, or empty;
+// storeTime is the time of the store's clock. It returns the changes, and an error for a
+// value that cannot be decoded.
+func (t *Table) Load(now time.Time, storeTime time.Duration, value []byte) ([]Change, error) {
+	t.complete = true
+	if len(value) == 0 {
+		return nil, nil
+	}
+	var stored storedServices
+	if err := json.Unmarshal(value, &stored); err != nil {
+		return nil, fmt.Errorf("decode stored designations: %w", err)
+	}
+	var changes []Change
+	for name, s := range stored.Services {
+		d := Designations{Service: name, Sequence: s.Sequence, MaxDeadline: time.Duration(s.DeadlineMS) * time.Millisecond}
+		for _, span := range s.Spans {
+			ago := max(storeTime-time.Duration(span.FromMS)*time.Millisecond, 0)
+			d.Spans = append(d.Spans, Span{span.Version, now.Add(-ago)})
+		}
+		if c, ok := t.Record(d); ok {
+			changes = append(changes, c)
+		}
+	}
+	return changes, nil
+}
+
+// Encode returns the recorded designations to keep in the store. They count as stored unless
+// NotStored follows.
+func (t *Table) Encode(now time.Time, storeTime time.Duration) ([]byte, error) {
+	stored := storedServices{Services: make(map[string]storedService)}
+	for name, s := range t.services {
+		s.unstored = false
+		if s.sequence == 0 {
+			continue
+		}
+		entry := storedService{Sequence: s.sequence, DeadlineMS: s.maxDeadline.Milliseconds()}
+		for _, span := range s.spans {
+			from := int64(0)
+			if !span.from.IsZero() {
+				from = max((storeTime - now.Sub(span.from)).Milliseconds(), 0)
+			}
+			entry.Spans = append(entry.Spans, storedSpan{span.version, from})
+		}
+		stored.Services[name] = entry
+	}
+	return json.Marshal(stored)
+}
+
+// NotStored records that what Encode returned did not reach the store.
+func (t *Table) NotStored() {
+	for _, s := range t.services {
+		s.unstored = s.sequence > 0
+	}
+}
