--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
+	"github.com/pistachiowind/pistachiowind/gateway/versions"
 	"github.com/pistachiowind/pistachiowind/router/budget"
 	"github.com/pistachiowind/pistachiowind/router/health"
 )
@@ -55,6 +56,24 @@
 	pauses   *reach.Pauses
 	limits   *ratelimit.Table
 	returns  returnTimes
+	versions *versions.Table
+	// resumable holds the services with streams that may be resumed, and the longest timeout
+	// of their routes.
+	resumable map[string]time.Duration
+	// proposed are changes of designated versions that are compared with the store first, by
+	// service.
+	proposed map[string]proposal
+	// keepsRows is set if a keeper compares them with the store, and wakeKeeper wakes it.
+	keepsRows  bool
+	wakeKeeper chan struct{}
+	// mixed is set while endpoints of several versions serve one of these services.
+	mixed bool
+	// storeVersionsAt is when a change of designated versions is to be written; zero if none
+	// is.
+	storeVersionsAt time.Time
+	// heardAt is when a peer last sent a statement, and rowsReadAt when the rows of the site
+	// were last read from the store.
+	heardAt, rowsReadAt time.Time
 	// alivePeers are the addresses of the peers with a recent statement. isolated is set while
 	// this gateway has lost most of its peers.
 	alivePeers []string
@@ -77,6 +96,8 @@
 	onLimit           func(endpoint string, r ratelimit.Report, byPeer bool)
 	// onSuspects is called with the changes of suspects of crashing endpoints.
 	onSuspects func([]crashes.Change)
+	// onVersion is called with each change of the designated version of a service.
+	onVersion func(versions.Change)
 	// onTrial is called with a request that is sent although its verdict condemns it.
 	onTrial func(request string, v crashes.Verdict)
 }
@@ -106,12 +127,16 @@
 		pauses:            pauses,
 		limits:            limits,
 		returns:           make(returnTimes),
+		versions:          versions.New(),
+		wakeKeeper:        make(chan struct{}, 1),
+		proposed:          make(map[string]proposal),
 		rng:               rng,
 		settings:          s,
 		onEndpointChanges: func([]registry.Change) {},
 		onPause:           func(string, time.Duration) {},
 		onLimit:           func(string, ratelimit.Report, bool) {},
 		onSuspects:        func([]crashes.Change) {},
+		onVersion:         func(versions.Change) {},
 		onTrial:           func(string, crashes.Verdict) {},
 	}
 }
@@ -126,6 +151,9 @@
 	if verdict.Refused {
 		return nil, refuseCondemned(verdict)
 	}
+	if refusal := d.restrictVersion(now, w, r); refusal != nil {
+		return nil, refusal
+	}
 	choice, found := d.fleet.Choose(now, w)
 	if !found {
 		return nil, d.refuseNoEndpoint(now, w, r)
@@ -217,11 +245,12 @@
 
 // needsEarlyStatement reports whether the peers should know before the next regular
 // statement how much work was sent to endpoints since the last one, that the limit of an
-// endpoint has changed, or that an endpoint has crashed.
+// endpoint or the version of new streams has changed, or that an endpoint has crashed or a
+// stream broken off.
 func (d *dispatcher) needsEarlyStatement() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.fleet.UnstatedPromptTokens() >= earlyStatementTokens || d.limits.HasUnstated() || d.crashes.HasUnstated()
+	return d.fleet.UnstatedPromptTokens() >= earlyStatementTokens || d.limits.HasUnstated() || d.crashes.HasUnstated() || d.versions.HasUnstated()
 }
 
 // expirePeerLoads drops the loads of peers without a statement for maxAge.
@@ -260,6 +289,9 @@
 	d.health.Each(now, d.fleet.SetHealth)
 	changes := d.registry.Expire(now)
 	d.applyChanges(now, changes)
+	if d.mixed {
+		d.observeVersions(now)
+	}
 	return changes
 }
 
@@ -323,6 +355,9 @@
 			d.putEndpoint(now, c.Entry)
 		}
 	}
+	if len(changes) > 0 {
+		d.observeVersions(now)
+	}
 }
 
 // drainEndpoint stops assigning work to an endpoint that is draining or leaving.
@@ -374,11 +409,13 @@
 	for name, pause := range t.StrictestPauses() {
 		d.fleet.SetStrictestPause(name, pause)
 	}
+	d.setResumable(t.ResumableTimeouts())
 	now := time.Now()
 	d.registry.Entries(func(e registry.Entry) {
 		d.putEndpoint(now, e)
 		d.drainEndpoint(e)
 	})
+	d.observeVersions(now)
 }
 
 // updateRegistry calls change with the registry, applies the changes that it returns
@@ -391,10 +428,3 @@
 	d.applyChanges(now, changes)
 	return changes
 }
-
-// pickService draws a service of the route by the weights of its traffic split.
-func (d *dispatcher) pickService(r *routing.Route) string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return r.Pick(d.rng)
-}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -127,6 +127,7 @@
 	x.gateway.dispatcher.addLimits(now, interval, statement)
 	x.gateway.dispatcher.setAlivePeers(x.exchange.Alive(now), x.exchange.Isolated(now))
 	x.gateway.dispatcher.addCrashes(now, statement)
+	x.gateway.dispatcher.addVersions(now, statement)
 	copy(x.sentAt[:], x.sentAt[1:])
 	x.sentAt[placementRepeat-1] = now
 	x.gateway.addStoreState(statement)
@@ -310,6 +311,7 @@
 		})
 	}
 	d.applyCrashes(now, s)
+	d.applyVersions(now, s)
 	for _, endpoint := range s.Unreachable {
 		d.reach.AddPeerReport(now, s.Sender, endpoint)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -133,7 +133,7 @@
 func New(o Options) *Gateway {
 	g := &Gateway{options: o, log: o.Log, dispatcher: newDispatcher(o.Settings, o.Rand)}
 	g.dispatcher.onEndpointChanges, g.dispatcher.onPause, g.dispatcher.onLimit = g.logEndpointChanges, g.logPause, g.logLimit
-	g.dispatcher.onSuspects, g.dispatcher.onTrial = g.logSuspects, g.logTrial
+	g.dispatcher.onSuspects, g.dispatcher.onTrial, g.dispatcher.onVersion = g.logSuspects, g.logTrial, g.logVersion
 	g.gracePeriod.Store(int64(o.Settings.GracePeriod()))
 	g.storeStatus = follow.NewStoreStatus(rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())))
 	g.pool = upstream.NewPool(upstream.Options{OnDial: func(_ string, err error) {
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -45,6 +45,9 @@
 	// Target is the time to the first event, or to a plain response; MaxPause is the
 	// longest pause between later events. Zero means none.
 	Target, MaxPause time.Duration
+	// OnlyVersion restricts the endpoints to those whose software has Version.
+	OnlyVersion bool
+	Version     string
 	// Excluded lists the ids of the endpoints that were already tried.
 	Excluded []string
 }
@@ -57,6 +60,9 @@
 	return w.Parts[len(w.Parts)-1].Tokens
 }
 
+// fits reports whether the version of an endpoint's software is allowed.
+func (w *Work) fits(e *endpoint) bool { return !w.OnlyVersion || e.Version == w.Version }
+
 // SharedParts returns the parts that other requests may share: all but the last.
 func (w *Work) SharedParts() []Part {
 	if len(w.Parts) == 0 {
@@ -390,7 +396,7 @@
 
 // cheapest returns the endpoint with the lowest cost among those for which accept is
 // true; false if there is none. Draining, paused and excluded ones are skipped, and those
-// whose limit allows no request. It sets limitedCosts to the limited endpoints that are
+// of another version than the work allows or whose limit allows no request. It sets limitedCosts to the limited endpoints that are
 // cheaper than all others, whether or not they allow the request.
 func (f *Fleet) cheapest(now time.Time, s *service, w *Work, accept func(*endpoint) bool) (Choice, bool) {
 	homes := s.homes(now, w, func(e *endpoint) bool { return f.usable(now, e) })
@@ -400,7 +406,7 @@
 	bestCost, cheapestUnlimited := math.Inf(1), math.Inf(1)
 	f.limitedCosts = f.limitedCosts[:0]
 	for _, e := range s.members {
-		if e.draining || f.isPaused != nil && f.isPaused(now, e.hash) || !accept(e) || contains(w.Excluded, e.ID) {
+		if e.draining || f.isPaused != nil && f.isPaused(now, e.hash) || !accept(e) || contains(w.Excluded, e.ID) || !w.fits(e) {
 			continue
 		}
 		c, cost := f.estimate(now, s, e, w, homes)
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -16,8 +16,12 @@
 
 // run makes attempts until the caller has a response.
 func (x *exchange) run(ctx context.Context) {
-	service := x.options.PickService(x.route)
+	service := x.options.PickService(x.route, x.streamName())
 	x.record.Service = service
+	if !x.resolveVersion(ctx, service) {
+		x.refuse(&Refusal{Reason: VersionUnknown, RetryAfter: versionRetryAfter})
+		return
+	}
 	x.work = placement.Work{
 		Service:      service,
 		Streaming:    x.route.Kind == routing.Streaming,
@@ -75,6 +79,9 @@
 		Account:     x.account,
 		TimeLeft:    time.Until(x.deadline),
 		IsRetry:     isRetry,
+		Resumable:   x.route.Resumable,
+		Continues:   x.continues,
+		CallerTime:  x.fields.TimeLeft,
 	}
 	placed, refusal := x.options.Placer.Admit(&x.work, request)
 	if refusal != nil {
@@ -85,6 +92,7 @@
 		x.options.Placer.FirstAttempt(service, x.account)
 	}
 	choice := placed.Choice()
+	x.attemptVersion = choice.Endpoint.Version
 	x.work.Excluded = append(x.work.Excluded, choice.Endpoint.ID)
 	x.record.Attempts = append(x.record.Attempts, AttemptRecord{
 		Endpoint:       choice.Endpoint.ID,
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -69,6 +69,16 @@
 	AllowRetry(service, account string) bool
 	// FirstAttempt adds a fraction of a token to the service's retry budget.
 	FirstAttempt(service, account string)
+	// ResolveStream returns the version at which a stream began; false if that is not
+	// known. The stream is named by the caller's attempt that brought its first event,
+	// empty if the caller does not name it; timeLeft is the time until its deadline.
+	ResolveStream(service, stream string, timeLeft time.Duration) (version string, known bool)
+	// StreamBegan reports the version of the endpoint that brought the first event of a
+	// stream that may be resumed, or went on with it.
+	StreamBegan(stream, version string)
+	// StreamBroke reports that such a stream ended before its end, so that the caller may
+	// take it up at another gateway.
+	StreamBroke(stream string)
 }
 
 // AdmissionRequest holds what admission and placement need to know of a request besides
@@ -85,6 +95,12 @@
 	TimeLeft time.Duration
 	// IsRetry is true for each attempt of the request after the first.
 	IsRetry bool
+	// Resumable is true for a stream that may be resumed. Continues is the version of the
+	// endpoint that began it, at which alone it may go on; nil for one without an event.
+	Resumable bool
+	Continues *string
+	// CallerTime is the time that the caller allows; zero if it states none.
+	CallerTime time.Duration
 }
 
 // PlacedAttempt is an attempt for which an endpoint was chosen. The relay reports to it
@@ -127,8 +143,14 @@
 	ResultReplaced
 )
 
-// Condemned is the Reason of the refusal of a request that crashes endpoints.
-const Condemned = "condemned"
+// Reasons of refusals that are no lack of capacity.
+const (
+	// Condemned requests crash endpoints.
+	Condemned = "condemned"
+	// VersionUnknown streams began at a version that is not known, or would begin at one that
+	// may be outdated.
+	VersionUnknown = "version_unknown"
+)
 
 // Refusal is a decision not to forward a request.
 type Refusal struct {
@@ -156,8 +178,10 @@
 	Placer   Placer
 	Pool     *upstream.Pool
 	Observer Observer
-	// PickService draws one of the services that a route splits its traffic among.
-	PickService func(*routing.Route) string
+	// PickService draws one of the services that a route splits its traffic among. A stream
+	// that may be resumed is named by the caller's attempt that brought its first event, and
+	// always gets the same one; stream is empty for other requests.
+	PickService func(r *routing.Route, stream string) string
 	// ConnClosed reports whether the connection of a request was closed before its
 	// handler began; nil means never.
 	ConnClosed func(context.Context) bool
@@ -203,6 +227,12 @@
 	// lastEvent is when events were last sent to the caller.
 	lastEvent time.Time
 	events    eventSplitter
+	// continues is the version at which alone a stream with events may go on; nil if it has
+	// none. attemptVersion is that of the endpoint of the latest attempt.
+	continues      *string
+	attemptVersion string
+	// streamBegan states that the version of the stream was reported.
+	streamBegan bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -238,6 +268,9 @@
 // while a panic aborts the connection.
 func (x *exchange) finish() {
 	x.record.Total = time.Since(x.arrived)
+	if x.streamBegan && x.record.Result != "delivered" {
+		x.options.Placer.StreamBroke(x.streamName())
+	}
 	x.options.Observer.Finished(x.record)
 }
 
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -270,6 +270,7 @@
 		x.sendHead(response)
 	}
 	x.recordEvent(time.Now())
+	x.recordVersion()
 	if _, err := x.w.Write(events); err != nil {
 		return err
 	}
--- a/gateway/routing/routing.go
+++ b/gateway/routing/routing.go
@@ -5,7 +5,6 @@
 package routing
 
 import (
-	"math/rand/v2"
 	"net"
 	"slices"
 	"strings"
@@ -64,8 +63,9 @@
 // Repeatable reports whether a request may be sent again after it may have run.
 func (r *Route) Repeatable() bool { return r.Kind == Idempotent }
 
-// Pick returns a service for a request, at random according to the weights.
-func (r *Route) Pick(rng *rand.Rand) string {
+// Pick returns a service for a request according to the weights; at is a random number from
+// 0 to below 1.
+func (r *Route) Pick(at float64) string {
 	if len(r.Split) == 1 {
 		return r.Split[0].Service
 	}
@@ -73,7 +73,7 @@
 	for _, s := range r.Split {
 		total += s.Weight
 	}
-	point := rng.Float64() * total
+	point := at * total
 	for _, s := range r.Split {
 		point -= s.Weight
 		if point < 0 {
@@ -207,6 +207,22 @@
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// ResumableTimeouts returns, by service, the longest timeout of the routes with streams that
+// may be resumed. Services without such a route are left out.
+func (t *Table) ResumableTimeouts() map[string]time.Duration {
+	timeouts := make(map[string]time.Duration)
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if !r.Resumable {
+			continue
+		}
+		for _, share := range r.Split {
+			timeouts[share.Service] = max(timeouts[share.Service], r.Timeout)
+		}
+	}
+	return timeouts
+}
+
 // StrictestPauses returns, by service, the shortest MaxPause of the routes that lead to
 // it; 0 if none has one.
 func (t *Table) StrictestPauses() map[string]time.Duration {
--- a/gateway/siterows.go
+++ b/gateway/siterows.go
@@ -17,8 +17,10 @@
 	// siteRowsCheckInterval is how often the gateway checks whether the rows are to be read
 	// or written. It is also the time within which changes are written together.
 	siteRowsCheckInterval = 250 * time.Millisecond
-	// isolatedReadInterval is how often a gateway that has lost its peers reads the rows.
+	// isolatedReadInterval is how often a gateway that has lost most of its peers reads the
+	// rows, and silentReadInterval how often one that hears of none does.
 	isolatedReadInterval = time.Second
+	silentReadInterval   = 250 * time.Millisecond
 	// siteRowsTimeout bounds one read and the writes after it, and siteRowsRetryPause is the
 	// least pause after a failure.
 	siteRowsTimeout    = 2 * time.Second
@@ -64,7 +66,10 @@
 
 // newRowKeeper returns a keeper of all rows of the site.
 func newRowKeeper(g *Gateway, store RowStore, rng *rand.Rand) *rowKeeper {
-	return &rowKeeper{gateway: g, store: store, rng: rng, rows: []siteRow{suspectsRow{g.dispatcher}}}
+	g.dispatcher.mu.Lock()
+	defer g.dispatcher.mu.Unlock()
+	g.dispatcher.keepsRows = true
+	return &rowKeeper{gateway: g, store: store, rng: rng, rows: []siteRow{suspectsRow{g.dispatcher}, versionsRow{g.dispatcher}}}
 }
 
 // serve keeps the rows until ctx ends.
@@ -77,6 +82,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
+		case <-k.gateway.dispatcher.wakeKeeper:
 		}
 	}
 }
@@ -100,7 +106,9 @@
 }
 
 func (k *rowKeeper) due(now time.Time) bool {
-	if !k.loaded || k.gateway.dispatcher.isIsolated() && now.Sub(k.readAt) >= isolatedReadInterval {
+	since := now.Sub(k.readAt)
+	if !k.loaded || since >= isolatedReadInterval && k.gateway.dispatcher.isIsolated() ||
+		since >= silentReadInterval && k.gateway.dispatcher.isSilent(now) {
 		return true
 	}
 	for _, r := range k.rows {
@@ -123,6 +131,7 @@
 	for _, row := range stored {
 		byKey[row.Key] = row
 	}
+	k.gateway.dispatcher.rowsRead(now)
 	var failed error
 	for _, r := range k.rows {
 		row := byKey[r.key()]
--- /dev/null
+++ b/gateway/streams.go
@@ -0,0 +1,339 @@
+package gateway
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/pistachiowind/pistachiowind/gateway/peers/wire"
+	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/registry"
+	"github.com/pistachiowind/pistachiowind/gateway/relay"
+	"github.com/pistachiowind/pistachiowind/gateway/routing"
+	"github.com/pistachiowind/pistachiowind/gateway/versions"
+)
+
+const (
+	// versionsKey is the key of the row with the designated versions of the services.
+	versionsKey = siteRowsPrefix + "versions"
+	// blindRetryAfter is the Retry-After of a new stream at a gateway that may have missed a
+	// change of the designated version; other gateways accept it at once.
+	blindRetryAfter = 100 * time.Millisecond
+	// silentAfter is the time without a statement of a peer after which a gateway reads the
+	// rows of the site instead, while versions change.
+	silentAfter = 400 * time.Millisecond
+	// announcePerGateway is the time for each gateway that a change of the shares which is
+	// not urgent is stated before it takes effect: a bit more than an early statement takes.
+	announcePerGateway = 3 * time.Millisecond
+	minAnnounceTime    = 300 * time.Millisecond
+	// urgentStoreWait is how long a change without which new streams have no endpoint waits
+	// for the store.
+	urgentStoreWait = 500 * time.Millisecond
+	// storeSpreadPerGateway is the time for each gateway over which the gateways spread their
+	// writes of a change that all of them see: the first one is written as soon on a large
+	// site, and the others hear of it.
+	storeSpreadPerGateway = 20 * time.Millisecond
+)
+
+// pickService draws a service of the route by the weights of its traffic split. A stream that
+// may be resumed gets the service that follows from its id, so that every gateway sends it to
+// the same one.
+func (d *dispatcher) pickService(r *routing.Route, stream string) string {
+	if stream != "" {
+		return r.Pick(float64(xxhash.Sum64String(stream)>>11) / (1 << 53))
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return r.Pick(d.rng.Float64())
+}
+
+// ResolveStream implements relay.Placer. A gateway that hears of nothing for a moment does not
+// know whether the stream began with a change that it has missed.
+func (d *dispatcher) ResolveStream(service, stream string, timeLeft time.Duration) (string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	current := !d.mixed || d.silentFor(now) <= silentAfter
+	return d.versions.Resolve(now, service, stream, timeLeft, current)
+}
+
+// StreamBegan implements relay.Placer.
+func (d *dispatcher) StreamBegan(stream, version string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.versions.Began(time.Now(), stream, version)
+}
+
+// StreamBroke implements relay.Placer.
+func (d *dispatcher) StreamBroke(stream string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.versions.Broke(stream)
+}
+
+// restrictVersion restricts a stream that may be resumed to endpoints of one version: the one
+// that began it, or the one that follows from its name if it is new. It returns a refusal if the gateway may
+// have missed a change of the designated version. The mutex is held.
+func (d *dispatcher) restrictVersion(now time.Time, w *placement.Work, r relay.AdmissionRequest) *relay.Refusal {
+	w.OnlyVersion = false
+	switch {
+	case !r.Resumable:
+		return nil
+	case r.Continues != nil:
+		w.OnlyVersion, w.Version = true, *r.Continues
+		return nil
+	}
+	d.versions.ObserveDeadline(w.Service, r.CallerTime)
+	version, known := d.versions.Pick(now, w.Service, r.ID)
+	if !known {
+		return nil
+	}
+	if d.mixed && d.silentFor(now) > versions.BlindAfter {
+		return &relay.Refusal{Reason: relay.VersionUnknown, RetryAfter: blindRetryAfter}
+	}
+	w.OnlyVersion, w.Version = true, version
+	return nil
+}
+
+// silentFor returns the time since a peer or the store last told this gateway about the
+// designated versions; zero if it never had peers, which alone could change them. The mutex
+// is held.
+func (d *dispatcher) silentFor(now time.Time) time.Duration {
+	heard := d.heardAt
+	if d.rowsReadAt.After(heard) {
+		heard = d.rowsReadAt
+	}
+	if d.heardAt.IsZero() {
+		return 0
+	}
+	return now.Sub(heard)
+}
+
+// isSilent reports whether the rows of the site should be read because no peer has sent a
+// statement for a while in which the designated version of a service may change.
+func (d *dispatcher) isSilent(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mixed && d.silentFor(now) > silentAfter
+}
+
+// rowsRead records that the rows of the site were read.
+func (d *dispatcher) rowsRead(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rowsReadAt = now
+}
+
+// versionCount holds the number of endpoints of each version of a service.
+type versionCount map[string]versions.Count
+
+// versionCounts returns the endpoints of each version of the services with streams that may
+// be resumed. The mutex is held.
+func (d *dispatcher) versionCounts() map[string]versionCount {
+	counts := make(map[string]versionCount, len(d.resumable))
+	d.registry.Entries(func(e registry.Entry) {
+		if _, ok := d.resumable[e.Service]; !ok {
+			return
+		}
+		if counts[e.Service] == nil {
+			counts[e.Service] = make(versionCount)
+		}
+		c := counts[e.Service][e.Version]
+		c.Listed++
+		if !e.Draining {
+			c.Ready++
+		}
+		counts[e.Service][e.Version] = c
+	})
+	return counts
+}
+
+// proposal is a change of the versions of new streams that is compared with the store first.
+type proposal struct {
+	versions.Change
+	at time.Time
+}
+
+// observeVersions updates the versions of new streams by the known endpoints. The mutex is
+// held.
+func (d *dispatcher) observeVersions(now time.Time) {
+	d.mixed = false
+	for service, counts := range d.versionCounts() {
+		d.mixed = d.mixed || len(counts) > 1
+		change, needed := d.versions.Observe(now, service, counts)
+		if !needed {
+			delete(d.proposed, service)
+			continue
+		}
+		p, known := d.proposed[service]
+		if !known || p.Sequence != change.Sequence {
+			p.at = now
+		}
+		p.Change = change
+		d.proposed[service] = p
+		if change.Urgent && (!d.keepsRows || now.Sub(p.at) > urgentStoreWait) {
+			d.adoptVersions(now, service)
+		}
+	}
+	d.scheduleStore(now)
+}
+
+// scheduleStore determines when changes are to be written. Urgent ones are at once. The mutex
+// is held.
+func (d *dispatcher) scheduleStore(now time.Time) {
+	urgent := false
+	for _, p := range d.proposed {
+		urgent = urgent || p.Urgent
+	}
+	switch {
+	case urgent:
+		d.storeVersionsAt = now
+		select {
+		case d.wakeKeeper <- struct{}{}:
+		default:
+		}
+	case d.storeVersionsAt.IsZero() && (d.versions.Unstored() || len(d.proposed) > 0):
+		spread := storeSpreadPerGateway * time.Duration(len(d.alivePeers)+1)
+		d.storeVersionsAt = now.Add(time.Duration(d.rng.Int64N(int64(spread))))
+	}
+}
+
+// adoptVersions makes the proposed change of a service. The mutex is held.
+func (d *dispatcher) adoptVersions(now time.Time, service string) {
+	p := d.proposed[service]
+	delete(d.proposed, service)
+	delay := max(minAnnounceTime, announcePerGateway*time.Duration(len(d.alivePeers)+1))
+	if d.versions.Adopt(now, delay, p.Change) {
+		d.onVersion(p.Change)
+	}
+}
+
+// setResumable records which services have streams that may be resumed, and how long at
+// most. The mutex is held.
+func (d *dispatcher) setResumable(timeouts map[string]time.Duration) {
+	d.resumable = timeouts
+	for service, timeout := range timeouts {
+		d.versions.ObserveDeadline(service, timeout)
+	}
+}
+
+// addVersions adds the designated versions and the broken streams to a statement.
+func (d *dispatcher) addVersions(now time.Time, s *wire.Statement) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	statement := d.versions.Statement(now, len(d.alivePeers)+1)
+	for _, b := range statement.Broken {
+		s.BrokenStreams = append(s.BrokenStreams, &wire.BrokenStream{Id: b.ID, Version: b.Version})
+	}
+	for _, x := range statement.Designations {
+		w := &wire.Designations{Service: x.Service, Sequence: x.Sequence, DeadlineMs: uint64(x.MaxDeadline.Milliseconds()), Stored: x.Stored}
+		for _, span := range x.Spans {
+			designation := &wire.Designation{First: span.From.IsZero()}
+			for _, share := range span.Shares {
+				designation.Shares = append(designation.Shares, &wire.Share{Version: share.Version, Weight: uint32(share.Weight)})
+			}
+			if !designation.First {
+				designation.AgoMs = now.Sub(span.From).Milliseconds()
+			}
+			w.Spans = append(w.Spans, designation)
+		}
+		s.Designations = append(s.Designations, w)
+	}
+	s.AllDesignations = statement.Complete
+}
+
+// applyVersions applies the designated versions and the broken streams in a peer's
+// statement. The mutex is held.
+func (d *dispatcher) applyVersions(now time.Time, s *wire.Statement) {
+	d.heardAt = now
+	for _, b := range s.BrokenStreams {
+		d.versions.RecordBroken(now, versions.BrokenStream{ID: b.Id, Version: b.Version})
+	}
+	for _, w := range s.Designations {
+		x := versions.Designations{Service: w.Service, Sequence: w.Sequence, MaxDeadline: statedMS(w.DeadlineMs), Stored: w.Stored}
+		for _, span := range w.Spans {
+			stated := versions.Span{}
+			if !span.First {
+				stated.From = now.Add(-statedAge(span.AgoMs))
+			}
+			for _, share := range span.Shares {
+				stated.Shares = append(stated.Shares, versions.Share{Version: share.Version, Weight: int(share.Weight)})
+			}
+			x.Spans = append(x.Spans, stated)
+		}
+		if change, changed := d.versions.Record(x); changed {
+			delete(d.proposed, change.Service)
+			d.onVersion(change)
+		}
+	}
+	if s.AllDesignations {
+		d.versions.RecordComplete()
+	}
+}
+
+// maxStatedMS bounds a stated number of milliseconds, so that a faulty peer can't make a time
+// overflow.
+const maxStatedMS = math.MaxInt64 / int64(4*time.Millisecond)
+
+func statedMS(n uint64) time.Duration {
+	return time.Duration(min(n, uint64(maxStatedMS))) * time.Millisecond
+}
+
+func statedAge(n int64) time.Duration {
+	return time.Duration(max(min(n, maxStatedMS), -maxStatedMS)) * time.Millisecond
+}
+
+// versionsRow is the row with the designated versions. It implements siteRow.
+type versionsRow struct{ *dispatcher }
+
+func (versionsRow) key() string { return versionsKey }
+
+// load implements siteRow. Changes that had to be compared with the row first are made.
+func (r versionsRow) load(now time.Time, storeTime time.Duration, value []byte) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changes, err := r.versions.Load(now, storeTime, value)
+	for _, c := range changes {
+		r.onVersion(c)
+	}
+	for service := range r.proposed {
+		if !now.Before(r.storeVersionsAt) {
+			r.adoptVersions(now, service)
+		}
+	}
+	return err
+}
+
+func (r versionsRow) unstored() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.versions.Unstored() && len(r.proposed) == 0 {
+		r.storeVersionsAt = time.Time{}
+		return false
+	}
+	return !time.Now().Before(r.storeVersionsAt)
+}
+
+func (r versionsRow) encode(now time.Time, storeTime time.Duration) ([]byte, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.storeVersionsAt = time.Time{}
+	return r.versions.Encode(now, storeTime)
+}
+
+func (r versionsRow) notStored() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.versions.NotStored()
+}
+
+func (g *Gateway) logVersion(c versions.Change) {
+	shares := zerolog.Dict()
+	for _, x := range c.Shares {
+		shares = shares.Int(x.Version, x.Weight)
+	}
+	g.log.Info().Str("service", c.Service).Dict("shares", shares).Uint64("sequence", c.Sequence).Bool("by_peer", c.ByPeer).
+		Msg("versions of new streams changed")
+}
--- a/gateway/versions/outbox.go
+++ b/gateway/versions/outbox.go
@@ -1,6 +1,7 @@
 package versions
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -58,11 +59,13 @@
 	Spans    []Span
 	// MaxDeadline is the longest time that a caller allows for a stream.
 	MaxDeadline time.Duration
+	// Stored is true if the store has them.
+	Stored bool
 }
 
 // Span is a designation.
 type Span struct {
-	Version string
+	Shares []Share
 	// From is when it began; zero for the first one, which needed no record.
 	From time.Time
 }
@@ -113,9 +116,9 @@
 	var list []Designations
 	for _, name := range names {
 		s := t.services[name]
-		d := Designations{Service: name, Sequence: s.sequence, MaxDeadline: s.maxDeadline}
+		d := Designations{Service: name, Sequence: s.sequence, MaxDeadline: s.maxDeadline, Stored: !s.unstored}
 		for _, span := range s.spans {
-			d.Spans = append(d.Spans, Span{span.version, span.from})
+			d.Spans = append(d.Spans, Span{span.shares, span.from})
 		}
 		list = append(list, d)
 	}
@@ -133,44 +136,75 @@
 
 // Record applies the designations that a peer or the store stated. Those with the higher
 // sequence hold. Of two with the same one, which gateways made without hearing of each
-// other, both count for streams that began since, and the last by name for new ones.
+// other, both count for streams that began since, and one of them for new ones.
 func (t *Table) Record(d Designations) (Change, bool) {
 	s := t.service(d.Service)
-	if s == nil || len(d.Spans) == 0 || d.Sequence == 0 {
+	if s == nil || !d.valid() {
 		return Change{}, false
 	}
 	s.maxDeadline = max(s.maxDeadline, d.MaxDeadline)
-	before := s.current()
-	switch stated := d.Spans[len(d.Spans)-1]; {
+	before := s.latest()
+	stated := d.Spans[len(d.Spans)-1]
+	switch {
 	case d.Sequence < s.sequence:
 		return Change{}, false
-	case d.Sequence == s.sequence && stated.Version == before:
+	case d.Sequence == s.sequence && slices.Equal(stated.Shares, before):
+		if d.Stored && d.MaxDeadline >= s.maxDeadline {
+			s.unstored = false
+		}
 		return Change{}, false
 	case d.Sequence == s.sequence:
-		s.addSibling(span{stated.Version, stated.From})
+		s.addSibling(span{stated.Shares, stated.From})
 	default:
-		s.spans = s.spans[:0:0]
-		for _, x := range d.Spans[max(len(d.Spans)-maxSpans, 0):] {
-			s.spans = append(s.spans, span{x.Version, x.From})
-		}
-		s.sequence = d.Sequence
+		s.replace(d)
 	}
 	s.stated = 0
-	if s.current() == before {
+	if slices.Equal(s.latest(), before) {
 		return Change{}, false
 	}
-	return Change{Service: d.Service, Version: s.current(), Sequence: s.sequence, ByPeer: true}, true
+	return Change{Service: d.Service, Shares: s.latest(), Sequence: s.sequence, ByPeer: true}, true
+}
+
+// replace takes over designations with a higher sequence. One that this gateway made without
+// hearing of them is kept among them, as it may have begun streams with it.
+func (s *service) replace(d Designations) {
+	own, lost := span{}, false
+	if s.unstored && len(s.spans) > 0 {
+		own = s.spans[len(s.spans)-1]
+		lost = !slices.ContainsFunc(d.Spans, func(x Span) bool { return slices.Equal(x.Shares, own.shares) })
+	}
+	s.spans = nil
+	for _, x := range d.Spans[max(len(d.Spans)-maxSpans+1, 0):] {
+		s.spans = append(s.spans, span{x.Shares, x.From})
+	}
+	s.sequence, s.unstored = d.Sequence, !d.Stored
+	if lost {
+		s.spans = slices.Insert(s.spans, len(s.spans)-1, own)
+		s.sequence, s.unstored = d.Sequence+1, true
+	}
+}
+
+// valid reports whether a peer or the store can have recorded the designations.
+func (d *Designations) valid() bool {
+	invalid := func(x Share) bool { return x.Weight <= 0 }
+	return d.Sequence > 0 && len(d.Spans) > 0 && !slices.ContainsFunc(d.Spans, func(s Span) bool {
+		return len(s.Shares) == 0 || len(s.Shares) > maxShares || slices.ContainsFunc(s.Shares, invalid)
+	})
 }
 
 // addSibling adds a designation that another gateway made with the same sequence.
 func (s *service) addSibling(other span) {
 	last := s.spans[len(s.spans)-1]
-	if slices.ContainsFunc(s.spans, func(x span) bool { return x.version == other.version && x.from.Equal(other.from) }) {
+	if slices.ContainsFunc(s.spans, func(x span) bool { return slices.Equal(x.shares, other.shares) && x.from.Equal(other.from) }) {
 		return
 	}
-	if other.version < last.version {
+	if slices.CompareFunc(other.shares, last.shares, compareShares) < 0 {
 		other, last = last, other
 	}
 	s.spans = append(s.spans[:len(s.spans)-1], last, other)
 	s.spans = s.spans[max(len(s.spans)-maxSpans, 0):]
 }
+
+func compareShares(a, b Share) int {
+	return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Weight, b.Weight))
+}
--- a/gateway/versions/stored.go
+++ b/gateway/versions/stored.go
@@ -19,8 +19,13 @@
 
 // storedSpan is a designation since a time of the store's clock.
 type storedSpan struct {
+	Shares []storedShare `json:"shares"`
+	FromMS int64         `json:"from_ms"`
+}
+
+type storedShare struct {
 	Version string `json:"version"`
-	FromMS  int64  `json:"from_ms"`
+	Weight  int    `json:"weight"`
 }
 
 // Unstored reports whether the store lacks a designation.
@@ -47,10 +52,13 @@
 	}
 	var changes []Change
 	for name, s := range stored.Services {
-		d := Designations{Service: name, Sequence: s.Sequence, MaxDeadline: time.Duration(s.DeadlineMS) * time.Millisecond}
+		d := Designations{Service: name, Sequence: s.Sequence, MaxDeadline: time.Duration(s.DeadlineMS) * time.Millisecond, Stored: true}
 		for _, span := range s.Spans {
-			ago := max(storeTime-time.Duration(span.FromMS)*time.Millisecond, 0)
-			d.Spans = append(d.Spans, Span{span.Version, now.Add(-ago)})
+			loaded := Span{From: now.Add(time.Duration(span.FromMS)*time.Millisecond - storeTime)}
+			for _, x := range span.Shares {
+				loaded.Shares = append(loaded.Shares, Share(x))
+			}
+			d.Spans = append(d.Spans, loaded)
 		}
 		if c, ok := t.Record(d); ok {
 			changes = append(changes, c)
@@ -74,7 +82,11 @@
 			if !span.from.IsZero() {
 				from = max((storeTime - now.Sub(span.from)).Milliseconds(), 0)
 			}
-			entry.Spans = append(entry.Spans, storedSpan{span.version, from})
+			kept := storedSpan{FromMS: from}
+			for _, x := range span.shares {
+				kept.Shares = append(kept.Shares, storedShare(x))
+			}
+			entry.Spans = append(entry.Spans, kept)
 		}
 		stored.Services[name] = entry
 	}
--- a/gateway/versions/versions.go
+++ b/gateway/versions/versions.go
@@ -1,19 +1,21 @@
 // Package versions decides at which version of an endpoint's software a stream runs, so that
 // one that breaks off goes on where its text fits.
 //
-// While endpoints of several versions serve a service, all new streams that may be resumed
-// go to one of them, the designated version. It changes only when that version has few
-// endpoints left. Each change is stated to the peers and kept in the store of the platform,
-// so that every gateway, also one that has just started, can tell from the age of a stream
-// at which version it began. In the moments after a change that is not certain; then only
-// the gateway that began the stream knows, and states it to the peers if the stream breaks.
-// What nobody knows is not guessed: the stream does not go on.
+// While endpoints of several versions serve a service, the version at which a new stream
+// begins follows from its name: it is drawn by weighted rendezvous hashing, with the shares of
+// the versions as weights. The shares change only when they are far from the endpoints that
+// serve. Each change is stated to the peers and kept in the store of the platform, so that
+// every gateway, also one that has just started, can tell from the name and the age of a stream
+// at which version it began. In the moments after a change that is not certain for the streams
+// that it moved; then only the gateway that began the stream knows, and states it to the peers
+// if the stream breaks. What nobody knows is not guessed: the stream does not go on.
 //
 // A Table is not safe for concurrent use. Its methods take the time as a parameter.
 package versions
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -38,15 +40,74 @@
 	BlindAfter = 1200 * time.Millisecond
 	// ageMargin is added to the age of a stream that follows from its deadline.
 	ageMargin = 500 * time.Millisecond
-	// changeRatio is how many times the endpoints of the designated version another one must
-	// have to take its place.
-	changeRatio = 2
+	// maxDrift is how far the share of a version may be from that of its endpoints, and
+	// settledDrift the same once the shares have not changed for settleTime. Each change makes
+	// the version of the streams that it moves uncertain for a while.
+	maxDrift     = 0.25
+	settledDrift = 0.1
+	settleTime   = 10 * time.Second
+	// minEndpoints is the number of endpoints from which a version gets new streams, if
+	// another one has as many: a stream can't go on where the only one has failed.
+	minEndpoints = 2
+	// maxShares bounds the versions among which new streams are shared.
+	maxShares = 8
 )
 
-// span is a time in which new streams begin at one version.
+// Share is the weight of a version for new streams: the number of its endpoints when it was
+// designated.
+type Share struct {
+	Version string
+	Weight  int
+}
+
+// shares are the versions of new streams, by name.
+type shares []Share
+
+// weight returns the weight of a version, and the sum of all.
+func (s shares) weight(version string) (weight, total int) {
+	for _, x := range s {
+		total += x.Weight
+		if x.Version == version {
+			weight = x.Weight
+		}
+	}
+	return weight, total
+}
+
+// pick returns the version at which a stream begins, by weighted rendezvous hashing; empty if
+// there is none.
+func (s shares) pick(stream string) string {
+	if len(s) == 1 {
+		return s[0].Version
+	}
+	best, bestScore := "", math.Inf(1)
+	for _, x := range s {
+		h := xxhash.Sum64String(x.Version + "\x00" + stream)
+		// The hash as a number above 0 and at most 1.
+		u := (float64(h>>11) + 1) / (1 << 53)
+		if score := -math.Log(u) / float64(x.Weight); score < bestScore {
+			best, bestScore = x.Version, score
+		}
+	}
+	return best
+}
+
+// drift returns how far the share of any version is from that in other.
+func (s shares) drift(other shares) float64 {
+	worst := 0.0
+	for _, x := range slices.Concat(s, other) {
+		own, total := s.weight(x.Version)
+		others, otherTotal := other.weight(x.Version)
+		worst = max(worst, math.Abs(float64(own)/float64(total)-float64(others)/float64(otherTotal)))
+	}
+	return worst
+}
+
+// span is a time in which new streams begin at versions with the same shares. From may be in
+// the future, so that all gateways know it in time.
 type span struct {
-	version string
-	from    time.Time
+	shares shares
+	from   time.Time
 }
 
 // service holds the designations of a service.
@@ -58,7 +119,7 @@
 	sequence uint64
 	// maxDeadline is the longest time that a caller allows for a stream.
 	maxDeadline time.Duration
-	// unstored is set while the store lacks the latest designation.
+	// unstored is set while the store lacks the latest designation, as far as is known.
 	unstored bool
 	// stated counts the statements since the last change.
 	stated int
@@ -69,10 +130,13 @@
 
 // Change is a new designation.
 type Change struct {
-	Service, Version string
-	Sequence         uint64
+	Service  string
+	Shares   []Share
+	Sequence uint64
 	// ByPeer is true if a peer or the store stated it.
 	ByPeer bool
+	// Urgent is true if new streams have no endpoint without the change.
+	Urgent bool
 }
 
 // stream is what is known of a stream that began.
@@ -107,85 +171,115 @@
 	return s
 }
 
-func (s *service) current() string {
+// latest returns the shares that were designated last; nil if none are known.
+func (s *service) latest() shares {
 	if len(s.spans) == 0 {
-		return ""
+		return nil
 	}
-	return s.spans[len(s.spans)-1].version
+	return s.spans[len(s.spans)-1].shares
 }
 
-// designate begins a span.
-func (s *service) designate(now time.Time, version string) {
-	s.spans = append(s.spans, span{version, now})
+// active returns the shares of streams that begin now. There is a span.
+func (s *service) active(now time.Time) shares {
+	for i := len(s.spans) - 1; i > 0; i-- {
+		if !s.spans[i].from.After(now) {
+			return s.spans[i].shares
+		}
+	}
+	return s.spans[0].shares
+}
+
+// designate begins a span at a time.
+func (s *service) designate(from time.Time, next shares) {
+	s.spans = append(s.spans, span{next, from})
 	s.spans = s.spans[max(len(s.spans)-maxSpans, 0):]
 	s.sequence++
 	s.unstored, s.stated = true, 0
 }
 
-// Current returns the designated version of a service; false if none is known.
-func (t *Table) Current(name string) (string, bool) {
+// Pick returns the version at which a new stream begins, by the id of its caller's attempt;
+// false if none is designated.
+func (t *Table) Pick(now time.Time, name, attempt string) (string, bool) {
 	s := t.services[name]
 	if s == nil || len(s.spans) == 0 {
 		return "", false
 	}
-	return s.current(), true
+	return s.active(now).pick(attempt), true
 }
 
-// Observe updates the designation of a service by the endpoints of each version. It returns
-// the change, and whether it is to be written to the store before it takes effect: while the
-// designated version still has endpoints, gateways change together.
-func (t *Table) Observe(now time.Time, name string, counts map[string]Count) (change Change, changed, writeFirst bool) {
+// Observe compares the designation of a service with the endpoints of each version. It
+// returns the change that is needed, to be made by Adopt, and false if none is. The change is
+// urgent if a designated version has no endpoint left.
+func (t *Table) Observe(now time.Time, name string, counts map[string]Count) (change Change, needed bool) {
 	s := t.service(name)
-	best, ok := most(counts)
-	if s == nil || !ok {
-		return Change{}, false, false
+	target := sharesOf(counts)
+	if s == nil || len(target) == 0 {
+		return Change{}, false
 	}
 	if len(s.spans) == 0 {
-		s.spans = []span{{version: best}}
+		s.spans = []span{{shares: target}}
 		if len(counts) > 1 {
 			// Where streams began before that is not known.
 			s.spans[0].from = now
 		}
 	}
-	current := s.current()
-	switch ready := counts[current].Ready; {
-	case best != current && ready == 0:
-		s.designate(now, best)
-		t.urgent = true
-		return Change{Service: name, Version: best, Sequence: s.sequence}, true, false
-	case best != current && counts[best].Ready > changeRatio*ready:
-		return Change{Service: name, Version: best, Sequence: s.sequence + 1}, false, true
+	change = Change{Service: name, Shares: target, Sequence: s.sequence + 1}
+	gone := func(x Share) bool { return counts[x.Version].Ready == 0 }
+	switch {
+	case slices.ContainsFunc(s.active(now), gone) || slices.ContainsFunc(s.latest(), gone):
+		change.Urgent = true
+		return change, true
+	case s.latest().drift(target) > s.allowedDrift(now):
+		return change, true
 	case s.sequence == 0 && len(counts) > 1:
 		// The first designation is recorded before another one follows.
 		s.sequence, s.unstored, s.stated = 1, true, 0
 		t.urgent = true
 	}
-	return Change{}, false, false
+	return Change{}, false
+}
+
+// allowedDrift returns how far the current shares may be from the endpoints that serve.
+func (s *service) allowedDrift(now time.Time) float64 {
+	if now.Sub(s.spans[len(s.spans)-1].from) < settleTime {
+		return maxDrift
+	}
+	return settledDrift
 }
 
-// most returns the version with the most ready endpoints, the first by name among equals;
-// false if no endpoint is ready.
-func most(counts map[string]Count) (string, bool) {
-	best, found := "", false
+// sharesOf returns the shares that fit the endpoints that take new work.
+func sharesOf(counts map[string]Count) shares {
+	var all, enough shares
 	for version, c := range counts {
 		if c.Ready == 0 {
 			continue
 		}
-		if !found || c.Ready > counts[best].Ready || c.Ready == counts[best].Ready && version < best {
-			best, found = version, true
+		all = append(all, Share{version, c.Ready})
+		if c.Ready >= minEndpoints {
+			enough = append(enough, Share{version, c.Ready})
 		}
 	}
-	return best, found
+	if len(enough) > 0 {
+		all = enough
+	}
+	slices.SortFunc(all, func(a, b Share) int { return cmp.Or(b.Weight-a.Weight, cmp.Compare(a.Version, b.Version)) })
+	all = all[:min(len(all), maxShares)]
+	slices.SortFunc(all, func(a, b Share) int { return cmp.Compare(a.Version, b.Version) })
+	return all
 }
 
-// Adopt makes a change that Observe asked to write first, once no later one was found in the
-// store.
-func (t *Table) Adopt(now time.Time, c Change) bool {
+// Adopt makes a change that Observe found, unless another one was made since. One that is not
+// urgent takes effect after a delay, in which the other gateways hear of it.
+func (t *Table) Adopt(now time.Time, delay time.Duration, c Change) bool {
 	s := t.services[c.Service]
-	if s == nil || s.sequence+1 != c.Sequence || s.current() == c.Version {
+	if s == nil || s.sequence+1 != c.Sequence {
 		return false
 	}
-	s.designate(now, c.Version)
+	from := now
+	if !c.Urgent {
+		from = now.Add(delay)
+	}
+	s.designate(from, c.Shares)
 	t.urgent = true
 	return true
 }
@@ -220,35 +314,40 @@
 }
 
 // Resolve returns the version at which a stream began: the one that is remembered, or the
-// only one that was designated in the time in which it can have begun. TimeLeft is the time
-// until the deadline of its caller. It returns false if several are possible.
-func (t *Table) Resolve(now time.Time, name, attempt string, timeLeft time.Duration) (string, bool) {
+// one that follows from its name if that is the same for all the time in which it can have
+// begun. TimeLeft is the time until the deadline of its caller; current is false if changes
+// may have been missed. It returns false if several versions are possible.
+func (t *Table) Resolve(now time.Time, name, attempt string, timeLeft time.Duration, current bool) (string, bool) {
 	if known, ok := t.streams.Get(streamID(attempt)); ok && attempt != "" && now.Sub(known.at) < streamTTL {
 		return known.version, true
 	}
 	s := t.services[name]
-	if s == nil || !t.complete {
+	if s == nil || !t.complete || !current {
 		return "", false
 	}
-	return s.designatedSince(now.Add(-max(s.maxDeadline-timeLeft, 0) - ageMargin))
+	longest := s.maxDeadline
+	if longest == 0 {
+		longest = streamTTL
+	}
+	return s.pickedSince(now.Add(-max(longest-timeLeft, 0)-ageMargin), now, attempt)
 }
 
-// designatedSince returns the version at which all streams since a time began; false if
-// there are several.
-func (s *service) designatedSince(since time.Time) (string, bool) {
+// pickedSince returns the version at which a stream began between two times; false if
+// several are possible. Attempt is empty for a stream without a known name.
+func (s *service) pickedSince(since, now time.Time, attempt string) (string, bool) {
 	version, found := "", false
 	if len(s.spans) == 0 || since.Before(s.spans[0].from) {
 		return "", false
 	}
 	for i, d := range s.spans {
-		ended := i+1 < len(s.spans) && s.spans[i+1].from.Add(overlap).Before(since)
-		switch {
-		case ended:
-		case found && d.version != version:
+		if i+1 < len(s.spans) && s.spans[i+1].from.Add(overlap).Before(since) || d.from.After(now) {
+			continue
+		}
+		picked := d.shares.pick(attempt)
+		if attempt == "" && len(d.shares) > 1 || found && picked != version {
 			return "", false
-		default:
-			version, found = d.version, true
 		}
+		version, found = picked, true
 	}
 	return version, found
 }
--- /dev/null
+++ b/gateway/versions/versions_test.go
@@ -0,0 +1,290 @@
+package versions
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func ready(version string, n int) map[string]Count {
+	return map[string]Count{version: {Listed: n, Ready: n}}
+}
+
+func both(old, fresh int) map[string]Count {
+	return map[string]Count{"old": {Listed: max(old, 1), Ready: old}, "new": {Listed: fresh, Ready: fresh}}
+}
+
+// observed returns a table that knows the versions of a service from the start on, with all
+// changes made at once.
+func observed(t *testing.T, steps ...map[string]Count) *Table {
+	t.Helper()
+	c := New()
+	if _, err := c.Load(start, 0, nil); err != nil {
+		t.Fatal(err)
+	}
+	c.ObserveDeadline("s", 4*time.Second)
+	for i, counts := range steps {
+		observe(c, time.Duration(i)*20*time.Second, counts)
+	}
+	return c
+}
+
+// observe lets a table see endpoints, and makes the change that follows without a delay.
+func observe(c *Table, after time.Duration, counts map[string]Count) {
+	now := start.Add(after)
+	if change, needed := c.Observe(now, "s", counts); needed {
+		c.Adopt(now, 0, change)
+	}
+}
+
+func name(i int) string { return fmt.Sprintf("a%d", i) }
+
+// Guards against shares of streams that do not fit the endpoints, and against a change that
+// moves more streams than it must: each stream that it moves is uncertain for a while.
+func TestStreamsFollowTheSharesOfTheVersions(t *testing.T) {
+	const streams = 4000
+	count := func(s shares) (n map[string]int, picks []string) {
+		n = make(map[string]int)
+		for i := range streams {
+			version := s.pick(name(i))
+			n[version]++
+			picks = append(picks, version)
+		}
+		return n, picks
+	}
+	even, evenPicks := count(shares{{"a", 3}, {"b", 3}, {"c", 6}})
+	if math.Abs(float64(even["c"])/streams-0.5) > 0.03 || math.Abs(float64(even["a"])/streams-0.25) > 0.03 {
+		t.Errorf("shares of 3, 3 and 6 give %v", even)
+	}
+	_, withoutA := count(shares{{"b", 3}, {"c", 6}})
+	for i, version := range evenPicks {
+		if version != "a" && withoutA[i] != version {
+			t.Fatalf("stream %d moves from %s to %s as another version leaves", i, version, withoutA[i])
+		}
+	}
+}
+
+// Guards against a stream that goes on at a version at which it did not begin: what a change
+// moved is uncertain while it may have begun before it, and the rest is known all the time.
+func TestChangeLeavesMovedStreamsUncertainForAWhile(t *testing.T) {
+	c := observed(t, ready("old", 12), both(6, 6))
+	changed := 20 * time.Second
+	before, after := shares{{"old", 12}}, shares{{"new", 6}, {"old", 6}}
+	for i := range 200 {
+		moved := after.pick(name(i)) != before.pick(name(i))
+		for _, x := range []struct {
+			after time.Duration
+			known bool
+		}{{changed + time.Second, !moved}, {changed + overlap + 4*time.Second, !moved}, {changed + overlap + 4*time.Second + 2*ageMargin, true}} {
+			version, known := c.Resolve(start.Add(x.after), "s", name(i), 0, true)
+			if known != x.known || known && version != after.pick(name(i)) {
+				t.Fatalf("stream %d, moved %v: %q, %v at %v", i, moved, version, known, x.after)
+			}
+		}
+		if _, known := c.Resolve(start.Add(changed+overlap+1100*time.Millisecond), "s", name(i), 3500*time.Millisecond, true); !known {
+			t.Fatalf("stream %d is uncertain although its caller asked for it half a second ago", i)
+		}
+	}
+}
+
+// Guards against a guess where nothing is recorded: at a gateway that could not read what was
+// designated, that may have missed a change, or that does not know how old a stream can be.
+func TestUnknownVersionIsNotGuessed(t *testing.T) {
+	unread := New()
+	unread.ObserveDeadline("s", 4*time.Second)
+	observe(unread, 0, ready("old", 12))
+	if _, known := unread.Resolve(start, "s", "a", 0, true); known {
+		t.Error("known although nothing was read from the store or a peer")
+	}
+	mixed := observed(t, both(6, 6))
+	if _, known := mixed.Resolve(start.Add(time.Second), "s", "a", 0, true); known {
+		t.Error("known although the stream may have begun before this gateway saw two versions")
+	}
+	settled := observed(t, ready("old", 12), both(6, 6))
+	if _, known := settled.Resolve(start.Add(time.Hour), "s", "", 0, true); known {
+		t.Error("known although the caller does not name the stream")
+	}
+	if _, known := settled.Resolve(start.Add(time.Hour), "s", "a", 0, false); known {
+		t.Error("known although a change may have been missed")
+	}
+	if _, known := settled.Resolve(start.Add(time.Hour), "other", "a", 0, true); known {
+		t.Error("known for a service without endpoints")
+	}
+	long := observed(t, ready("old", 12), both(0, 12))
+	long.ObserveDeadline("s", time.Minute)
+	if _, known := long.Resolve(start.Add(40*time.Second), "s", "a", 0, true); known {
+		t.Error("known although a caller may have begun it a minute ago")
+	}
+}
+
+// Guards against a stream that broke off at one gateway and that its peers can't resolve: they
+// are told its version, which then holds over what the shares say.
+func TestBrokenStreamIsKnownAtPeers(t *testing.T) {
+	owner, peer := observed(t, ready("old", 12), both(0, 12)), observed(t, ready("old", 12), both(0, 12))
+	now := start.Add(20500 * time.Millisecond)
+	owner.Began(now, "a", "old")
+	owner.Broke("a")
+	owner.Broke("unknown")
+	if !owner.HasUnstated() {
+		t.Fatal("a broken stream is not stated early")
+	}
+	for range stateRepeat {
+		for _, b := range owner.Statement(now, 2).Broken {
+			peer.RecordBroken(now, b)
+		}
+	}
+	if left := owner.Statement(now, 2).Broken; len(left) != 0 {
+		t.Fatalf("%d broken streams are stated again and again", len(left))
+	}
+	if version, known := peer.Resolve(now, "s", "a", 0, true); !known || version != "old" {
+		t.Fatalf("%q, %v", version, known)
+	}
+	if _, known := peer.Resolve(now, "s", "b", 0, true); known {
+		t.Fatal("a stream that nobody stated is known right after the change")
+	}
+}
+
+// Guards against flapping: shares that follow each endpoint that fails for a moment, and a
+// version whose only endpoint gets a share of the streams.
+func TestSharesChangeOnlyWhereTheyAreFarOff(t *testing.T) {
+	c := observed(t, ready("old", 12))
+	for i, step := range []struct {
+		counts map[string]Count
+		change bool
+	}{
+		{both(11, 1), false}, {both(10, 2), true}, {both(8, 4), false}, {both(7, 5), false}, {both(6, 6), true}, {both(4, 6), false},
+	} {
+		now := start.Add(time.Duration(i) * time.Second)
+		change, needed := c.Observe(now, "s", step.counts)
+		if needed != step.change || change.Urgent {
+			t.Fatalf("step %d: change needed %v, urgent %v", i, needed, change.Urgent)
+		}
+		if needed {
+			c.Adopt(now, 0, change)
+		}
+	}
+	if change, needed := c.Observe(start.Add(20*time.Second), "s", both(6, 6)); !needed || change.Urgent {
+		t.Error("the shares stay off although they have settled")
+	}
+	if change, needed := c.Observe(start.Add(21*time.Second), "s", both(0, 12)); !needed || !change.Urgent {
+		t.Error("a version without endpoints keeps its share")
+	}
+}
+
+// Guards against a change that takes effect before the other gateways know it.
+func TestChangeTakesEffectAfterTheDelay(t *testing.T) {
+	c := observed(t, ready("old", 12))
+	change, _ := c.Observe(start, "s", both(6, 6))
+	c.Adopt(start, time.Second, change)
+	moved := 0
+	for (shares{{"new", 6}, {"old", 6}}).pick(name(moved)) != "new" {
+		moved++
+	}
+	if version, _ := c.Pick(start.Add(900*time.Millisecond), "s", name(moved)); version != "old" {
+		t.Error("the change takes effect at once")
+	}
+	if version, _ := c.Pick(start.Add(time.Second), "s", name(moved)); version != "new" {
+		t.Error("the change does not take effect")
+	}
+	if version, known := c.Resolve(start.Add(900*time.Millisecond), "s", name(moved), 0, true); !known || version != "old" {
+		t.Error("a change that is only announced makes a stream uncertain")
+	}
+}
+
+// Guards against what gateways designated without hearing of each other: streams of both
+// designations are uncertain everywhere, and all agree on new ones.
+func TestDesignationsOfTwoGatewaysAreMerged(t *testing.T) {
+	a, b := observed(t, ready("old", 12)), observed(t, ready("old", 12))
+	observe(a, time.Second, both(0, 12))
+	observe(b, 2*time.Second, map[string]Count{"old": {Listed: 1}, "third": {Listed: 4, Ready: 4}})
+	now := start.Add(3 * time.Second)
+	for range 2 {
+		for _, x := range []struct{ from, to *Table }{{a, b}, {b, a}} {
+			for _, d := range x.from.Statement(now, 2).Designations {
+				x.to.Record(d)
+			}
+		}
+	}
+	for i := range 50 {
+		left, _ := a.Pick(now, "s", name(i))
+		right, _ := b.Pick(now, "s", name(i))
+		if left != right {
+			t.Fatalf("new stream %d begins at %s and at %s", i, left, right)
+		}
+		for _, c := range []*Table{a, b} {
+			if version, known := c.Resolve(now, "s", name(i), 0, true); known {
+				t.Fatalf("stream %d is taken for one of %s", i, version)
+			}
+		}
+	}
+}
+
+// Guards against a designation that a restart of all gateways loses, and against ages that
+// are counted by the clock of a gateway.
+func TestStoredDesignations(t *testing.T) {
+	c := observed(t, ready("old", 12), both(0, 12))
+	if !c.Unstored() {
+		t.Fatal("nothing to store after a change")
+	}
+	storeTime := time.Hour
+	value, err := c.Encode(start.Add(21*time.Second), storeTime)
+	if err != nil || c.Unstored() {
+		t.Fatalf("error %v, still to store: %v", err, c.Unstored())
+	}
+	restarted := New()
+	boot := time.Unix(5, 0)
+	changes, err := restarted.Load(boot, storeTime+2*time.Second, value)
+	if err != nil || len(changes) != 1 {
+		t.Fatalf("%v, error %v", changes, err)
+	}
+	if _, known := restarted.Resolve(boot, "s", "a", 0, true); known {
+		t.Error("known although the stream may have begun before the change, 3 s ago")
+	}
+	if version, known := restarted.Resolve(boot, "s", "a", 3200*time.Millisecond, true); known {
+		t.Errorf("%s although gateways may have begun streams at the old version until 1 s ago", version)
+	}
+	if version, known := restarted.Resolve(boot.Add(5*time.Second), "s", "a", 0, true); !known || version != "new" {
+		t.Errorf("%q, %v long after the change", version, known)
+	}
+	c.NotStored()
+	if !c.Unstored() {
+		t.Error("a failed write is not made again")
+	}
+	if _, err := New().Load(boot, 0, []byte("{")); err == nil {
+		t.Error("a value that is no JSON is accepted")
+	}
+}
+
+// Guards against state that grows without limit, and against faulty peers.
+func TestBounds(t *testing.T) {
+	c := observed(t, ready("old", 12))
+	for i := range 2 * maxStreams {
+		c.Began(start, name(i), "old")
+		c.Broke(name(i))
+	}
+	for i := range 2 * maxServices {
+		c.Observe(start, fmt.Sprint("service", i), ready("old", 3))
+	}
+	for i := range 4 * maxSpans {
+		observe(c, time.Duration(i)*time.Minute, ready(fmt.Sprint("version", i), 3))
+	}
+	if c.streams.Len() > maxStreams || len(c.broken) > maxBroken || len(c.services) > maxServices || len(c.services["s"].spans) > maxSpans {
+		t.Fatalf("%d streams, %d broken, %d services, %d spans", c.streams.Len(), len(c.broken), len(c.services), len(c.services["s"].spans))
+	}
+	var many []Share
+	for i := range 2 * maxShares {
+		many = append(many, Share{fmt.Sprint(i), 1})
+	}
+	before, _ := c.Pick(start, "s", "a")
+	for _, spans := range [][]Span{nil, {{}}, {{Shares: many}}, {{Shares: []Share{{"x", 0}}}}} {
+		if _, changed := c.Record(Designations{Service: "s", Sequence: 1 << 60, Spans: spans}); changed {
+			t.Errorf("%v is accepted", spans)
+		}
+	}
+	if after, _ := c.Pick(start, "s", "a"); after != before {
+		t.Error("a faulty peer changes the version of new streams")
+	}
+}
--- a/resultcode/code.go
+++ b/resultcode/code.go
@@ -44,6 +44,7 @@
 	ConcurrencyLimitHeld Code = 2011
 	TimeTooShort         Code = 2012
 	MoreUrgentWork       Code = 2013
+	VersionUnknown       Code = 2014
 )
 
 // Codes 3000 to 3999: the endpoint or the connection to it failed.
@@ -127,6 +128,7 @@
 	{ConcurrencyLimitHeld, "concurrency_limit_held", http.StatusTooManyRequests, "The endpoint's concurrency limit is reached for this class."},
 	{TimeTooShort, "time_too_short", http.StatusTooManyRequests, "The expected wait exceeds the time that the request has left."},
 	{MoreUrgentWork, "more_urgent_work", http.StatusTooManyRequests, "More urgent work of the service would be late; the room goes to it first."},
+	{VersionUnknown, "version_unknown", http.StatusServiceUnavailable, "It is not known at which version of the endpoints' software the stream may go on; send the request anew, without the events that came."},
 	{EndpointFailed, "endpoint_failed", http.StatusBadGateway, "The endpoint failed before a whole answer existed."},
 	{StreamInterrupted, "stream_interrupted", http.StatusBadGateway, "The stream broke and could not be continued; the answer is incomplete."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, "The request may have run. Where Idempotency-Key is supported, send it again with the same key to learn the outcome."},
