Continue a text in the router only at the version of the model that began it

Callers of the router could get a text whose first part one version of a model wrote and the rest another.

Change: a selected target states the model with the version that its endpoint serves; once a text has begun, the query for the next endpoint asks for that version. An endpoint that serves several versions of the name, or none, leaves it unknown, and the query as it was.

--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -91,6 +91,9 @@
 	text []byte
 	// textTokens counts the chunks that text consists of.
 	textTokens uint32
+	// textModel is the model with the version that wrote the text: what another version
+	// writes does not go on with it. It is empty if the version is not known.
+	textModel string
 	// finished is set when a chunk with a finish reason was forwarded.
 	finished bool
 	headSent bool
--- a/router/dispatch/dispatch_test.go
+++ b/router/dispatch/dispatch_test.go
@@ -262,3 +262,59 @@
 		t.Errorf("code %d, want %d", err.Code, resultcode.StreamInterrupted)
 	}
 }
+
+// versionedFleet is a fleet of two endpoints with one version of model m each. A query for
+// the name alone matches both.
+type versionedFleet struct {
+	oneEndpoint
+	addresses []string
+}
+
+func (f *versionedFleet) Select(_ time.Time, q dispatch.Query) (dispatch.Target, *resultcode.Error) {
+	for i, version := range []string{"m:1", "m:2"} {
+		endpoint := fmt.Sprint("endpoint-", i+1)
+		if (q.Model == "m" || q.Model == version) && !slices.Contains(q.Excluded, endpoint) {
+			return dispatch.Target{Endpoint: endpoint, Address: f.addresses[i], Incarnation: "i", Model: version}, nil
+		}
+	}
+	return dispatch.Target{}, resultcode.New(resultcode.NoEndpoint, "no endpoint of this version is left")
+}
+
+// Guards against an answer that is joined from two versions of a model: the engine that
+// began it fails, and another one that serves the same name goes on with the text.
+func TestTextGoesOnOnlyAtTheVersionThatBeganIt(t *testing.T) {
+	first := fakeAgent(t, func(n int, w *frameWriter, _ *rpc.RunRequest) {
+		if n == 1 {
+			w.chunk(0, "a")
+			w.send(&rpc.Frame{Kind: &rpc.Frame_Refused{Refused: &rpc.Refused{
+				Code: uint32(resultcode.EndpointFailed), Execution: rpc.Execution_EXECUTION_RAN,
+			}}})
+			return
+		}
+		w.chunk(1, "b")
+		w.done()
+	}, nil)
+	second := fakeAgent(t, func(_ int, w *frameWriter, _ *rpc.RunRequest) {
+		w.chunk(1, "other")
+		w.done()
+	}, nil)
+	var addresses []string
+	for _, agent := range []*httptest.Server{first, second} {
+		addresses = append(addresses, strings.TrimPrefix(agent.URL, "http://"))
+	}
+	d := dispatch.New(dispatch.Options{
+		Router: "r", Client: dispatch.NewClient(dispatch.NewTransport()),
+		Fleet: &versionedFleet{addresses: addresses}, Budget: freeBudget{},
+		Catalog: &newerCatalog{version: 1}, Quarantine: noQuarantine{},
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	sink := &textSink{}
+	err := d.Dispatch(ctx, &dispatch.Request{
+		ID: "1", Account: &catalog.ClientAccount{Name: "a"}, Profile: &catalog.Profile{Name: "p", Idempotent: true},
+		Received: time.Now(), CatalogVersion: 1, Chat: &rpc.ChatWork{Model: "m", Body: []byte(`{}`)},
+	}, sink)
+	if sink.text.String() != "ab" || !sink.done || err != nil {
+		t.Errorf("got %q, done %t, error %v; want the text of the first version only", sink.text.String(), sink.done, err)
+	}
+}
--- a/router/dispatch/frames.go
+++ b/router/dispatch/frames.go
@@ -185,6 +185,9 @@
 		return err
 	}
 	if chunk.GetText() != "" {
+		if len(f.text) == 0 {
+			f.textModel = att.target.Model
+		}
 		f.text = append(f.text, chunk.GetText()...)
 		f.textTokens++
 	}
--- a/router/dispatch/message.go
+++ b/router/dispatch/message.go
@@ -20,6 +20,9 @@
 	}
 	if f.req.Chat != nil {
 		q.Model = f.req.Chat.GetModel()
+		if len(f.text) > 0 && f.textModel != "" {
+			q.Model = f.textModel
+		}
 		q.Prefix = prefixDigest(f.req.Chat.GetBody())
 		return q
 	}
--- a/router/dispatch/request.go
+++ b/router/dispatch/request.go
@@ -77,6 +77,9 @@
 	Endpoint    string
 	Address     string
 	Incarnation string
+	// Model is the model with the version that the endpoint serves; empty if it serves
+	// several versions or names none.
+	Model string
 	// Sent is when the endpoint was selected.
 	Sent time.Time
 }
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -6,6 +6,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -121,10 +122,28 @@
 		Endpoint:    pick.Endpoint,
 		Address:     f.view.addresses[pick.Index],
 		Incarnation: pick.Incarnation,
+		Model:       servedModel(f.view.candidates[pick.Index].Models, q.Model),
 		Sent:        now,
 	}, nil
 }
 
+// servedModel returns the one of an endpoint's models, with its version, that a request for
+// the given model gets; empty if there are several, or it has no version.
+func servedModel(models []string, wanted string) string {
+	served := ""
+	for _, m := range models {
+		name, _, versioned := strings.Cut(m, ":")
+		if !versioned || m != wanted && name != wanted {
+			continue
+		}
+		if served != "" {
+			return ""
+		}
+		served = m
+	}
+	return served
+}
+
 // Closed records the end of an attempt that Select counted as open. An attempt sent
 // before the last load value was received is not in the count any more.
 func (f *Fleet) Closed(_ time.Time, t dispatch.Target) {
