Let the soak check the software versions of streams

Change: the endpoints of the soak have two versions by turns, and each event names that of its endpoint. A whole answer must be of one version; callers take up streams that break off, at any gateway, and at most two of those may be joined, as the platform allows.

--- a/soak/endpoint_test.go
+++ b/soak/endpoint_test.go
@@ -44,13 +44,15 @@
 	proxy      *faultProxy
 	mu         sync.Mutex
 	rng        *rand.Rand
+	// version is the version of the endpoint's software, which each event of a stream names.
+	version string
 	// limit is the rate in requests a second that the endpoint names; zero for none.
 	limit    float64
 	arrivals []time.Time
 }
 
-func newEndpoint(id string, w *executionLog, seed uint64) (*endpoint, error) {
-	b := &endpoint{id: id, executions: w, rng: rand.New(rand.NewPCG(seed, 7))}
+func newEndpoint(id, version string, w *executionLog, seed uint64) (*endpoint, error) {
+	b := &endpoint{id: id, version: version, executions: w, rng: rand.New(rand.NewPCG(seed, 7))}
 	b.server = httptest.NewServer(b)
 	var err error
 	b.proxy, err = newFaultProxy(b.server.Listener.Addr().String())
@@ -143,7 +145,7 @@
 		if b.chance(0.01) {
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := io.WriteString(w, eventText(id, next)); err != nil {
+		if _, err := io.WriteString(w, eventText(id, b.version, next)); err != nil {
 			return
 		}
 		if http.NewResponseController(w).Flush() != nil {
@@ -153,4 +155,6 @@
 	}
 }
 
-func eventText(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", n, id) }
+func eventText(id, version string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s %s\n\n", n, id, version)
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -12,8 +12,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -30,6 +32,9 @@
 
 const (
 	callerCount = 12
+	// joinedAllowed is the number of streams with events of two versions that the platform
+	// allows.
+	joinedAllowed = 2
 	// recoveryLimit is the maximum time after the last fault until every gateway
 	// serves every route; the platform specifies 12 s for its sites.
 	recoveryLimit  = 12 * time.Second
@@ -43,6 +48,10 @@
  "tenants":[{"name":"acme","apiKeys":["k-acme"]},{"name":"blau","apiKeys":["k-blau"]}]}`
 )
 
+// softwareVersions are the versions of the endpoints, by turns. What two of them write does
+// not fit together.
+var softwareVersions = []string{"old", "new"}
+
 // accountByKey maps API keys to the account that endpoints must receive.
 var accountByKey = map[string]string{"k-acme": "acme", "k-blau": "blau"}
 
@@ -58,6 +67,9 @@
 	endpoints     []*endpoint
 	gateways      []*gateway
 	configVersion int
+	// joined counts the streams with events of two versions over a caller's tries, takenUp
+	// those that were taken up and ran to their end.
+	joined, takenUp atomic.Int64
 }
 
 // gateway is a gateway process that can be restarted with the same settings.
@@ -137,14 +149,14 @@
 	if s.store, err = newFaultProxy(server.Listener.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
-	for i, service := range []string{"pool", "pool", "pool", "plain", "plain"} {
-		b, err := newEndpoint(fmt.Sprintf("i-%d", i), s.executions, seed+uint64(i))
+	for i, service := range []string{"pool", "pool", "pool", "pool", "plain", "plain"} {
+		b, err := newEndpoint(fmt.Sprintf("i-%d", i), softwareVersions[i%len(softwareVersions)], s.executions, seed+uint64(i))
 		if err != nil {
 			t.Fatal(err)
 		}
 		s.endpoints = append(s.endpoints, b)
 		s.writeRow(server.URL, "servers", b.id, fmt.Sprintf(
-			`{"backend":%q,"address":%q,"zone":"z","capacity":64,"phase":"ready","born":1}`, service, b.proxy.address()))
+			`{"backend":%q,"address":%q,"zone":"z","version":%q,"capacity":64,"phase":"ready","born":1}`, service, b.proxy.address(), b.version))
 	}
 	s.writeConfig(server.URL)
 	hosts := make([]string, *gatewayCount)
@@ -293,6 +305,8 @@
 	case resp.StatusCode == http.StatusOK && readErr == nil:
 		s.checkResponse(route, id, resp.Header.Get("Response-Signature"), string(body))
 		return true
+	case resp.StatusCode == http.StatusOK && route == "ask":
+		s.takeUp(client, key, id, string(body))
 	case resp.StatusCode == http.StatusServiceUnavailable && runs > 0:
 		s.t.Errorf("%s: %s was refused although it ran", id, route)
 	case resp.StatusCode == http.StatusUnauthorized || resp.StatusCode == http.StatusNotFound:
@@ -301,19 +315,66 @@
 	return false
 }
 
+// takeUp goes on with a stream that broke off after some events, at any gateway, and counts
+// whether its end comes from another version than its beginning.
+func (s *site) takeUp(client *http.Client, key, id, text string) {
+	events := strings.Count(text, "\n\n")
+	if events == 0 || events >= eventsPerStream {
+		return
+	}
+	g := s.gateways[rand.IntN(len(s.gateways))]
+	req, err := http.NewRequest("POST", "http://"+g.callersAddress+"/ask/x", strings.NewReader("body "+id))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	req.Host = "site.example"
+	for name, value := range map[string]string{"Attempt-Id": id + "-2", "X-Api-Key": key, "Deadline-Ms": "2500", "Token-Usage": "100,10",
+		"Resumes": id, "Last-Event-Id": fmt.Sprint(events)} {
+		req.Header.Set(name, value)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	rest, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return
+	}
+	s.takenUp.Add(1)
+	first, last := "", ""
+	for _, version := range softwareVersions {
+		if strings.Contains(text, " "+version+"\n") {
+			first = version
+		}
+		if strings.Contains(string(rest), " "+version+"\n") {
+			last = version
+		}
+	}
+	if first != last {
+		s.joined.Add(1)
+	}
+}
+
 func (s *site) checkResponse(route, id, signed, body string) {
-	want := "answer to " + id
+	valid := body == "answer to "+id
 	if route == "ask" || route == "say" {
-		want = ""
-		for n := 1; n <= eventsPerStream; n++ {
-			want += eventText(id, n)
-		}
+		valid = slices.ContainsFunc(softwareVersions, func(version string) bool { return body == wholeStream(id, version) })
 	}
-	if body != want || !strings.HasPrefix(signed, id+"@") {
+	if !valid || !strings.HasPrefix(signed, id+"@") {
 		s.t.Errorf("%s: %s got %q, signature %q", id, route, body, signed)
 	}
 }
 
+// wholeStream returns the events of a stream, all of one version.
+func wholeStream(id, version string) string {
+	text := ""
+	for n := 1; n <= eventsPerStream; n++ {
+		text += eventText(id, version, n)
+	}
+	return text
+}
+
 var routes = []string{"pay", "get", "ask", "say"}
 
 // sendRequests sends random requests on keep-alive connections until stop is closed.
@@ -432,7 +493,10 @@
 			for _, n := range s.executions.runsByID {
 				runs += n
 			}
-			t.Logf("%d runs at endpoints", runs)
+			t.Logf("%d runs at endpoints, %d streams taken up, %d of them joined from two versions", runs, s.takenUp.Load(), s.joined.Load())
+			if s.joined.Load() > joinedAllowed {
+				t.Errorf("%d streams hold events of two versions", s.joined.Load())
+			}
 		})
 	}
 }
