Let the soak check parts of prompts that crash endpoints

Change: TestSoakParts: a tenth of the requests of one route hold a part that crashes each endpoint; it starts again under its id with a new start time. Arrivals later than 3 s after the fifth crash are counted over three gateway processes, while connections and the store fail. After the faults, half or more of the sound requests that share the other parts must be served.

--- a/soak/endpoint_test.go
+++ b/soak/endpoint_test.go
@@ -6,7 +6,9 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -49,6 +51,10 @@
 	// limit is the rate in requests a second that the endpoint names; zero for none.
 	limit    float64
 	arrivals []time.Time
+	// register writes the entry of the endpoint that started at a time.
+	register func(started time.Time)
+	// deadlyArrivals are the arrivals of requests with deadlyPart, which crash the endpoint.
+	deadlyArrivals []time.Time
 }
 
 func newEndpoint(id, version string, w *executionLog, seed uint64) (*endpoint, error) {
@@ -97,6 +103,35 @@
 	return most
 }
 
+// deadlyPart is a part of prompts that crashes each endpoint as it begins an answer, and
+// crashDowntime how long the endpoint then accepts no connections.
+const (
+	deadlyPart    = "dead"
+	crashDowntime = 700 * time.Millisecond
+)
+
+// crash ends all connections of the endpoint and refuses new ones until it has started again
+// under its id.
+func (b *endpoint) crash() {
+	b.mu.Lock()
+	b.deadlyArrivals = append(b.deadlyArrivals, time.Now())
+	b.mu.Unlock()
+	b.proxy.refuse.Store(true)
+	b.proxy.forEachConn(func(c *proxiedConn) { closeWithReset(c.downstream); closeWithReset(c.upstream) })
+	time.AfterFunc(crashDowntime, func() {
+		b.proxy.refuse.Store(false)
+		b.register(time.Now())
+	})
+	panic(http.ErrAbortHandler)
+}
+
+// deadlyTimes returns the arrivals of requests with deadlyPart.
+func (b *endpoint) deadlyTimes() []time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.deadlyArrivals)
+}
+
 func signature(id, endpoint string) string { return id + "@" + endpoint }
 
 func (b *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -122,6 +157,9 @@
 		return
 	}
 	b.executions.record(id, r.Header.Get("Tenant"))
+	if strings.Contains(r.Header.Get("Prefix-Hash"), deadlyPart) {
+		b.crash()
+	}
 	if b.chance(0.03) {
 		panic(http.ErrAbortHandler)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,6 +32,10 @@
 
 const (
 	callerCount = 12
+	// registerInterval is how often an endpoint tries to write its entry, and registerTries
+	// how often at most.
+	registerInterval = 200 * time.Millisecond
+	registerTries    = 50
 	// joinedAllowed is the number of streams with events of two versions that the platform
 	// allows.
 	joinedAllowed = 2
@@ -67,6 +71,8 @@
 	endpoints     []*endpoint
 	gateways      []*gateway
 	configVersion int
+	// deadlyShare is the share of the requests of route say with deadlyPart.
+	deadlyShare float64
 	// joined counts the streams with events of two versions over a caller's tries, takenUp
 	// those that were taken up and ran to their end.
 	joined, takenUp atomic.Int64
@@ -155,8 +161,14 @@
 			t.Fatal(err)
 		}
 		s.endpoints = append(s.endpoints, b)
-		s.writeRow(server.URL, "servers", b.id, fmt.Sprintf(
-			`{"backend":%q,"address":%q,"zone":"z","version":%q,"capacity":64,"phase":"ready","born":1}`, service, b.proxy.address(), b.version))
+		b.register = func(started time.Time) {
+			entry := fmt.Sprintf(`{"backend":%q,"address":%q,"zone":"z","version":%q,"capacity":64,"phase":"ready","born":%d}`,
+				service, b.proxy.address(), b.version, started.UnixMilli())
+			for try := 0; s.tryWriteRow(server.URL, "servers", b.id, entry) != nil && try < registerTries; try++ {
+				time.Sleep(registerInterval)
+			}
+		}
+		b.register(time.Now())
 	}
 	s.writeConfig(server.URL)
 	hosts := make([]string, *gatewayCount)
@@ -200,20 +212,29 @@
 	})
 }
 
-// writeRow writes a row to the store directly, as the operator and the endpoints do.
+// writeRow writes a row to the store directly, as the operator does.
 func (s *site) writeRow(url, table, key, data string) {
+	if err := s.tryWriteRow(url, table, key, data); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// tryWriteRow writes a row to the store directly, which may be down, as the endpoints do.
+func (s *site) tryWriteRow(url, table, key, data string) error {
 	body, err := json.Marshal(map[string]any{"write": []map[string]any{{"tableName": table, "key": key, "data": []byte(data)}}})
 	if err != nil {
-		s.t.Fatal(err)
+		return err
 	}
-	resp, err := http.Post(url+"/-/rows-tx", "application/json", bytes.NewReader(body))
+	client := http.Client{Timeout: registerInterval}
+	resp, err := client.Post(url+"/-/rows-tx", "application/json", bytes.NewReader(body))
 	if err != nil {
-		s.t.Fatal(err)
+		return err
 	}
 	resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		s.t.Fatalf("write %s/%s: status %d", table, key, resp.StatusCode)
+		return fmt.Errorf("write %s/%s: status %d", table, key, resp.StatusCode)
 	}
+	return nil
 }
 
 func (s *site) writeConfig(url string) {
@@ -222,8 +243,11 @@
 }
 
 // restartFaults is the number of faults of injectFault that restart a gateway, which come
-// first.
-const restartFaults = 2
+// first, and processFaults that of these and the one that lets it stand still.
+const (
+	restartFaults = 2
+	processFaults = 3
+)
 
 // injectFault injects one random fault, except for the first few, and returns when it is
 // over. A lasting fault is removed after a random time. Concurrent calls make faults overlap.
@@ -288,6 +312,8 @@
 	for name, value := range map[string]string{"Attempt-Id": id, "X-Api-Key": key, "Deadline-Ms": "3000", "Tenant": "forged", "Token-Usage": "100,10"} {
 		req.Header.Set(name, value)
 	}
+	deadly := route == "say" && rand.Float64() < s.deadlyShare
+	req.Header.Set("Prefix-Hash", prompt(id, deadly))
 	resp, err := client.Do(req)
 	if err != nil {
 		return false
@@ -315,6 +341,16 @@
 	return false
 }
 
+// prompt returns the parts of a prompt. Sound ones share all parts but deadlyPart and the
+// last one with the others.
+func prompt(id string, deadly bool) string {
+	shared := fmt.Sprintf("a1:50,b%d:20", len(id)%4)
+	if deadly {
+		shared += "," + deadlyPart + ":10"
+	}
+	return fmt.Sprintf("%s,%x:20", shared, id)
+}
+
 // takeUp goes on with a stream that broke off after some events, at any gateway, and counts
 // whether its end comes from another version than its beginning.
 func (s *site) takeUp(client *http.Client, key, id, text string) {
@@ -501,6 +537,58 @@
 	}
 }
 
+// Guards against gateway processes that go on sending requests with a part that crashes
+// endpoints, while connections and the store fail, and against refusing the sound requests
+// that share their other parts. Gateways that restart or stand still are excused by the
+// users' rule, so none does here.
+func TestSoakParts(t *testing.T) {
+	const notice, crashes, extra, soundRequests = 3 * time.Second, 5, 3, 100
+	binary := buildGateway(t)
+	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			s := newSite(t, binary, seed)
+			s.deadlyShare = 0.1
+			s.runSeed(seed, 9*time.Second, processFaults)
+			var arrivals []time.Time
+			for _, b := range s.endpoints {
+				arrivals = append(arrivals, b.deadlyTimes()...)
+			}
+			slices.SortFunc(arrivals, time.Time.Compare)
+			late := 0
+			for _, at := range arrivals {
+				if len(arrivals) > crashes && at.Sub(arrivals[crashes-1]) > notice {
+					late++
+				}
+			}
+			served := s.soundServed(soundRequests)
+			t.Logf("%d crashes, %d late; %d of %d sound requests served after the faults", len(arrivals), late, served, soundRequests)
+			if late > extra {
+				t.Errorf("%d requests with the part arrived later than %v after the fifth crash", late, notice)
+			}
+			if 2*served < soundRequests {
+				t.Errorf("%d of %d sound requests were served", served, soundRequests)
+			}
+			if t.Failed() {
+				s.keepLogs(seed)
+			}
+		})
+	}
+}
+
+// soundServed sends n requests of route say that share all parts but deadlyPart with those
+// that crash endpoints, and returns how many are served.
+func (s *site) soundServed(n int) int {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: 5 * time.Second}
+	s.deadlyShare = 0
+	served := 0
+	for i := range n {
+		if s.call(s.gateways[i%len(s.gateways)], client, "say", "k-acme", fmt.Sprintf("sound-%d", i)) {
+			served++
+		}
+	}
+	return served
+}
+
 // keepLogs copies the gateways' logs of a failed seed to the temporary directory.
 func (s *site) keepLogs(seed uint64) {
 	for i, g := range s.gateways {
