Write the rows of the site again after the store came back older

Callers would have met engines that crash on a condemned part once more, or refused streams, after a store that came back from an older copy and a restart of all gateways.

The users' pages say that what the system wrote since the copy is gone and that it must be written again; the rows of the site were not.

Change: with the return of an older copy the suspects and the designations count as unstored. A gateway that finds them in the row does not write them once more.

Result: TestRowsAreWrittenAgainAfterTheStoreCameBackOlder fails without the call in EndpointsRestored.

--- a/gateway/crashes/stored.go
+++ b/gateway/crashes/stored.go
@@ -61,13 +61,23 @@
 		suspect := Suspect{IsPart: s.Part, ID: id}
 		changes = append(changes, t.loadRounds(now, suspect, s.Rounds)...)
 		t.RecordTrials(now, suspect, s.Trials)
-		if r := t.record(suspect); r != nil {
-			r.stored = true
-		}
+		t.recordStored(suspect, s)
 	}
 	return changes, nil
 }
 
+// recordStored records that the store holds a suspect, and whether it lacks something of it.
+func (t *Table) recordStored(s Suspect, stored storedSuspect) {
+	r := t.record(s)
+	if r == nil {
+		return
+	}
+	r.stored = true
+	if len(r.sightings) > 0 && r.rounds() <= len(stored.Rounds) && r.trial.count == stored.Trials {
+		delete(t.unstored, s)
+	}
+}
+
 // loadRounds adds the rounds of a stored suspect, whose times are not known, as the latest
 // ones before now.
 func (t *Table) loadRounds(now time.Time, s Suspect, rounds [][]string) []Change {
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -168,3 +168,33 @@
 		}
 	})
 }
+
+// Guards against verdicts and versions that the store loses as it comes back from an older
+// copy, and against writes of all gateways at once: one writes them again, and the others
+// see that.
+func TestRowsAreWrittenAgainAfterTheStoreCameBackOlder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newCrashSite(1, 12, 5)
+		site.deadlyFrom(2*time.Second, 2)
+		site.run(9 * time.Second)
+		kept := len(site.store.rows[suspectsKey].Value)
+		if kept == 0 {
+			t.Fatal("no suspects are kept after the crashes")
+		}
+		// Nothing that a gateway observes itself from here on causes a write.
+		site.deadlyPerS = func(time.Duration) float64 { return 0 }
+		site.run(10 * time.Second)
+		clear(site.store.rows)
+		before := site.store.calls
+		for _, g := range site.gateways {
+			g.gateway.EndpointsRestored(site.entries())
+		}
+		site.run(13 * time.Second)
+		if len(site.store.rows[suspectsKey].Value) == 0 {
+			t.Error("the suspects are not written again")
+		}
+		if calls := site.store.calls - before; calls > 4*len(site.gateways) {
+			t.Errorf("%d calls of the store", calls)
+		}
+	})
+}
--- a/gateway/crashsite_test.go
+++ b/gateway/crashsite_test.go
@@ -212,7 +212,7 @@
 // arrive handles a request at its endpoint.
 func (s *crashSite) arrive(e *crashEndpoint, r *crashRequest) {
 	if e.down {
-		s.respond(r, func() { r.attempt.Ended(relay.ResultUnreachable) })
+		r.gateway.whenRunning(r.process, func() { r.attempt.Ended(relay.ResultUnreachable) })
 		return
 	}
 	if r.deadly && r.counted {
@@ -238,21 +238,21 @@
 	if r.counted {
 		s.countSound(r, func(c *soundCount) { c.begun++ })
 	}
-	s.respond(r, r.attempt.Started)
+	r.gateway.whenRunning(r.process, r.attempt.Started)
 	s.after(crashAnswerTime, func() {
 		i := slices.Index(e.running, r)
 		if i < 0 {
 			return
 		}
 		e.running = slices.Delete(e.running, i, i+1)
-		s.respond(r, func() { r.attempt.Ended(relay.ResultComplete) })
+		r.gateway.whenRunning(r.process, func() { r.attempt.Ended(relay.ResultComplete) })
 	})
 }
 
 // crash ends an endpoint with all requests that it runs, and starts it again later.
 func (s *crashSite) crash(e *crashEndpoint) {
 	for _, r := range e.running {
-		s.respond(r, func() { r.attempt.Ended(relay.ResultBroken) })
+		r.gateway.whenRunning(r.process, func() { r.attempt.Ended(relay.ResultBroken) })
 	}
 	e.running, e.down = nil, true
 	s.after(crashDowntime, func() {
@@ -268,20 +268,6 @@
 	})
 }
 
-// respond lets the gateway of a request observe something, unless its process has ended.
-// One that stands still observes it when it continues.
-func (s *crashSite) respond(r *crashRequest, observe func()) {
-	s.after(simDelay, func() {
-		switch {
-		case r.gateway.down || r.gateway.gateway != r.process:
-		case r.gateway.frozen:
-			s.respond(r, observe)
-		default:
-			observe()
-		}
-	})
-}
-
 // sentAfter returns the number of counted deadly requests that the rule forbids but for
 // deadlyExtra.
 func (s *crashSite) sentAfter() int {
--- a/gateway/simsite_test.go
+++ b/gateway/simsite_test.go
@@ -127,6 +127,20 @@
 // runs reports whether the process runs.
 func (g *simGateway) runs() bool { return !g.down && !g.frozen }
 
+// whenRunning calls do after simDelay, or as soon as the gateway does not stand still, unless
+// the given process has ended.
+func (g *simGateway) whenRunning(process *Gateway, do func()) {
+	g.site.after(simDelay, func() {
+		switch {
+		case g.down || g.gateway != process:
+		case g.frozen:
+			g.whenRunning(process, do)
+		default:
+			do()
+		}
+	})
+}
+
 // simSocket delivers the statements of a gateway to its peers.
 type simSocket struct {
 	net.PacketConn
--- a/gateway/sinks.go
+++ b/gateway/sinks.go
@@ -47,6 +47,7 @@
 // EndpointsRestored applies a whole listing of a store that was restored from an older
 // copy, which may lack entries or show earlier states of endpoints.
 func (g *Gateway) EndpointsRestored(entries []registry.Entry) {
+	g.dispatcher.rowsRestored()
 	g.log.Warn().Uint64("era", g.storeStatus.Era()).Int("entries", len(entries)).
 		Msg("store came back from an older copy; known entries that it lacks are kept until the grace for writing them again ends")
 	g.logEndpointChanges(g.dispatcher.updateRegistry(func(now time.Time, r *registry.Registry) []registry.Change {
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -127,6 +127,16 @@
 	d.rowsReadAt = now
 }
 
+// rowsRestored records that the store came back from an older copy, which may lack the latest
+// rows of the site.
+func (d *dispatcher) rowsRestored() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.crashes.NotStored()
+	d.versions.NotStored()
+	d.scheduleStore(time.Now())
+}
+
 // versionCount holds the number of endpoints of each version of a service.
 type versionCount map[string]versions.Count
 
--- a/gateway/versionsite_test.go
+++ b/gateway/versionsite_test.go
@@ -236,7 +236,7 @@
 				continue
 			}
 			s.leave(try)
-			s.observe(try, func() {
+			try.gateway.whenRunning(try.process, func() {
 				try.attempt.Ended(relay.ResultInconclusive)
 				if try.stream.events > 0 {
 					try.process.dispatcher.StreamBroke(try.name())
@@ -302,7 +302,7 @@
 	if t.counted {
 		s.count(t, &s.newAsked, &s.takenUp)
 	}
-	s.observe(t, func() { s.resolve(t, s.now()+300*time.Millisecond) })
+	t.gateway.whenRunning(t.process, func() { s.resolve(t, s.now()+300*time.Millisecond) })
 }
 
 func (s *versionSite) count(t *streamTry, fresh, takenUp *int) {
@@ -324,20 +324,6 @@
 	return n
 }
 
-// observe lets the gateway of a try do something as soon as it does not stand still, unless
-// its process has ended.
-func (s *versionSite) observe(t *streamTry, do func()) {
-	s.after(simDelay, func() {
-		switch {
-		case t.gateway.down || t.gateway.gateway != t.process:
-		case t.gateway.frozen:
-			s.observe(t, do)
-		default:
-			do()
-		}
-	})
-}
-
 // left returns the time until the deadline of the caller.
 func (s *versionSite) left(t *streamTry) time.Duration {
 	return t.stream.askedAt + streamDeadline - s.now()
@@ -363,7 +349,7 @@
 		t.continues = &version
 		s.place(t)
 	case s.now() < until:
-		s.after(20*time.Millisecond, func() { s.observe(t, func() { s.resolve(t, until) }) })
+		s.after(20*time.Millisecond, func() { t.gateway.whenRunning(t.process, func() { s.resolve(t, until) }) })
 	default:
 		s.refusedUnknown++
 	}
@@ -393,7 +379,7 @@
 func (s *versionSite) arrive(t *streamTry, e *versionEndpoint) {
 	t.endpoint = e
 	if e.gone {
-		s.observe(t, func() {
+		t.gateway.whenRunning(t.process, func() {
 			t.attempt.Ended(relay.ResultUnreachable)
 			s.afterAttempt(t)
 		})
@@ -413,7 +399,7 @@
 		s.brokeOff(t)
 		return
 	}
-	s.observe(t, func() { s.received(t, e) })
+	t.gateway.whenRunning(t.process, func() { s.received(t, e) })
 	s.after(eventPause, func() { s.event(t, e) })
 }
 
@@ -452,7 +438,7 @@
 
 // brokeOff ends an attempt in the middle of its stream.
 func (s *versionSite) brokeOff(t *streamTry) {
-	s.observe(t, func() {
+	t.gateway.whenRunning(t.process, func() {
 		if t.ended {
 			return
 		}
