--- /dev/null
+++ b/gateway/versions/bench_test.go
@@ -0,0 +1,31 @@
+package versions
+
+import (
+	"testing"
+	"time"
+)
+
+// Measures the choice of the version of a new stream, and the resolution of one that is taken
+// up, with eight changes of the shares of four versions.
+func BenchmarkResolve(b *testing.B) {
+	c := New()
+	if _, err := c.Load(start, 0, nil); err != nil {
+		b.Fatal(err)
+	}
+	c.ObserveDeadline("s", time.Minute)
+	for i := range maxSpans {
+		c.Observe(start, "s", ready("a", 3))
+		c.Adopt(start.Add(time.Duration(i)*time.Second), 0, Change{Service: "s", Sequence: uint64(i + 1), Shares: []Share{{"a", 150 + i}, {"b", 150}, {"c", 150}, {"d", 150}}})
+	}
+	now := start.Add(30 * time.Second)
+	b.Run("pick", func(b *testing.B) {
+		for range b.N {
+			c.Pick(now, "s", "9c41d07be2a35f68")
+		}
+	})
+	b.Run("resolve", func(b *testing.B) {
+		for range b.N {
+			c.Resolve(now, "s", "9c41d07be2a35f68", 0, true)
+		}
+	})
+}
