Bound what a statement says about versions

Peers would have taken a busy gateway for a silent one: with many services and versions its statements would have been larger than what is sent.

--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -6,6 +6,10 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/pistachiowind/pistachiowind/gateway/crashes"
+	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/relay"
 )
 
 // Guards against endpoints that crash one after the other on requests that differ but share
@@ -198,3 +202,59 @@
 		}
 	})
 }
+
+// Guards against suspects that can't be at fault: the last part of a prompt, which belongs to
+// the request, and the parts of an answer that had begun long before its endpoint crashed.
+func TestSuspectsOfABrokenAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			begunFor time.Duration
+			want     int
+		}{{-1, 3}, {0, 3}, {beginTime - time.Millisecond, 3}, {beginTime, 1}} {
+			d := twoEndpointDispatcher(t)
+			work := &placement.Work{Service: "s", Streaming: true, Target: time.Second, Parts: []placement.Part{{ID: 1}, {ID: 2}, {ID: 3}}}
+			attempt, refusal := d.Admit(work, relay.AdmissionRequest{Fingerprint: 9, TimeLeft: time.Minute})
+			if refusal != nil {
+				t.Fatal(refusal.Reason)
+			}
+			if c.begunFor >= 0 {
+				attempt.Started()
+				time.Sleep(c.begunFor)
+			}
+			attempt.Ended(relay.ResultBroken)
+			reported := d.crashes.Statement(time.Now(), 1).Crashes
+			if len(reported) != 1 || len(reported[0].Suspects) != c.want || slices.Contains(reported[0].Suspects, crashes.Suspect{IsPart: true, ID: 3}) {
+				t.Errorf("an answer that began %v before: %v, want %d suspects without the last part", c.begunFor, reported, c.want)
+			}
+		}
+	})
+}
+
+// Guards against gateways that are cut off from each other and each let a deadly part crash
+// as many endpoints as one may: what one has stored reaches the others.
+func TestVerdictReachesGatewaysThatAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newCrashSite(1, 12, 3)
+		site.deadlyPerS = func(time.Duration) float64 { return 0 }
+		site.soundPerS, site.rarePerS = 0, 0
+		site.run(3 * time.Second)
+		for _, g := range site.gateways {
+			g.cut(time.Hour)
+		}
+		site.run(12 * time.Second)
+		suspects := []crashes.Suspect{{IsPart: true, ID: deadlyPart}}
+		first := site.gateways[0].gateway.dispatcher
+		for i := range 3 {
+			first.mu.Lock()
+			first.crashes.RecordLocal(crashes.Crash{Endpoint: uint64(i), At: time.Now(), Suspects: suspects})
+			first.mu.Unlock()
+			site.run(site.now() + time.Second)
+		}
+		site.run(site.now() + isolatedReadInterval + 2*siteRowsCheckInterval)
+		for i, g := range site.gateways {
+			if _, parts := g.gateway.dispatcher.condemnedSuspects(); parts != 1 {
+				t.Errorf("gateway %d condemns %d parts", i, parts)
+			}
+		}
+	})
+}
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -53,7 +53,7 @@
 	// counts as isolated if it has lost more than half of them.
 	lostPeersMemory = 5 * time.Minute
 	// MaxDatagram is the largest encoded statement in bytes; a larger one is not sent.
-	MaxDatagram = 24 << 10
+	MaxDatagram = 32 << 10
 )
 
 // Exchange is the state of one gateway's exchange with its peers.
--- a/gateway/versions/outbox.go
+++ b/gateway/versions/outbox.go
@@ -10,16 +10,18 @@
 	// stateRepeat is the number of successive statements that include a change or a broken
 	// stream, so that the loss of a datagram does not lose it.
 	stateRepeat = 3
-	// maxBroken bounds the broken streams that wait to be stated, and those in one
-	// statement; the oldest are dropped.
-	maxBroken = 256
+	// maxBroken bounds the broken streams that wait to be stated; the oldest are dropped.
+	// maxStatedBroken bounds those in one statement.
+	maxBroken       = 256
+	maxStatedBroken = 48
 	// standingInterval and standingPerGateway determine how often a gateway states all
 	// designations, for gateways that start: each second, or as often as keeps the sum over
 	// all gateways at about 20 a second.
 	standingInterval   = time.Second
 	standingPerGateway = 50 * time.Millisecond
-	// maxStatedServices bounds the services in one statement.
-	maxStatedServices = 32
+	// maxStatedShares bounds the shares in one statement. Each span and each service takes the
+	// room of one share besides.
+	maxStatedShares = 96
 )
 
 // outbox holds what is to be stated to the peers.
@@ -80,51 +82,71 @@
 
 // Statement returns what to state now, given the number of gateways.
 func (t *Table) Statement(now time.Time, gateways int) Statement {
-	var s Statement
-	for _, b := range t.broken {
-		s.Broken = append(s.Broken, b.BrokenStream)
-		b.stated++
-	}
-	t.broken = slices.DeleteFunc(t.broken, func(b *brokenStream) bool { return b.stated >= stateRepeat })
-	recorded := t.sortedServices(func(s *service) bool { return s.sequence > 0 })
-	if t.complete && now.Sub(t.standingStatedAt) >= max(standingInterval, time.Duration(gateways)*standingPerGateway) {
+	s := Statement{Broken: t.takeBroken()}
+	standing := t.complete && now.Sub(t.standingStatedAt) >= max(standingInterval, time.Duration(gateways)*standingPerGateway)
+	names := t.sortedServices(func(s *service) bool { return s.sequence > 0 && (standing || s.stated < stateRepeat) })
+	s.Designations = t.designations(t.rotate(names))
+	if standing {
 		t.standingStatedAt = now
-		s.Complete = len(recorded) <= maxStatedServices
-		s.Designations = t.designations(t.rotate(recorded))
-	} else {
-		fresh := t.sortedServices(func(s *service) bool { return s.sequence > 0 && s.stated < stateRepeat })
-		s.Designations = t.designations(fresh[:min(len(fresh), maxStatedServices)])
-	}
-	for _, d := range s.Designations {
-		t.services[d.Service].stated++
+		s.Complete = len(s.Designations) == len(names)
 	}
 	t.urgent = false
 	return s
 }
 
-// rotate returns up to maxStatedServices of the names, others with each call.
+// takeBroken returns the broken streams to state, those that were stated least often first.
+func (o *outbox) takeBroken() []BrokenStream {
+	slices.SortStableFunc(o.broken, func(a, b *brokenStream) int { return a.stated - b.stated })
+	var taken []BrokenStream
+	for _, b := range o.broken[:min(len(o.broken), maxStatedBroken)] {
+		taken = append(taken, b.BrokenStream)
+		b.stated++
+	}
+	o.broken = slices.DeleteFunc(o.broken, func(b *brokenStream) bool { return b.stated >= stateRepeat })
+	return taken
+}
+
+// rotate returns the names from another one on with each call.
 func (t *Table) rotate(names []string) []string {
-	if len(names) <= maxStatedServices {
-		return names
+	if len(names) == 0 {
+		return nil
 	}
 	start := t.nextService % len(names)
-	t.nextService = start + maxStatedServices
-	return slices.Concat(names[start:], names[:start])[:maxStatedServices]
+	return slices.Concat(names[start:], names[:start])
 }
 
+// designations returns those of the first services that fit into a statement, which count as
+// stated.
 func (t *Table) designations(names []string) []Designations {
 	var list []Designations
+	room := maxStatedShares
 	for _, name := range names {
 		s := t.services[name]
+		if room -= s.statedSize(); room < 0 {
+			break
+		}
 		d := Designations{Service: name, Sequence: s.sequence, MaxDeadline: s.maxDeadline, Stored: !s.unstored}
 		for _, span := range s.spans {
 			d.Spans = append(d.Spans, Span{span.shares, span.from})
 		}
+		s.stated++
 		list = append(list, d)
 	}
+	if len(list) < len(names) {
+		t.nextService += max(len(list), 1)
+	}
 	return list
 }
 
+// statedSize returns the room that the designations of a service take in a statement.
+func (s *service) statedSize() int {
+	size := 1
+	for _, span := range s.spans {
+		size += 1 + len(span.shares)
+	}
+	return size
+}
+
 // RecordBroken records a broken stream of a peer.
 func (t *Table) RecordBroken(now time.Time, b BrokenStream) {
 	t.streams.Add(b.ID, stream{b.Version, now})
