Test what a gateway that hears nothing does, and the service of a stream

Cause: changes made on purpose showed two gaps: a gateway that resolved names although it heard of nothing, and one that drew the service of a stream anew, passed all tests.

Change: a test of each, in simulated sites.

Result: each fails with its change made on purpose.

--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -19,6 +19,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
+	"github.com/pistachiowind/pistachiowind/gateway/versions"
 )
 
 // streamProtocol is a protocol for streams that can be resumed, with short header names.
@@ -311,3 +312,54 @@
 		site.check(t)
 	})
 }
+
+// Guards against a gateway that hears of nothing, because it is cut off or has stood still, and
+// takes what it knows for the latest: it resolves no name, begins no new stream that may be
+// resumed after a while, and reads the rows of the site instead.
+func TestGatewayThatHearsNothingDoesNotGuess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newVersionSite(1, 8, 2, 0)
+		site.after(time.Second, func() { site.replace(4, "v2") })
+		site.run(20 * time.Second)
+		d := site.gateways[0].gateway.dispatcher
+		ask := func() (resolved, begins, reads bool) {
+			_, resolved = d.ResolveStream("s", "a", 4*time.Second)
+			_, refusal := d.Admit(&placement.Work{Service: "s", Streaming: true, Target: time.Second}, relay.AdmissionRequest{ID: "b", Resumable: true, TimeLeft: time.Second})
+			return resolved, refusal == nil, d.isSilent(time.Now())
+		}
+		if resolved, begins, reads := ask(); !resolved || !begins || reads {
+			t.Errorf("in touch: resolves %v, begins %v, reads the rows %v", resolved, begins, reads)
+		}
+		time.Sleep(silentAfter + 100*time.Millisecond)
+		if resolved, begins, reads := ask(); resolved || !begins || !reads {
+			t.Errorf("silent for a moment: resolves %v, begins %v, reads the rows %v", resolved, begins, reads)
+		}
+		time.Sleep(versions.BlindAfter)
+		if _, begins, _ := ask(); begins {
+			t.Error("a new stream begins at a gateway that may have missed a change")
+		}
+		d.rowsRead(time.Now())
+		if resolved, begins, _ := ask(); !resolved || !begins {
+			t.Errorf("after the rows were read: resolves %v, begins %v", resolved, begins)
+		}
+	})
+}
+
+// Guards against a stream that is taken up at another service of a split route.
+func TestServiceFollowsFromTheNameOfAStream(t *testing.T) {
+	route := &routing.Route{Split: []routing.Share{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}}
+	first, second := twoEndpointDispatcher(t), twoEndpointDispatcher(t)
+	picked := make(map[string]int)
+	for i := range 200 {
+		name := fmt.Sprint("stream", i)
+		first.pickService(route, "")
+		service := first.pickService(route, name)
+		if other := second.pickService(route, name); other != service {
+			t.Fatalf("%s goes to %s and, taken up elsewhere, to %s", name, service, other)
+		}
+		picked[service]++
+	}
+	if picked["a"] < 60 || picked["b"] < 60 {
+		t.Errorf("equal weights give %v", picked)
+	}
+}
