Add settings, features and messages for accounts, duties and paces

The next parts need switches that a deployment's own settings set, the address of the platform's interface for duties, and statements about usage, demand and paces. No decision reads the new fields yet.

--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -52,6 +52,11 @@
 	// AdmissionRule selects which requests are refused: "yield_to_urgent", the default,
 	// or, for comparison in measurements, "deadline_only".
 	AdmissionRule admission.Rule `json:"admission_rule,omitempty"`
+	// Guarantees names what the platform asks of the deployment; a name switches on the
+	// features that it needs. Unknown names are ignored.
+	Guarantees []string `json:"guarantees,omitempty"`
+	Features   Features `json:"features,omitzero"`
+	Duties     Duties   `json:"duties,omitzero"`
 }
 
 // Listen holds the addresses on which a gateway accepts connections.
@@ -130,5 +135,5 @@
 	for i, seed := range s.PeerSeeds {
 		address(fmt.Sprintf("peer_seeds[%d]", i), seed, false)
 	}
-	return errors.Join(faults...)
+	return errors.Join(append(faults, s.Duties.check())...)
 }
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -41,6 +41,7 @@
 		{"admission_rule", "none"},
 		{"unknown_field", 1},
 		{"peer_seeds", []string{"nowhere"}},
+		{"duties", map[string]any{"address": "10.0.0.1:80", "lease_ttl_ms": 3000}},
 		{"listen", map[string]string{"callers": "127.0.0.1:1"}},
 	} {
 		var fields map[string]any
@@ -67,3 +68,24 @@
 		t.Fatalf("seeds %v", seeds)
 	}
 }
+
+// Guards against features that are on where neither the settings nor the platform ask for
+// them, and against guarantees that override what the settings state.
+func TestFeaturesFollowGuaranteesUnlessSet(t *testing.T) {
+	off := false
+	for _, c := range []struct {
+		name           string
+		settings       Settings
+		shares, memory bool
+	}{
+		{"nothing", Settings{}, false, false},
+		{"other guarantees", Settings{Guarantees: []string{"base", "unknown"}}, false, false},
+		{"pressure", Settings{Guarantees: []string{"base", "pressure"}}, true, true},
+		{"pressure, but switched off", Settings{Guarantees: []string{"pressure"}, Features: Features{AccountShares: &off}}, false, true},
+	} {
+		f := c.settings.features()
+		if *f.AccountShares != c.shares || *f.EngineMemory != c.memory || *f.EndpointPace || *f.ZoneSpill {
+			t.Errorf("%s: shares %v, memory %v, pace %v, spill %v", c.name, *f.AccountShares, *f.EngineMemory, *f.EndpointPace, *f.ZoneSpill)
+		}
+	}
+}
