Count usage of client accounts over all gateways

The platform wants reports of the requests that endpoints began to run, by client account and window of true time. No gateway knows them alone.

Statements carry changed counts, sums by window and the final window; a window is complete only when the counts match the sums. Drained gateways say that they count nothing more. Without the duty nothing is counted and statements carry none of these fields.

An attempt that ended before it was sent has a result of its own, ResultUnsent: it was ResultInconclusive, which also stands for requests that were sent.

Ruled out: repeating changed counts three times without sums. A peer that was cut off for longer would report too little and take it for complete.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -49,6 +49,8 @@
 	limits   *ratelimit.Table
 	returns  returnTimes
 	versions *versions.Table
+	// usage counts requests for a duty; nil without it.
+	usage *usageState
 	// resumable holds the services with streams that may be resumed, and the longest timeout
 	// of their routes.
 	resumable map[string]time.Duration
@@ -120,6 +122,7 @@
 		limits:            limits,
 		returns:           make(returnTimes),
 		versions:          versions.New(),
+		usage:             newUsageState(s.Duties, time.Now()),
 		wakeKeeper:        make(chan struct{}, 1),
 		proposed:          make(map[string]proposal),
 		rng:               rng,
@@ -167,6 +170,7 @@
 		dispatcher: d, suspects: suspects, target: w.Target, choice: choice,
 		flight: d.fleet.Send(now, w, choice), sentAt: now, streaming: w.Streaming,
 	}
+	d.openUsage(a, now, r.Account)
 	if verdict.Trial {
 		d.crashes.BeginTrial(now, verdict.Suspect)
 		a.trialOf = &verdict.Suspect
@@ -183,11 +187,12 @@
 // needsEarlyStatement reports whether the peers should know before the next regular
 // statement how much work was sent to endpoints since the last one, that the limit of an
 // endpoint or the version of new streams has changed, or that an endpoint has crashed or a
-// stream broken off.
+// stream broken off, or that the counts of a usage window are final.
 func (d *dispatcher) needsEarlyStatement() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.fleet.UnstatedPromptTokens() >= earlyStatementTokens || d.limits.HasUnstated() || d.crashes.HasUnstated() || d.versions.HasUnstated()
+	return d.fleet.UnstatedPromptTokens() >= earlyStatementTokens || d.limits.HasUnstated() || d.crashes.HasUnstated() ||
+		d.versions.HasUnstated() || d.hasUnstatedFinal(time.Now())
 }
 
 // expirePeerLoads drops the loads of peers without a statement for maxAge.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -72,6 +72,7 @@
 
 func newExchange(g *Gateway, started time.Time) *peerExchange {
 	s := g.options.Settings
+	g.dispatcher.startUsage(s.Listen.Peers, started)
 	return &peerExchange{gateway: g, exchange: peers.New(s.Listen.Peers, peerSeeds(s), started)}
 }
 
@@ -99,6 +100,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			x.sendFarewell(socket)
 			return ctx.Err()
 		case err := <-received:
 			return err
@@ -117,6 +119,31 @@
 	if due, wait := x.exchange.Due(now, x.gateway.dispatcher.needsEarlyStatement()); !due {
 		return wait
 	}
+	x.sendStatement(now, socket)
+	return sendCheckInterval
+}
+
+// sendFarewell states the last usage counts of a gateway that has drained.
+func (x *peerExchange) sendFarewell(socket net.PacketConn) {
+	if !x.gateway.draining.Load() || !x.gateway.dispatcher.closeUsage() {
+		return
+	}
+	for n := 1; n <= maxFarewells && !x.farewell(socket, n); n++ {
+		time.Sleep(farewellPause)
+	}
+}
+
+// farewell sends the nth of the last statements, and reports whether no further one is
+// needed.
+func (x *peerExchange) farewell(socket net.PacketConn, n int) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.sendStatement(time.Now(), socket)
+	return n >= farewellStatements && x.gateway.dispatcher.usageClosed()
+}
+
+// sendStatement sends a statement to all peers.
+func (x *peerExchange) sendStatement(now time.Time, socket net.PacketConn) {
 	interval := x.exchange.Interval(now)
 	known := x.exchange.AliveCount(now)
 	x.gateway.peerCount.Store(int64(known))
@@ -128,6 +155,7 @@
 	x.gateway.dispatcher.setAlivePeers(x.exchange.Alive(now), x.exchange.Isolated(now))
 	x.gateway.dispatcher.addCrashes(now, statement)
 	x.gateway.dispatcher.addVersions(now, statement)
+	x.gateway.dispatcher.addUsage(now, statement)
 	copy(x.sentAt[:], x.sentAt[1:])
 	x.sentAt[placementRepeat-1] = now
 	x.gateway.addStoreState(statement)
@@ -135,7 +163,7 @@
 	datagram, err := x.exchange.Compose(now, statement)
 	if err != nil {
 		x.gateway.log.Warn().Err(err).Msg("statement to peers not sent")
-		return sendCheckInterval
+		return
 	}
 	for _, target := range x.exchange.Targets(now) {
 		address, err := netip.ParseAddrPort(target)
@@ -147,7 +175,6 @@
 			x.lostDatagrams++
 		}
 	}
-	return sendCheckInterval
 }
 
 // receive handles datagrams until the socket is closed.
@@ -312,6 +339,7 @@
 	}
 	d.applyCrashes(now, s)
 	d.applyVersions(now, s)
+	d.applyUsage(now, s)
 	for _, endpoint := range s.Unreachable {
 		d.reach.AddPeerReport(now, s.Sender, endpoint)
 	}
--- a/gateway/features.go
+++ b/gateway/features.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"time"
 )
 
 // Features selects optional decisions of a gateway. A field that is not set follows from
@@ -70,6 +71,16 @@
 	FencingRequired bool `json:"fencing_required,omitempty"`
 }
 
+// reportsUsage reports whether the usage of client accounts is to be counted and reported.
+func (d Duties) reportsUsage() bool {
+	return d.Address != "" && d.ReportWindowS > 0 && slices.Contains(d.Names, dutyUsageReporting)
+}
+
+// reportWindow is the length of a usage window.
+func (d Duties) reportWindow() time.Duration {
+	return time.Duration(d.ReportWindowS * float64(time.Second))
+}
+
 func (d Duties) check() error {
 	var faults []error
 	require := func(ok bool, field, rule string) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -294,6 +294,8 @@
 			serviceFunc{"peers", exchange.serve},
 			serviceFunc{"peer state", g.servePeers},
 			serviceFunc{"ask peers", g.askPeers})
+	} else {
+		g.dispatcher.startUsage(g.options.Settings.Name, time.Now())
 	}
 	if g.options.Rows != nil {
 		services = append(services, serviceFunc{"site rows", newRowKeeper(g, g.options.Rows, seed()).serve})
@@ -338,6 +340,7 @@
 		case <-ticker.C:
 			g.logEndpointChanges(g.dispatcher.refresh())
 			g.logReachChanges(g.dispatcher.reachChanges())
+			g.logUsage(g.dispatcher.usageNews(time.Now()))
 			g.fetchNewerConfig(ctx)
 		}
 	}
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -46,6 +46,7 @@
 // scrape.
 func (g *Gateway) registerMetrics() {
 	m := &g.options.Metrics
+	g.observeUsage()
 	m.ConfigVersion.Observe(func(set func(float64, telemetry.NoLabels)) {
 		if t := g.table.Load(); t != nil {
 			set(float64(t.Version), telemetry.NoLabels{})
--- a/gateway/placedattempt.go
+++ b/gateway/placedattempt.go
@@ -35,6 +35,11 @@
 	streaming   bool
 	started     bool
 	startedAt   time.Time
+	// account is the client account whose usage counts, usageWindow the usage window of
+	// sentAt, and counted is set once the attempt has been counted.
+	account     string
+	usageWindow int64
+	counted     bool
 }
 
 // Choice implements relay.PlacedAttempt.
@@ -72,6 +77,7 @@
 		Endpoint: a.choice.Endpoint.ID, Kind: health.FirstToken, Duration: a.relativeTime(now), Sent: a.sentAt,
 	})
 	a.flight.Started(now)
+	a.dispatcher.countStarted(now, a)
 }
 
 // Ended implements relay.PlacedAttempt.
@@ -82,6 +88,7 @@
 	now := time.Now()
 	a.flight.End(now)
 	delete(d.inFlight, a)
+	d.countEnded(now, a, r)
 	kinds := map[relay.AttemptResult]health.Kind{
 		relay.ResultComplete:    health.Success,
 		relay.ResultBroken:      health.Failure,
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -141,6 +141,9 @@
 	// ResultReplaced means that the endpoint is gone: another one responds at its
 	// address.
 	ResultReplaced
+	// ResultUnsent means that the caller closed the connection, or time ran out, before the
+	// request was sent. It says nothing about the endpoint.
+	ResultUnsent
 )
 
 // Reasons of refusals that are no lack of capacity.
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -126,7 +126,11 @@
 			}
 		}
 	}
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() == nil:
+	case end.kind == outcome.NotSent:
+		result = ResultUnsent
+	default:
 		result = ResultInconclusive
 	}
 	placed.Ended(result)
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -20,6 +20,8 @@
 	PrefillRate     *Gauge[ClassLabels]
 	StoreUp         *Gauge[ReasonLabels]
 	StoreEra        *Gauge[NoLabels]
+	UsageRequests   *Counter[NoLabels]
+	UsageIncomplete *Gauge[NoLabels]
 	PlatformCalls   *Counter[OperationLabels]
 	DroppedLogLines *ObservedCounter[NoLabels]
 	PlatformLatency *Duration[OperationLabels]
@@ -41,6 +43,8 @@
 		PrefillRate:     newGauge[ClassLabels](p, "gateway_prefill_rate", "", maxClasses, "Prompt tokens per millisecond that an engine is assumed to read, by service, as all gateways observed it."),
 		StoreUp:         newGauge[ReasonLabels](p, "gateway_store_up", "", maxOutcomes, "1 while the table of the store answers, otherwise 0."),
 		StoreEra:        newGauge[NoLabels](p, "gateway_store_era", "", 1, "Number of times that the store came back from an older copy, as it states; 0 if it states none."),
+		UsageRequests:   newCounter[NoLabels](p, "gateway_usage_requests", 1, "Requests of client accounts that this gateway counted as begun by endpoints; 0 without the duty to report usage."),
+		UsageIncomplete: newGauge[NoLabels](p, "gateway_usage_incomplete_windows", "", 1, "Usage windows of the last 8 that have ended and lack final counts of a gateway."),
 		PlatformCalls:   newCounter[OperationLabels](p, "gateway_platform_calls", maxOutcomes, "Calls of the platform's store. Outcomes: ok, conflict, not_found, unavailable, unknown, rejected."),
 		DroppedLogLines: newObservedCounter[NoLabels](p, "gateway_log_lines_dropped", 1, "Log lines beyond the rate of the settings."),
 		PlatformLatency: newDuration[OperationLabels](p, "gateway_platform_call", requestBounds, maxOutcomes, "Time of a call of the platform's store; a feed waits for changes."),
