--- a/gateway/simsite_test.go
+++ b/gateway/simsite_test.go
@@ -36,6 +36,8 @@
 	later map[int64][]func()
 	// directory returns the entries of the endpoints.
 	directory func() []registry.Entry
+	// settings changes the settings of a gateway; nil for nothing.
+	settings func(*Settings)
 	// serve lets a gateway serve its callers for one step.
 	serve func(*simGateway)
 }
@@ -91,6 +93,9 @@
 	g.troubledAt = g.site.now()
 	settings := Settings{AvailabilityZone: "z", RetryRatio: 1, RetryAllowance: 1000, PeerSeeds: []string{"10.0.0.1:9", "10.0.0.2:9"}}
 	settings.Listen.Peers = g.address
+	if g.site.settings != nil {
+		g.site.settings(&settings)
+	}
 	g.gateway = New(Options{Settings: settings, Log: zerolog.Nop(), Rand: rand.New(rand.NewPCG(g.site.rng.Uint64(), 2))})
 	g.exchange = newExchange(g.gateway, time.Now())
 	g.readDirectory()
