Elect one gateway for duties and report usage from it

The platform wants some calls from one gateway at a time. Package lease gets times as options, a cool-down and the era of the store; its defaults are unchanged. No duty is taken until a ledger of usage is joined in gateway.services. Ruled out: eras from the feeds alone, since a token could repeat while a feed lags behind the write that acquired the lease.

--- a/cmd/pistachiowind-gateway/main.go
+++ b/cmd/pistachiowind-gateway/main.go
@@ -120,6 +120,7 @@
 		set(int64(writer.Dropped()), telemetry.NoLabels{})
 	})
 	store := platform.StoreOptions(s.StoreAddress)
+	table := platform.NewTable(store).WithObserver(metrics)
 	return gateway.New(gateway.Options{
 		Settings:       s,
 		Protocol:       platform.Headers{},
@@ -128,7 +129,9 @@
 		Endpoints:      platform.EndpointFeed(store, metrics),
 		ConfigSink:     func(g *gateway.Gateway) follow.Sink { return platform.ConfigSink{Handler: g} },
 		EndpointSink:   func(g *gateway.Gateway) follow.Sink { return platform.EndpointSink{Handler: g} },
-		Rows:           platform.NewTable(store).WithObserver(metrics),
+		Rows:           table,
+		DutyStore:      table,
+		UsageClient:    platform.NewUsageClient(s.Duties.Address),
 		PartLister:     platform.NewCachedPartsClient(),
 		Log:            log,
 		Metrics:        *metrics,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,7 +13,9 @@
 //	├── peer state    serves site state and cached parts to other gateways
 //	├── ask peers     fetches the site state after a start without the store
 //	├── site rows     keeps state of the site that outlasts all gateways in the store
-//	└── cached parts  asks engines, once, which prompt parts they have cached
+//	├── cached parts  asks engines, once, which prompt parts they have cached
+//	├── duty lease    competes for the lease on the duties
+//	└── duties        makes the duties' calls to the platform while this gateway holds the lease
 package gateway
 
 import (
@@ -29,6 +31,7 @@
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/pistachiowind/pistachiowind/gateway/duty"
 	"github.com/pistachiowind/pistachiowind/gateway/follow"
 	"github.com/pistachiowind/pistachiowind/gateway/ratelimit"
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
@@ -77,6 +80,9 @@
 	// Rows keeps rows of the gateways in the platform's store; nil means that nothing is kept
 	// there.
 	Rows RowStore
+	// DutyStore and UsageClient are what the duties call; nil means that none are taken.
+	DutyStore   DutyStore
+	UsageClient duty.Client
 	// PartLister lists the prompt parts that an engine has cached; nil means that engines
 	// are not asked.
 	PartLister PartLister
@@ -127,6 +133,9 @@
 	// gracePeriod is the time from SIGTERM to SIGKILL in nanoseconds; Reload changes
 	// it.
 	gracePeriod atomic.Int64
+	// duties are the duties that this gateway may take; nil for none. Ledger and true time of
+	// the usage are joined in services.
+	duties *duties
 }
 
 // New returns a Gateway that does not listen yet; see Serve.
@@ -302,16 +311,20 @@
 		rng := seed()
 		services = append(services, serviceFunc{"cached parts", func(ctx context.Context) error { return g.loadCachedParts(ctx, rng) }})
 	}
-	return services
+	// JOIN: the ledger and the true time of package usage go here; without a ledger no duty is
+	// taken.
+	g.duties = newDuties(g, nil, time.Now, seed())
+	return append(services, g.duties.services()...)
 }
 
-// drain fails the readiness checks, accepts requests until the load balancer has
+// drain gives up the duties, fails the readiness checks, accepts requests until the load balancer has
 // taken the gateway out of rotation, finishes the requests in progress and returns
 // before the platform kills the process.
 func (g *Gateway) drain() {
 	began := time.Now()
 	g.draining.Store(true)
 	g.log.Info().Msg("draining")
+	g.duties.release()
 	g.callerServer.SetKeepAlivesEnabled(false)
 	grace := time.Duration(g.gracePeriod.Load())
 	time.Sleep(min(lameDuckPeriod, grace/3))
--- a/lease/elector.go
+++ b/lease/elector.go
@@ -26,6 +26,13 @@
 	Self string
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
+	// Times are the periods of the election; its zero value is the default.
+	Times Times
+	// CallTimeout bounds a call of the table; zero means storage.DefaultCallTimeout.
+	CallTimeout time.Duration
+	// Candidate reports whether this process is to compete; nil means always. While it is
+	// none and does not hold the lease, it makes no calls.
+	Candidate func() bool
 }
 
 // minPause is the shortest sleep of the loop in Serve, so that it does not spin
@@ -48,7 +55,10 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	return &Elector{options: o, wake: make(chan struct{}, 1), election: NewElection(o.Self)}
+	if o.CallTimeout == 0 {
+		o.CallTimeout = storage.DefaultCallTimeout
+	}
+	return &Elector{options: o, wake: make(chan struct{}, 1), election: NewElectionWith(o.Self, o.Times)}
 }
 
 // Held returns the fencing number and true while this process holds the lease, and
@@ -60,6 +70,13 @@
 	return e.election.Held(e.options.Now())
 }
 
+// Current returns the lease and true while this process holds it; see Held.
+func (e *Elector) Current() (Lease, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.election.Current(e.options.Now())
+}
+
 // Resign gives up the lease and stops competing for it. Serve must keep running for
 // one more write, which releases the row.
 func (e *Elector) Resign() {
@@ -101,6 +118,10 @@
 // next one.
 func (e *Elector) step(ctx context.Context) time.Duration {
 	e.mu.Lock()
+	if e.options.Candidate != nil && !e.election.ownsRow() && !e.options.Candidate() {
+		e.mu.Unlock()
+		return e.options.Times.withDefaults().Observe
+	}
 	action, due := e.election.Next(e.options.Now())
 	e.mu.Unlock()
 	if due {
@@ -115,7 +136,7 @@
 }
 
 func (e *Elector) callTable(ctx context.Context, a Action) (storage.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, storage.DefaultCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, e.options.CallTimeout)
 	defer cancel()
 	if a.Write {
 		return e.options.Table.Put(ctx, RowKey(e.options.Name), a.Value, a.Expected)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -40,6 +40,39 @@
 // and to change roles.
 const Placement = "placement"
 
+// Times holds the periods of an election. A zero field has the value of the constant of
+// the same meaning.
+type Times struct {
+	// TTL is the time for which a renewal is valid, and Margin what other processes wait in
+	// addition, because two clocks may run at different rates.
+	TTL, Margin time.Duration
+	// Renew and Observe are the times between two renewals, and between two reads of a
+	// process that does not hold the lease. Retry is the pause after a failed call.
+	Renew, Observe, Retry time.Duration
+	// CoolDown makes a process wait for TTL plus Margin before it competes: after its start,
+	// after the end of the last lease that it held, and after it sees a new era of the store.
+	// Holders then never act in the order A, B, A within TTL, also if A restarts in between,
+	// and the restored copy of an earlier row is not taken over from a holder that is alive.
+	CoolDown bool
+}
+
+func (t Times) withDefaults() Times {
+	set := func(d *time.Duration, otherwise time.Duration) {
+		if *d == 0 {
+			*d = otherwise
+		}
+	}
+	set(&t.TTL, TTL)
+	set(&t.Margin, ClockDriftMargin)
+	set(&t.Renew, RenewInterval)
+	set(&t.Observe, ObserveInterval)
+	set(&t.Retry, retryInterval)
+	return t
+}
+
+// takeoverWait is how long a revision must stay unchanged until another process takes over.
+func (t Times) takeoverWait() time.Duration { return t.TTL + t.Margin }
+
 // RowKey returns the key of the row of the lease called name.
 func RowKey(name string) string { return rowPrefix + name }
 
@@ -93,7 +126,15 @@
 // machine without I/O: the caller makes the table calls, passes in the results and
 // the time, and serializes all method calls.
 type Election struct {
-	self string
+	self  string
+	times Times
+	// era is the latest era of the store that a response stated, and heldEra the one in which
+	// the lease of this process was last confirmed.
+	era, heldEra uint64
+	// eligibleAt is when the process may compete; zero before the first call and without
+	// Times.CoolDown.
+	started    bool
+	eligibleAt time.Time
 
 	nextCallAt time.Time
 	// callPending is true between the issue of an Action and its result.
@@ -115,8 +156,53 @@
 
 // NewElection returns the state of a process that has not read the row yet; the read is
 // due at once. The argument self is the incarnation of the process and must be unique.
-func NewElection(self string) *Election {
-	return &Election{self: self}
+func NewElection(self string) *Election { return NewElectionWith(self, Times{}) }
+
+// NewElectionWith is NewElection with other times.
+func NewElectionWith(self string, t Times) *Election {
+	return &Election{self: self, times: t.withDefaults()}
+}
+
+// coolDownFrom makes the process wait for TTL plus the margin from a time until it competes.
+func (e *Election) coolDownFrom(t time.Time) {
+	if at := t.Add(e.times.takeoverWait()); e.times.CoolDown && at.After(e.eligibleAt) {
+		e.eligibleAt = at
+	}
+}
+
+// observeEra records the era that a response states. In a restored store the row may be an
+// earlier one than that of a lease that is still valid, so nobody takes over before that
+// lease has ended.
+func (e *Election) observeEra(now time.Time, era uint64) {
+	if era <= e.era {
+		return
+	}
+	e.era = era
+	e.firstSeen = now
+	e.coolDownFrom(now)
+}
+
+// Lease is a lease that a process holds.
+type Lease struct {
+	// Number is the fencing number, and Era the era of the store in which it was confirmed.
+	Number, Era uint64
+	// ValidUntil is when the lease ends without a renewal.
+	ValidUntil time.Time
+}
+
+// Current returns the lease and true while this process holds it.
+func (e *Election) Current(now time.Time) (Lease, bool) {
+	number, ok := e.Held(now)
+	if !ok {
+		return Lease{}, false
+	}
+	return Lease{Number: number, Era: e.heldEra, ValidUntil: e.validUntil}, true
+}
+
+// ownsRow reports whether the row is known to name this process, or may do so after a write
+// with unknown outcome.
+func (e *Election) ownsRow() bool {
+	return e.unconfirmedWrite != nil || e.rowKnown && e.record.Holder == e.self
 }
 
 // Held returns the fencing number and true while this process holds the lease, and
@@ -149,6 +235,10 @@
 	if e.callPending || now.Before(e.nextCallAt) {
 		return Action{}, false
 	}
+	if !e.started {
+		e.started = true
+		e.coolDownFrom(now)
+	}
 	a := Action{sent: now}
 	r, write := e.recordToWrite(now)
 	if write {
@@ -178,7 +268,9 @@
 	case own && e.record.Number == e.number:
 		e.renewal++
 		return Record{Holder: e.self, Number: e.number, Renewal: e.renewal}, true
-	case e.record.Holder == "" || now.Sub(e.firstSeen) >= TTL+ClockDriftMargin:
+	case now.Before(e.eligibleAt):
+		return Record{}, false
+	case e.record.Holder == "" || now.Sub(e.firstSeen) >= e.times.takeoverWait():
 		return Record{Holder: e.self, Number: e.record.Number + 1}, true
 	}
 	return Record{}, false
@@ -190,6 +282,7 @@
 // taken effect; after any other error it has not.
 func (e *Election) HandleResult(now time.Time, a Action, row storage.Row, err error) {
 	e.callPending = false
+	e.observeEra(now, row.Era)
 	if a.Write {
 		e.handleWrite(now, a, row, err)
 	} else {
@@ -203,14 +296,14 @@
 		e.confirmWrite(now, a, row.Revision)
 	case errors.Is(err, storage.ErrOutcomeUnknown):
 		e.unconfirmedWrite = &a
-		e.nextCallAt = now.Add(retryInterval)
+		e.nextCallAt = now.Add(e.times.Retry)
 	case errors.Is(err, storage.ErrConflict):
 		// Another process wrote the row, or an earlier write of this process took
 		// effect late.
 		e.rowKnown = false
 		e.nextCallAt = now
 	default:
-		e.nextCallAt = now.Add(retryInterval)
+		e.nextCallAt = now.Add(e.times.Retry)
 	}
 }
 
@@ -220,25 +313,27 @@
 func (e *Election) confirmWrite(now time.Time, a Action, revision storage.Revision) {
 	e.observe(now, a.record, revision)
 	e.unconfirmedWrite = nil
-	e.nextCallAt = a.sent.Add(RenewInterval)
+	e.nextCallAt = a.sent.Add(e.times.Renew)
 	if a.record.Holder != e.self {
 		e.validUntil = time.Time{}
 		return
 	}
 	e.number = a.record.Number
-	e.validUntil = a.sent.Add(TTL)
+	e.heldEra = e.era
+	e.validUntil = a.sent.Add(e.times.TTL)
+	e.coolDownFrom(e.validUntil)
 }
 
 func (e *Election) handleRead(now time.Time, row storage.Row, err error) {
 	if errors.Is(err, storage.ErrNotFound) {
 		e.observe(now, Record{}, "")
 		e.unconfirmedWrite = nil
-		e.nextCallAt = now
+		e.nextCallAt = e.nextCompetition(now)
 		return
 	}
 	r, decodeErr := Decode(row.Value)
 	if err != nil || decodeErr != nil {
-		e.nextCallAt = now.Add(retryInterval)
+		e.nextCallAt = now.Add(e.times.Retry)
 		return
 	}
 	if e.unconfirmedWrite != nil && e.unconfirmedWrite.record == r {
@@ -247,7 +342,7 @@
 	}
 	e.unconfirmedWrite = nil
 	e.observe(now, r, row.Revision)
-	e.nextCallAt = now.Add(ObserveInterval)
+	e.nextCallAt = now.Add(e.times.Observe)
 	switch {
 	case r.Holder == e.self:
 		e.resumeOwnRow(now, r)
@@ -256,8 +351,20 @@
 		e.validUntil = time.Time{}
 	}
 	if r.Holder == "" {
-		e.nextCallAt = now
+		e.nextCallAt = e.nextCompetition(now)
+	}
+}
+
+// nextCompetition returns when a process that finds the lease free calls next.
+func (e *Election) nextCompetition(now time.Time) time.Time {
+	at := now
+	if e.eligibleAt.After(now) {
+		at = e.eligibleAt
+	}
+	if latest := now.Add(e.times.Observe); at.After(latest) {
+		at = latest
 	}
+	return at
 }
 
 // resumeOwnRow continues from a row that names this process but whose write was not
--- a/storage/table.go
+++ b/storage/table.go
@@ -41,6 +41,9 @@
 	Key      string
 	Value    []byte
 	Revision Revision
+	// Era is the era of the store that the response stated: how often the store was restored
+	// from an older copy. It is zero if none was stated, and ignored in writes.
+	Era uint64
 }
 
 // DefaultCallTimeout is the default timeout of a call of a platform service.
@@ -57,4 +60,9 @@
 	MaxListRows = 100
 	// MaxDeleteRows is the largest number of rows that one transaction deletes.
 	MaxDeleteRows = 25
+	// MaxPutRows is the largest number of rows that one transaction writes, and
+	// MaxPutBytes the largest sum of their values: base64 makes a third more of them, and
+	// the body of a transaction is at most 1 MB.
+	MaxPutRows  = 40
+	MaxPutBytes = 700_000
 )
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -23,6 +23,10 @@
 	PlatformCalls   *Counter[OperationLabels]
 	DroppedLogLines *ObservedCounter[NoLabels]
 	PlatformLatency *Duration[OperationLabels]
+	// DutyLeaseHeld to OldestUnsentReport concern the calls that one gateway makes for all.
+	DutyLeaseHeld      *Gauge[NoLabels]
+	UsageReports       *Counter[ResultLabels]
+	OldestUnsentReport *Gauge[NoLabels]
 }
 
 // NewGateway registers the instruments of a gateway on p. Call it once per
@@ -44,6 +48,10 @@
 		PlatformCalls:   newCounter[OperationLabels](p, "gateway_platform_calls", maxOutcomes, "Calls of the platform's store. Outcomes: ok, conflict, not_found, unavailable, unknown, rejected."),
 		DroppedLogLines: newObservedCounter[NoLabels](p, "gateway_log_lines_dropped", 1, "Log lines beyond the rate of the settings."),
 		PlatformLatency: newDuration[OperationLabels](p, "gateway_platform_call", requestBounds, maxOutcomes, "Time of a call of the platform's store; a feed waits for changes."),
+
+		DutyLeaseHeld:      newGauge[NoLabels](p, "gateway_duty_lease_held", "", 1, "1 while this gateway holds the lease on the duties, otherwise 0."),
+		UsageReports:       newCounter[ResultLabels](p, "gateway_usage_reports", maxOutcomes, "Calls with a usage report, repetitions included. Outcomes: ok, unavailable, unknown, rejected."),
+		OldestUnsentReport: newGauge[NoLabels](p, "gateway_usage_oldest_unsent", "s", 1, "Time since the end of the oldest window that is due or recorded and was not reported; 0 at gateways that do not hold the lease."),
 	}
 	return g, errors.Join(p.errs...)
 }
