--- a/lease/lease.go
+++ b/lease/lease.go
@@ -135,6 +135,9 @@
 	// Times.CoolDown.
 	started    bool
 	eligibleAt time.Time
+	// eraSettledAt is when no lease of an earlier era can be valid any more. observedAt is
+	// when the row was last read or written.
+	eraSettledAt, observedAt time.Time
 
 	nextCallAt time.Time
 	// callPending is true between the issue of an Action and its result.
@@ -180,6 +183,20 @@
 	e.era = era
 	e.firstSeen = now
 	e.coolDownFrom(now)
+	e.eraSettledAt = now.Add(e.times.takeoverWait())
+}
+
+// mustWaitToResume reports whether a lapsed lease of this process cannot be renewed yet. After
+// a restore the row may name this process although another one took over in the earlier era.
+func (e *Election) mustWaitToResume(now time.Time) bool {
+	return e.times.CoolDown && !now.Before(e.validUntil) && now.Before(e.eraSettledAt)
+}
+
+// mustReadToResume reports whether the row of a lapsed lease is to be read before it is
+// renewed. A restored store gives out version numbers again, so that a revision known for long
+// could match a row that another process wrote.
+func (e *Election) mustReadToResume(now time.Time) bool {
+	return e.times.CoolDown && !now.Before(e.validUntil) && now.Sub(e.observedAt) >= e.times.Retry
 }
 
 // Lease is a lease that a process holds.
@@ -265,6 +282,8 @@
 		return Record{Number: e.record.Number}, true
 	case e.resigning:
 		return Record{}, false
+	case own && (e.mustReadToResume(now) || e.mustWaitToResume(now)):
+		return Record{}, false
 	case own && e.record.Number == e.number:
 		e.renewal++
 		return Record{Holder: e.self, Number: e.number, Renewal: e.renewal}, true
@@ -374,6 +393,9 @@
 	e.number = r.Number
 	e.renewal = max(e.renewal, r.Renewal)
 	e.nextCallAt = now
+	if e.mustWaitToResume(now) {
+		e.nextCallAt = now.Add(e.times.Observe)
+	}
 }
 
 // observe stores the row as last seen. A revision that is seen again keeps the time
@@ -382,5 +404,5 @@
 	if !e.rowKnown || e.revision != revision {
 		e.firstSeen = now
 	}
-	e.rowKnown, e.record, e.revision = true, r, revision
+	e.rowKnown, e.record, e.revision, e.observedAt = true, r, revision, now
 }
