--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/gateway/duty"
@@ -36,17 +35,12 @@
 	holder  *duty.Holder
 }
 
-// wantsUsageReports reports whether the settings ask for usage reports.
-func (d Duties) wantsUsageReports() bool {
-	return d.Address != "" && d.ReportWindowS > 0 && slices.Contains(d.Names, dutyUsageReporting)
-}
-
 // newDuties returns the duties that the settings ask for, or nil if there are none, if there
 // is no ledger, or if the platform's interfaces are not given. trueTime estimates true time.
 func newDuties(g *Gateway, ledger duty.Ledger, trueTime func() time.Time, rng *rand.Rand) *duties {
 	o := &g.options
 	s := o.Settings.Duties
-	if ledger == nil || !s.wantsUsageReports() || o.DutyStore == nil || o.UsageClient == nil {
+	if ledger == nil || !s.reportsUsage() || o.DutyStore == nil || o.UsageClient == nil {
 		return nil
 	}
 	clock := duty.NewClock(duty.SystemBootClock)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -133,8 +133,7 @@
 	// gracePeriod is the time from SIGTERM to SIGKILL in nanoseconds; Reload changes
 	// it.
 	gracePeriod atomic.Int64
-	// duties are the duties that this gateway may take; nil for none. Ledger and true time of
-	// the usage are joined in services.
+	// duties are the duties that this gateway may take; nil for none.
 	duties *duties
 }
 
@@ -313,9 +312,10 @@
 		rng := seed()
 		services = append(services, serviceFunc{"cached parts", func(ctx context.Context) error { return g.loadCachedParts(ctx, rng) }})
 	}
-	// JOIN: the ledger and the true time of package usage go here; without a ledger no duty is
-	// taken.
-	g.duties = newDuties(g, nil, time.Now, seed())
+	if g.dispatcher.usage != nil {
+		ledger := usageLedger{g.dispatcher}
+		g.duties = newDuties(g, ledger, ledger.TrueTime, seed())
+	}
 	return append(services, g.duties.services()...)
 }
 
--- a/gateway/usage_test.go
+++ b/gateway/usage_test.go
@@ -173,7 +173,7 @@
 		site.after(7*time.Second, func() { site.drain(site.gateways[5]) })
 		site.after(12*time.Second, site.add)
 		site.runWindows(t, 4, 0, true)
-		if deviation := (usageLedger{site.gateways[0].gateway.dispatcher}).TrueTime().Sub(time.Now()); deviation.Abs() > usageEdge {
+		if deviation := time.Until((usageLedger{site.gateways[0].gateway.dispatcher}).TrueTime()); deviation.Abs() > usageEdge {
 			t.Errorf("true time is wrong by %s", deviation)
 		}
 	})
