--- a/gateway/usage/clock_test.go
+++ b/gateway/usage/clock_test.go
@@ -81,6 +81,13 @@
 	if len(c.peers) != maxPeers || !c.Now(begin, begin).Equal(begin) {
 		t.Errorf("%d peers, time %s", len(c.peers), c.Now(begin, begin))
 	}
+	alone := NewClock(begin)
+	for _, stated := range []int64{0, -1, 1 << 62} {
+		alone.Observe(begin, "faulty", stated)
+	}
+	if !alone.Now(begin, begin).Equal(begin) {
+		t.Errorf("a faulty peer sets the time to %s", alone.Now(begin, begin))
+	}
 	later := begin.Add(time.Minute)
 	if c.Now(later, later); len(c.peers) != 0 {
 		t.Errorf("%d silent peers are kept", len(c.peers))
--- a/gateway/usage_test.go
+++ b/gateway/usage_test.go
@@ -173,7 +173,7 @@
 		site.after(7*time.Second, func() { site.drain(site.gateways[5]) })
 		site.after(12*time.Second, site.add)
 		site.runWindows(t, 4, 0, true)
-		if deviation := (usageLedger{site.gateways[0].gateway.dispatcher}).TrueTime().Sub(time.Now()); deviation.Abs() > usageEdge {
+		if deviation := time.Until((usageLedger{site.gateways[0].gateway.dispatcher}).TrueTime()); deviation.Abs() > usageEdge {
 			t.Errorf("true time is wrong by %s", deviation)
 		}
 	})
@@ -270,6 +270,30 @@
 	}
 }
 
+// Guards against a window that is final while a plain request sent in it may still count, and
+// against one that a request without a response keeps open.
+func TestOpenRequestsDelayTheFinalWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newUsageSite(5, 1, 1, 0)
+		d := site.gateways[0].gateway.dispatcher
+		w := time.Now().UnixNano() / int64(usageTestWindow)
+		a, _ := d.Admit(&placement.Work{Service: "s", Target: time.Second}, relay.AdmissionRequest{TimeLeft: time.Minute, Account: "x"})
+		time.Sleep(usageTestWindow + usageFinalSlack)
+		ledger := usageLedger{d}
+		if ledger.Complete(w) || len(ledger.Totals(w)) != 0 {
+			t.Error("the window is complete while the request is open")
+		}
+		time.Sleep(simStep)
+		if !ledger.Complete(w) || ledger.Totals(w)["x"] != 1 {
+			t.Errorf("after the slack: complete %t, counts %v", ledger.Complete(w), ledger.Totals(w))
+		}
+		a.Ended(relay.ResultComplete)
+		if n := ledger.Totals(w)["x"]; n != 1 {
+			t.Errorf("%d requests are counted, want 1", n)
+		}
+	})
+}
+
 // Guards against counts and further fields in statements where no usage is to be reported.
 func TestNoUsageWithoutTheDuty(t *testing.T) {
 	settings := Settings{AvailabilityZone: "z"}
