State usage counts that had no room without delay

With 410 gateways and 842 changed counts at one of them, 332 of 1,660 requests had not arrived 2 s after the end of the window: a statement holds 256, and regular ones are 4.9 s apart. A statement that had no room for all changes is now followed by an early one.

The test of the largest site runs 410 gateways: all counts arrive within 4 s after the end of the window, and a full statement stays below the limit.

go test ./gateway -run 'Usage|OnlyBegun|OpenReq': pass in 17.3 s. The whole suite of ./gateway was not run again after this change.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -187,12 +187,12 @@
 // needsEarlyStatement reports whether the peers should know before the next regular
 // statement how much work was sent to endpoints since the last one, that the limit of an
 // endpoint or the version of new streams has changed, or that an endpoint has crashed or a
-// stream broken off, or that the counts of a usage window are final.
+// stream broken off, or that usage counts wait for it.
 func (d *dispatcher) needsEarlyStatement() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.fleet.UnstatedPromptTokens() >= earlyStatementTokens || d.limits.HasUnstated() || d.crashes.HasUnstated() ||
-		d.versions.HasUnstated() || d.hasUnstatedFinal(time.Now())
+		d.versions.HasUnstated() || d.hasUnstatedUsage(time.Now())
 }
 
 // expirePeerLoads drops the loads of peers without a statement for maxAge.
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -143,11 +143,14 @@
 	}
 }
 
-// hasUnstatedFinal reports whether the counts of a window have become final since the last
-// statement. Reports wait for it, and the next regular statement of the largest site is
-// 5 s away. The mutex is held.
-func (d *dispatcher) hasUnstatedFinal(now time.Time) bool {
+// hasUnstatedUsage reports whether the last statement had no room for all changed counts, or
+// the counts of a window have become final since. Reports wait for both, and the next regular
+// statement of the largest site is 5 s away. The mutex is held.
+func (d *dispatcher) hasUnstatedUsage(now time.Time) bool {
 	u := d.usage
+	if u != nil && u.ledger.Behind() {
+		return true
+	}
 	if u == nil || u.ledger.Window(u.trueTime(now))-1 <= u.stated {
 		return false
 	}
--- a/gateway/usage/statement.go
+++ b/gateway/usage/statement.go
@@ -32,6 +32,8 @@
 	all   []Entry
 	known map[Entry]bool
 	next  int
+	// behind is set if the last statement had no room for all changes.
+	behind bool
 }
 
 func newOutbox() outbox {
@@ -74,6 +76,7 @@
 		}
 		delete(o.repeats, e)
 	}
+	o.behind = slices.ContainsFunc(o.queue, func(e Entry) bool { return o.repeats[e] == statedRepeat })
 	for range min(n-len(taken), maxRefreshed, len(o.all)-len(taken)) {
 		o.next = (o.next + 1) % len(o.all)
 		taken = append(taken, o.all[o.next])
@@ -104,6 +107,9 @@
 // Unstated reports whether a count has not been stated yet as often as it is to be.
 func (l *Ledger) Unstated() bool { return len(l.outbox.queue) > 0 }
 
+// Behind reports whether the last statement had no room for all changes.
+func (l *Ledger) Behind() bool { return l.outbox.behind }
+
 // Apply merges what a source states of itself: its counts and sums, and the latest window
 // that is final. Statements of the own source have no effect.
 func (l *Ledger) Apply(key Source, final int64, entries []Entry) {
