Do not trust a lease write that took effect in a restored store

A write in flight across a restore can meet the copy of a revision that was replaced since; read back, it made the lease valid while the holder of the earlier era still acted. Such a lease is now valid only after TTL plus margin.

--- a/gateway/duty/site_test.go
+++ b/gateway/duty/site_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,7 +28,7 @@
 
 // faults are what the store and the platform do to the calls of a gateway at a time.
 type faults struct {
-	storeDown, storeSlow, storeLoses, storeLate, platformDown, platformLoses bool
+	storeDown, storeSlow, storeLoses, storeLate, platformDown, platformLoses, platformSlow bool
 }
 
 // site is a simulated store, platform and truth. Counts are known to all gateways at once.
@@ -38,6 +39,7 @@
 	era     uint64
 	copies  []siteCopy
 	faults  faults
+	ledgers atomic.Uint64
 	writes  int
 	reads   int
 
@@ -281,6 +283,10 @@
 	if err := CheckWrite(ctx); err != nil {
 		return errors.Join(storage.ErrUnavailable, err)
 	}
+	// The call arrives late, but before its time-out.
+	if f.platformSlow {
+		_ = wait(context.Background(), 900*time.Millisecond)
+	}
 	m.site.report(m.name, fence, window, counts)
 	if thawErr := m.thaw(ctx); thawErr != nil || f.platformLoses {
 		return storage.ErrOutcomeUnknown
@@ -336,7 +342,7 @@
 }
 
 func newFakeLedger(s *site) *fakeLedger {
-	return &fakeLedger{began: s.began, skewed: uint64(time.Now().UnixNano() % 1000), merged: map[[2]int64]uint64{}}
+	return &fakeLedger{began: s.began, skewed: s.ledgers.Add(1), merged: map[[2]int64]uint64{}}
 }
 
 // counted is the number of requests in a window from a time to another one.
@@ -490,6 +496,8 @@
 		m.run()
 	case 10:
 		s.restartAll(machines)
+	case 11:
+		set(func(x *faults, on bool) { x.platformSlow = on })
 	}
 }
 
@@ -500,7 +508,7 @@
 		n := rapid.IntRange(1, 4).Draw(r, "machines")
 		plan := rapid.SliceOfN(rapid.Custom(func(r *rapid.T) fault {
 			return fault{
-				kind: rapid.IntRange(0, 10).Draw(r, "kind"), machine: rapid.IntRange(0, 3).Draw(r, "machine"),
+				kind: rapid.IntRange(0, 11).Draw(r, "kind"), machine: rapid.IntRange(0, 3).Draw(r, "machine"),
 				after:    time.Duration(rapid.IntRange(0, 6000).Draw(r, "after")) * time.Millisecond,
 				duration: time.Duration(rapid.IntRange(0, 8000).Draw(r, "duration")) * time.Millisecond,
 			}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -338,6 +338,13 @@
 		return
 	}
 	e.number = a.record.Number
+	if e.mustWaitToResume(now) {
+		// The write took effect in a restored store, where the condition may have met the
+		// copy of a row that another process had replaced since.
+		e.validUntil = time.Time{}
+		e.nextCallAt = now.Add(e.times.Observe)
+		return
+	}
 	e.heldEra = e.era
 	e.validUntil = a.sent.Add(e.times.TTL)
 	e.coolDownFrom(e.validUntil)
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -196,3 +196,48 @@
 		<-done
 	})
 }
+
+// Guards against a lease that is valid at once although its write took effect in a restored
+// store, while the holder that the copy lacks still acts, against a restart or a release after
+// which a process competes within TTL, and against a token of the earlier era.
+func TestCoolDown(t *testing.T) {
+	times := Times{TTL: 3 * time.Second, Margin: 600 * time.Millisecond, Renew: time.Second, Observe: time.Second, CoolDown: true}
+	f := &fakeTable{}
+	e := NewElectionWith("a", times)
+	runDueCalls(e, f, start)
+	now := start.Add(3600*time.Millisecond - 1)
+	runDueCalls(e, f, now)
+	checkHeld(t, e, now, 0)
+	if f.row != nil {
+		t.Fatal("process competes at its start")
+	}
+	now = now.Add(2 * time.Second)
+	f.setFault(storage.ErrOutcomeUnknown)
+	runDueCalls(e, f, now)
+	f.setFault(nil)
+	f.row.Era = 1
+	now = now.Add(time.Second)
+	runDueCalls(e, f, now)
+	checkHeld(t, e, now, 0)
+	settled := now.Add(3600 * time.Millisecond)
+	for ; now.Before(settled); now = now.Add(200 * time.Millisecond) {
+		runDueCalls(e, f, now)
+		checkHeld(t, e, now, 0)
+	}
+	for range 6 {
+		now = now.Add(200 * time.Millisecond)
+		runDueCalls(e, f, now)
+	}
+	if l, ok := e.Current(now); !ok || l.Number != 1 || l.Era != 1 {
+		t.Fatalf("lease %+v %v after the era is settled", l, ok)
+	}
+	// Another process takes over and releases; a waits from the end of its own lease.
+	last, _ := e.Current(now)
+	f.row = &storage.Row{Value: []byte(`{"format":1,"number":2}`), Revision: "b", Era: 1}
+	for ; now.Before(last.ValidUntil.Add(3600 * time.Millisecond)); now = now.Add(200 * time.Millisecond) {
+		runDueCalls(e, f, now)
+		if l, ok := e.Current(now); ok && l.Number != 1 {
+			t.Fatalf("lease %+v within the cool-down", l)
+		}
+	}
+}
