--- a/gateway/duty/site_test.go
+++ b/gateway/duty/site_test.go
@@ -156,14 +156,17 @@
 	stop        context.CancelFunc
 	ended       chan struct{}
 	holder      *Holder
-	// crash, if set, is called before each call; true means that the process is killed now.
-	crash func() bool
+	// crashAt, unless 0, is the number of the call at which the process is killed, counted
+	// before and after the effect of each; calls counts them, and crashed is closed then.
+	crashAt, calls atomic.Int64
+	crashed        chan struct{}
 }
 
 // thaw blocks a call while the machine is frozen.
 func (m *machine) thaw(ctx context.Context) error {
-	if m.crash != nil && m.crash() {
+	if at := m.crashAt.Load(); at > 0 && m.calls.Add(1) == at {
 		m.stop()
+		close(m.crashed)
 	}
 	for {
 		m.mu.Lock()
@@ -443,7 +446,7 @@
 	}
 	s.began = time.Now()
 	for _, m := range machines {
-		m.crash = nil
+		m.crashAt.Store(0)
 		m.run()
 	}
 }
@@ -571,28 +574,23 @@
 		for _, all := range []bool{false, true} {
 			s := simulate(t, 3, func(s *site, machines []*machine) {
 				time.Sleep(8 * time.Second)
-				calls, killed := 0, make(chan struct{})
+				var victim *machine
 				for _, m := range machines {
 					if m.holder.Holding() {
-						m.crash = func() bool {
-							if calls++; calls == k+1 {
-								close(killed)
-								return true
-							}
-							return false
-						}
+						victim = m
 					}
 				}
+				victim.crashed = make(chan struct{})
+				victim.crashAt.Store(int64(k + 1))
 				select {
-				case <-killed:
+				case <-victim.crashed:
 				case <-time.After(12 * time.Second):
+					panic("the holder made no further call")
 				}
-				for _, m := range machines {
-					if m.crash != nil && !all {
-						m.kill()
-						m.crash = nil
-						m.run()
-					}
+				if !all {
+					victim.kill()
+					victim.crashAt.Store(0)
+					victim.run()
 				}
 				if all {
 					s.restartAll(machines)
