--- a/gateway/duty/site_test.go
+++ b/gateway/duty/site_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,7 +28,7 @@
 
 // faults are what the store and the platform do to the calls of a gateway at a time.
 type faults struct {
-	storeDown, storeSlow, storeLoses, storeLate, platformDown, platformLoses bool
+	storeDown, storeSlow, storeLoses, storeLate, platformDown, platformLoses, platformSlow bool
 }
 
 // site is a simulated store, platform and truth. Counts are known to all gateways at once.
@@ -38,6 +39,7 @@
 	era     uint64
 	copies  []siteCopy
 	faults  faults
+	ledgers atomic.Uint64
 	writes  int
 	reads   int
 
@@ -154,14 +156,17 @@
 	stop        context.CancelFunc
 	ended       chan struct{}
 	holder      *Holder
-	// crash, if set, is called before each call; true means that the process is killed now.
-	crash func() bool
+	// crashAt, unless 0, is the number of the call at which the process is killed, counted
+	// before and after the effect of each; calls counts them, and crashed is closed then.
+	crashAt, calls atomic.Int64
+	crashed        chan struct{}
 }
 
 // thaw blocks a call while the machine is frozen.
 func (m *machine) thaw(ctx context.Context) error {
-	if m.crash != nil && m.crash() {
+	if at := m.crashAt.Load(); at > 0 && m.calls.Add(1) == at {
 		m.stop()
+		close(m.crashed)
 	}
 	for {
 		m.mu.Lock()
@@ -281,6 +286,10 @@
 	if err := CheckWrite(ctx); err != nil {
 		return errors.Join(storage.ErrUnavailable, err)
 	}
+	// The call arrives late, but before its time-out.
+	if f.platformSlow {
+		_ = wait(context.Background(), 900*time.Millisecond)
+	}
 	m.site.report(m.name, fence, window, counts)
 	if thawErr := m.thaw(ctx); thawErr != nil || f.platformLoses {
 		return storage.ErrOutcomeUnknown
@@ -336,7 +345,7 @@
 }
 
 func newFakeLedger(s *site) *fakeLedger {
-	return &fakeLedger{began: s.began, skewed: uint64(time.Now().UnixNano() % 1000), merged: map[[2]int64]uint64{}}
+	return &fakeLedger{began: s.began, skewed: s.ledgers.Add(1), merged: map[[2]int64]uint64{}}
 }
 
 // counted is the number of requests in a window from a time to another one.
@@ -437,7 +446,7 @@
 	}
 	s.began = time.Now()
 	for _, m := range machines {
-		m.crash = nil
+		m.crashAt.Store(0)
 		m.run()
 	}
 }
@@ -490,6 +499,8 @@
 		m.run()
 	case 10:
 		s.restartAll(machines)
+	case 11:
+		set(func(x *faults, on bool) { x.platformSlow = on })
 	}
 }
 
@@ -500,7 +511,7 @@
 		n := rapid.IntRange(1, 4).Draw(r, "machines")
 		plan := rapid.SliceOfN(rapid.Custom(func(r *rapid.T) fault {
 			return fault{
-				kind: rapid.IntRange(0, 10).Draw(r, "kind"), machine: rapid.IntRange(0, 3).Draw(r, "machine"),
+				kind: rapid.IntRange(0, 11).Draw(r, "kind"), machine: rapid.IntRange(0, 3).Draw(r, "machine"),
 				after:    time.Duration(rapid.IntRange(0, 6000).Draw(r, "after")) * time.Millisecond,
 				duration: time.Duration(rapid.IntRange(0, 8000).Draw(r, "duration")) * time.Millisecond,
 			}
@@ -563,28 +574,23 @@
 		for _, all := range []bool{false, true} {
 			s := simulate(t, 3, func(s *site, machines []*machine) {
 				time.Sleep(8 * time.Second)
-				calls, killed := 0, make(chan struct{})
+				var victim *machine
 				for _, m := range machines {
 					if m.holder.Holding() {
-						m.crash = func() bool {
-							if calls++; calls == k+1 {
-								close(killed)
-								return true
-							}
-							return false
-						}
+						victim = m
 					}
 				}
+				victim.crashed = make(chan struct{})
+				victim.crashAt.Store(int64(k + 1))
 				select {
-				case <-killed:
+				case <-victim.crashed:
 				case <-time.After(12 * time.Second):
+					panic("the holder made no further call")
 				}
-				for _, m := range machines {
-					if m.crash != nil && !all {
-						m.kill()
-						m.crash = nil
-						m.run()
-					}
+				if !all {
+					victim.kill()
+					victim.crashAt.Store(0)
+					victim.run()
 				}
 				if all {
 					s.restartAll(machines)
