Hold no lease that was written across a restore of the store

A process that read the row before the store was restored could write over the restored copy at once. The response then named the new era, and the lease was held although another process had taken it, with the same number, in the earlier era: the cool-down for a new era applied only to later writes.

A holder whose lease was valid when it sent the write goes on as before.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -120,6 +120,10 @@
 	record Record
 	// sent is when the action was issued, not later than the call was sent.
 	sent time.Time
+	// era is the era of the store that was known when the action was issued, and held whether
+	// the process held the lease then.
+	era  uint64
+	held bool
 }
 
 // Election is the state of one process in the election for one lease. It is a state
@@ -256,7 +260,7 @@
 		e.started = true
 		e.coolDownFrom(now)
 	}
-	a := Action{sent: now}
+	a := Action{sent: now, era: e.era, held: now.Before(e.validUntil)}
 	r, write := e.recordToWrite(now)
 	if write {
 		r.Format = recordFormat
@@ -338,6 +342,12 @@
 		return
 	}
 	e.number = a.record.Number
+	if e.times.CoolDown && !a.held && e.era > a.era {
+		// The store was restored after the row was read. Another process may have taken over
+		// from the same row in the earlier era, with the same number.
+		e.nextCallAt = now.Add(e.times.Observe)
+		return
+	}
 	e.heldEra = e.era
 	e.validUntil = a.sent.Add(e.times.TTL)
 	e.coolDownFrom(e.validUntil)
