Store the era of reports with the first checkpoint

The row with the era was written only with a recorded window. If all gateways were killed before the first record in an era above zero, the next holder could not tell that the store was not restored in between, and never reported the windows that had ended before it started.

The first checkpoint contains the row too, unless records that a restored store lost are still to be written: a holder that finds the row may record windows from before the restore. TestAllKilledBeforeFirstRecord failed before (window not reported).

--- a/gateway/duty/reporter.go
+++ b/gateway/duty/reporter.go
@@ -248,11 +248,16 @@
 	if !due {
 		return Step{}, false
 	}
+	r.addEra(&s)
+	return s, true
+}
+
+// addEra adds the row of the era to a write if it is not stored.
+func (r *Reporter) addEra(s *Step) {
 	if !r.eraStored && r.era > 0 {
 		s.era = &eraRecord{Format: recordVersion, Era: r.era, FirstWindow: r.allowedFrom}
 		s.Rows = append(s.Rows, s.era.row(r.eraRevision))
 	}
-	return s, true
 }
 
 // nextUnsent returns the recorded window that was not sent, and of several the one whose last
@@ -269,38 +274,6 @@
 	return index, ok
 }
 
-// checkpointStep returns the write of the ledger's changed rows, if that is due.
-func (r *Reporter) checkpointStep(m Moment) Step {
-	revision := r.options.Ledger.Revision()
-	if revision == r.checkpointed || m.Now.Sub(r.checkpointAt) < checkpointInterval {
-		return Step{}
-	}
-	r.checkpointAt = m.Now
-	values, err := r.options.Ledger.Encode()
-	if err != nil {
-		r.options.OnEvent(Event{Kind: EventRowsFailed, Err: err})
-		return Step{}
-	}
-	if len(values) > maxCountRows {
-		if !r.tooLarge {
-			r.options.OnEvent(Event{Kind: EventTooLarge})
-		}
-		r.tooLarge = true
-		values = values[:maxCountRows]
-	}
-	s := Step{Kind: StepWrite, checkpoint: true, ledgerAt: revision}
-	for i, v := range values {
-		if r.countRevisions[i] == "" || r.countHashes[i] != xxhash.Sum64(v) {
-			s.Rows = append(s.Rows, storage.Row{Key: countsKey(i), Value: v, Revision: r.countRevisions[i]})
-		}
-	}
-	if len(s.Rows) == 0 {
-		r.checkpointed = revision
-		return Step{}
-	}
-	return s
-}
-
 // Handle takes the outcome of a step: the rows that were read or written, and the error.
 func (r *Reporter) Handle(m Moment, s Step, rows []storage.Row, err error) {
 	for _, row := range rows {
@@ -350,6 +323,9 @@
 	for _, row := range rows {
 		byKey[row.Key] = row
 	}
+	if s.era != nil {
+		r.eraStored, r.eraRevision = s.era.Era == r.era, byKey[eraKey].Revision
+	}
 	if s.checkpoint {
 		r.checkpointed = s.ledgerAt
 		for i := range r.countRevisions {
@@ -359,9 +335,6 @@
 		}
 		return
 	}
-	if s.era != nil {
-		r.eraStored, r.eraRevision = s.era.Era == r.era, byKey[eraKey].Revision
-	}
 	for i, v := range s.slots {
 		recorded := !v.confirmed
 		if old := r.slots[i]; recorded && old.confirmed && !old.Sent {
--- a/gateway/duty/site_test.go
+++ b/gateway/duty/site_test.go
@@ -607,3 +607,15 @@
 		}
 	}
 }
+
+// Guards against windows that are not reported after all gateways were killed before the first
+// record: the next holder must know that the store was not restored since they ended.
+func TestAllKilledBeforeFirstRecord(t *testing.T) {
+	s := simulate(t, 3, func(s *site, machines []*machine) {
+		s.restore(0)
+		time.Sleep(5100*time.Millisecond - time.Since(s.start))
+		s.restartAll(machines)
+		time.Sleep(30*time.Second - time.Since(s.start))
+	})
+	s.checkTimely(t, 0.05, 30*time.Second)
+}
