State all usage counts in rotation and ignore huge ones

The position of the rotation was set back at each new window. On the largest site there is about one statement in a window, so that only the first 32 counts were ever stated again to peers that had missed them. The position now stays.

A statement with a count near the largest integer made sums wrap around, so that counts of other gateways were subtracted. Counts and sums above 2^40 are now dropped and counted as such.

--- a/gateway/usage/checkpoint.go
+++ b/gateway/usage/checkpoint.go
@@ -184,8 +184,7 @@
 		if !l.keeps(w.Window) {
 			continue
 		}
-		counts := s.window(w.Window)
-		counts.total = max(counts.total, w.Total)
+		l.raiseTotal(s, w.Window, w.Total)
 		for i, account := range w.Accounts {
 			l.raise(s, w.Window, accounts[account], w.Counts[i])
 		}
--- a/gateway/usage/ledger.go
+++ b/gateway/usage/ledger.go
@@ -30,6 +30,9 @@
 	maxAccounts = 4096
 	// maxEntries bounds the counts of all sources together: some 30 MB.
 	maxEntries = 1 << 18
+	// maxCount bounds a count and a stated sum, so that sums of counts do not overflow after a
+	// malformed statement.
+	maxCount = 1 << 40
 	// Closed is the final window of a source that has ended and counts nothing more.
 	Closed = math.MaxInt64
 )
@@ -163,6 +166,10 @@
 	if count <= known {
 		return false
 	}
+	if count > maxCount {
+		l.dropped++
+		return false
+	}
 	if known == 0 {
 		if len(counts.counts) >= maxAccounts || l.entries >= maxEntries {
 			l.dropped++
@@ -179,6 +186,20 @@
 	return true
 }
 
+// raiseTotal sets the sum that a source stated of a window that is kept, if it is higher than
+// the known one.
+func (l *Ledger) raiseTotal(s *source, w int64, total uint64) {
+	if !l.keeps(w) {
+		return
+	}
+	if total > maxCount {
+		l.dropped++
+		return
+	}
+	counts := s.window(w)
+	counts.total = max(counts.total, total)
+}
+
 // window returns the counts of a window.
 func (s *source) window(w int64) *window {
 	if s.windows[w] == nil {
--- a/gateway/usage/statement.go
+++ b/gateway/usage/statement.go
@@ -28,7 +28,7 @@
 	// repeats how often each of them is to be stated.
 	queue   []Entry
 	repeats map[Entry]int
-	// all holds every entry, and next the first one to be stated again in rotation.
+	// all holds every entry, and next the position of the one that was last stated in rotation.
 	all   []Entry
 	known map[Entry]bool
 	next  int
@@ -53,14 +53,17 @@
 // prune drops the entries of windows that are not kept.
 func (o *outbox) prune(keeps func(int64) bool) {
 	gone := func(e Entry) bool { return !keeps(e.Window) }
-	for _, e := range o.all {
+	next := o.next
+	for i, e := range o.all {
 		if gone(e) {
 			delete(o.known, e)
 			delete(o.repeats, e)
+			if i <= o.next {
+				next--
+			}
 		}
 	}
-	o.queue, o.all = slices.DeleteFunc(o.queue, gone), slices.DeleteFunc(o.all, gone)
-	o.next = 0
+	o.queue, o.all, o.next = slices.DeleteFunc(o.queue, gone), slices.DeleteFunc(o.all, gone), next
 }
 
 // take returns up to n entries for the next statement.
@@ -120,9 +123,8 @@
 	for _, e := range entries {
 		if e.Account != "" {
 			l.raise(s, e.Window, e.Account, e.Count)
-		} else if l.keeps(e.Window) && e.Count > 0 {
-			counts := s.window(e.Window)
-			counts.total = max(counts.total, e.Count)
+		} else if e.Count > 0 {
+			l.raiseTotal(s, e.Window, e.Count)
 		}
 	}
 }
--- a/gateway/usage/usage_test.go
+++ b/gateway/usage/usage_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -222,3 +223,41 @@
 	}
 	t.Logf("%d rows with %d bytes", len(rows), sum)
 }
+
+// Guards against counts that are never stated again on the largest site, where there is one
+// statement in a window: a peer that missed the first statements would never have them.
+func TestAllCountsAreStatedInRotation(t *testing.T) {
+	a, b := newTestLedger("a"), newTestLedger("b")
+	for n := range 3 * maxRefreshed {
+		a.Count(1000, fmt.Sprintf("account%d", n))
+	}
+	for range statedRepeat {
+		tell(a, nil)
+	}
+	for w := range 4 {
+		now := begin.Add(time.Duration(w) * testWindow)
+		a.Advance(now)
+		b.Advance(now)
+		tell(a, b)
+	}
+	if got := len(b.Totals(1000)); got != 3*maxRefreshed {
+		t.Errorf("%d counts arrived, want %d", got, 3*maxRefreshed)
+	}
+}
+
+// Guards against sums that wrap around since a malformed statement has a huge count: the
+// counts of the other gateways would be subtracted from a report.
+func TestHugeCountsAreIgnored(t *testing.T) {
+	l := newTestLedger("l")
+	l.Count(1000, "x")
+	l.Apply(Source{"peer", 1}, 1000, []Entry{{1000, "", math.MaxUint64}, {1000, "x", math.MaxUint64}, {1000, "y", 2}})
+	checkTotals(t, l, 1000, map[string]uint64{"x": 1, "y": 2})
+	if l.Dropped() != 2 {
+		t.Errorf("%d dropped, want 2", l.Dropped())
+	}
+	l.Advance(begin.Add(testWindow))
+	l.Finalize(1000)
+	if !l.Complete(1000) {
+		t.Error("a huge sum keeps the window incomplete")
+	}
+}
