--- a/gateway/features.go
+++ b/gateway/features.go
@@ -97,7 +97,7 @@
 	require(d.LeaseTTLMS > 0, "lease_ttl_ms", "must be positive")
 	require(d.ThawSlackMS >= 0, "thaw_slack_ms", "must not be negative")
 	if slices.Contains(d.Names, dutyUsageReporting) {
-		require(d.ReportWindowS > 0, "report_window_s", "must be positive")
+		require(d.reportWindow() > 0, "report_window_s", "must be at least 1 ns")
 		require(d.ReportDelayS > 0, "report_delay_s", "must be positive")
 		require(d.ReportTolerance >= 0, "report_tolerance", "must not be negative")
 	}
--- a/gateway/usage_test.go
+++ b/gateway/usage_test.go
@@ -283,3 +283,11 @@
 		t.Errorf("statement %v", statement)
 	}
 }
+
+// Guards against a window length that rounds to zero ns, by which windows are divided.
+func TestReportWindowIsLongEnough(t *testing.T) {
+	d := Duties{Address: "10.9.9.9:1", Names: []string{dutyUsageReporting}, ReportWindowS: 1e-10, ReportDelayS: 10, CallsPerS: 5, LeaseTTLMS: 3000}
+	if d.check() == nil {
+		t.Error("a window of 0 ns is accepted")
+	}
+}
