Resolve the merge of the review of duties

The merge was committed with conflict markers. The condition under which a confirmed write gives no lease in a restored store now covers both cases; the killed holder of the simulation is the version without a race.

--- a/gateway/duty/site_test.go
+++ b/gateway/duty/site_test.go
@@ -156,26 +156,15 @@
 	stop        context.CancelFunc
 	ended       chan struct{}
 	holder      *Holder
-<<<<<<< HEAD
 	// crashAt, unless 0, is the number of the call at which the process is killed, counted
 	// before and after the effect of each; calls counts them, and crashed is closed then.
 	crashAt, calls atomic.Int64
 	crashed        chan struct{}
-=======
-	// crash, if set, is called with mu held before each call; true means that the process is
-	// killed now.
-	crash func() bool
->>>>>>> review1
 }
 
 // thaw blocks a call while the machine is frozen.
 func (m *machine) thaw(ctx context.Context) error {
-<<<<<<< HEAD
 	if at := m.crashAt.Load(); at > 0 && m.calls.Add(1) == at {
-=======
-	m.mu.Lock()
-	if m.crash != nil && m.crash() {
->>>>>>> review1
 		m.stop()
 		close(m.crashed)
 	}
@@ -195,14 +184,6 @@
 	}
 }
 
-// setCrash sets crash, and reports whether it was set before.
-func (m *machine) setCrash(crash func() bool) (wasSet bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	wasSet, m.crash = m.crash != nil, crash
-	return wasSet
-}
-
 func (m *machine) freeze(d time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -466,11 +447,7 @@
 	}
 	s.began = time.Now()
 	for _, m := range machines {
-<<<<<<< HEAD
 		m.crashAt.Store(0)
-=======
-		m.setCrash(nil)
->>>>>>> review1
 		m.run()
 	}
 }
@@ -601,17 +578,7 @@
 				var victim *machine
 				for _, m := range machines {
 					if m.holder.Holding() {
-<<<<<<< HEAD
 						victim = m
-=======
-						m.setCrash(func() bool {
-							if calls++; calls == k+1 {
-								close(killed)
-								return true
-							}
-							return false
-						})
->>>>>>> review1
 					}
 				}
 				victim.crashed = make(chan struct{})
@@ -621,18 +588,10 @@
 				case <-time.After(12 * time.Second):
 					panic("the holder made no further call")
 				}
-<<<<<<< HEAD
 				if !all {
 					victim.kill()
 					victim.crashAt.Store(0)
 					victim.run()
-=======
-				for _, m := range machines {
-					if !all && m.setCrash(nil) {
-						m.kill()
-						m.run()
-					}
->>>>>>> review1
 				}
 				if all {
 					s.restartAll(machines)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -342,16 +342,10 @@
 		return
 	}
 	e.number = a.record.Number
-<<<<<<< HEAD
-	if e.mustWaitToResume(now) {
+	if e.mustWaitToResume(now) || e.times.CoolDown && !a.held && e.era > a.era {
 		// The write took effect in a restored store, where the condition may have met the
-		// copy of a row that another process had replaced since.
+		// copy of a row that another process had replaced since, with the same number.
 		e.validUntil = time.Time{}
-=======
-	if e.times.CoolDown && !a.held && e.era > a.era {
-		// The store was restored after the row was read. Another process may have taken over
-		// from the same row in the earlier era, with the same number.
->>>>>>> review1
 		e.nextCallAt = now.Add(e.times.Observe)
 		return
 	}
