--- a/gateway/duty/site_test.go
+++ b/gateway/duty/site_test.go
@@ -168,7 +168,6 @@
 		m.stop()
 		close(m.crashed)
 	}
-	m.mu.Unlock()
 	for {
 		m.mu.Lock()
 		wait := time.Until(m.frozenUntil)
