Let a smoothed share of the requests leave an overloaded zone

With features.zone_spill a share of a service's requests may leave the availability zone. It rises with the difference of the mean waits beyond the network latency and the price of the bytes (zone_price), and is damped by the age of the statements. Zones above the site's mean wait send, those below it receive. Without the feature every choice is as before.

A constant cost and a hard threshold were ruled out: gateways that see the same loads would all send at once. An integral term was tried and left out: it equalized the waits so far that zones exchanged requests.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -92,6 +92,8 @@
 	onVersion func(versions.Change)
 	// onTrial is called with a request that is sent although its verdict condemns it.
 	onTrial func(request string, v crashes.Verdict)
+	// onSpill is called when a service begins or ends to send requests to other zones.
+	onSpill func(placement.SpillChange)
 }
 
 func newDispatcher(s Settings, rng *rand.Rand) *dispatcher {
@@ -107,7 +109,7 @@
 	fleet.SetPaused(pauses.Paused)
 	limits := ratelimit.New(time.Now(), s.Listen.Peers)
 	fleet.SetLimits(limits)
-	return &dispatcher{
+	d := &dispatcher{
 		fleet:             fleet,
 		health:            health.New(health.Options{Window: 5 * time.Second, OpenTime: 2 * time.Second, MaxOpenTime: 8 * time.Second, RampTime: 3 * time.Second}),
 		gate:              gate,
@@ -130,7 +132,10 @@
 		onSuspects:        func([]crashes.Change) {},
 		onVersion:         func(versions.Change) {},
 		onTrial:           func(string, crashes.Verdict) {},
+		onSpill:           func(placement.SpillChange) {},
 	}
+	d.setZoneSpill(s, rng)
+	return d
 }
 
 // Admit implements relay.Placer.
@@ -224,6 +229,7 @@
 		})
 	}
 	d.health.Each(now, d.fleet.SetHealth)
+	d.fleet.RefreshZones(now)
 	changes := d.registry.Expire(now)
 	d.applyChanges(now, changes)
 	if d.mixed || len(d.proposed) > 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -134,11 +134,12 @@
 	g := &Gateway{options: o, log: o.Log, dispatcher: newDispatcher(o.Settings, o.Rand)}
 	g.dispatcher.onEndpointChanges, g.dispatcher.onPause, g.dispatcher.onLimit = g.logEndpointChanges, g.logPause, g.logLimit
 	g.dispatcher.onSuspects, g.dispatcher.onTrial, g.dispatcher.onVersion = g.logSuspects, g.logTrial, g.logVersion
+	g.dispatcher.onSpill = g.logSpill
 	g.gracePeriod.Store(int64(o.Settings.GracePeriod()))
 	g.storeStatus = follow.NewStoreStatus(rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())))
 	g.pool = upstream.NewPool(upstream.Options{OnDial: func(_ string, err error) {
 		o.Metrics.Connections.Add(1, telemetry.OKLabels(err == nil))
-	}})
+	}, OnConnected: g.dispatcher.connected})
 	g.samplePeers = func(int) []string { return nil }
 	g.registerMetrics()
 	g.callerConnLimits = newConnLimits(g.limits)
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -74,6 +74,9 @@
 				Float64("tight", a.Load.Tight).
 				Int("prefill", a.Load.Prefill).
 				Int64("load_age_ms", ms(a.LoadAge))
+			if a.OtherZone != "" {
+				attempt = attempt.Str("other_zone", a.OtherZone)
+			}
 			if a.FetchedFrom != "" {
 				attempt = attempt.Str("fetched_from", a.FetchedFrom)
 			}
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -39,6 +39,7 @@
 	for _, a := range r.Attempts {
 		m.Attempts.Add(1, telemetry.ResultLabels{Outcome: a.Result})
 	}
+	g.countZoneTraffic(r)
 	logRecord(g.log, r)
 }
 
@@ -75,6 +76,11 @@
 			set(s.Rate, telemetry.ClassLabels{Class: service})
 		})
 	})
+	m.ZoneShare.Observe(func(set func(float64, telemetry.ClassLabels)) {
+		g.dispatcher.zoneShares(func(service string, share float64) {
+			set(share, telemetry.ClassLabels{Class: service})
+		})
+	})
 	m.StoreUp.Observe(func(set func(float64, telemetry.ReasonLabels)) {
 		g.tableUp.Range(func(table, up any) bool {
 			name, _ := table.(string)
--- a/gateway/placement/cost.go
+++ b/gateway/placement/cost.go
@@ -78,9 +78,8 @@
 	} else {
 		cost = s.plainCost(&c, e, w)
 	}
-	if e.Zone != f.zone {
-		cost += zoneCost + zoneByteCost*float64(w.BodyBytes)
-	}
+	c.LeavesZone = e.Zone != f.zone
+	cost += f.zoneCostOf(e, w)
 	if e.weight < 1 {
 		cost += (1 - e.weight) * overloadCost / 2
 	}
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -172,6 +172,8 @@
 	rng  *rand.Rand
 	// placements holds the latest placements of this gateway, oldest first.
 	placements []Placement
+	// spill is nil while the zone is chosen by a constant cost.
+	spill *zoneSpill
 }
 
 // service holds the endpoints of a service with estimates that apply to all of them.
@@ -189,6 +191,8 @@
 	// milliseconds; infinite for none.
 	strictestPauseMS float64
 	strict           strictDemand
+	// spill is unused while the zone is chosen by a constant cost.
+	spill zoneShare
 }
 
 // sortMembers sorts the members by hash, so that all gateways use the same order, and
@@ -346,6 +350,8 @@
 	// tokens in them.
 	FetchFrom string
 	Fetched   int
+	// LeavesZone is true if the endpoint is in another availability zone.
+	LeavesZone bool
 	// SpeedUnknown is true while the estimates rest on a default or on too few
 	// observations of the prefill speed.
 	SpeedUnknown bool
@@ -365,7 +371,13 @@
 	if s == nil {
 		return Choice{}, false
 	}
-	best, found := f.cheapest(now, s, w, func(e *endpoint) bool { return f.usable(now, e) })
+	var best Choice
+	var found bool
+	if f.spill != nil {
+		best, found = f.chooseZone(now, s, w)
+	} else {
+		best, found = f.cheapest(now, s, w, func(e *endpoint) bool { return f.usable(now, e) })
+	}
 	if !found {
 		best, found = f.cheapest(now, s, w, func(*endpoint) bool { return true })
 	}
@@ -399,7 +411,8 @@
 // of another version than the work allows or whose limit allows no request. It sets limitedCosts to the limited endpoints that are
 // cheaper than all others, whether or not they allow the request.
 func (f *Fleet) cheapest(now time.Time, s *service, w *Work, accept func(*endpoint) bool) (Choice, bool) {
-	homes := s.homes(now, w, func(e *endpoint) bool { return f.usable(now, e) })
+	// Each zone has homes of its own while requests leave it by share.
+	homes := s.homes(now, w, func(e *endpoint) bool { return f.usable(now, e) && (f.spill == nil || accept(e)) })
 	homes.source, homes.sourceTokens = s.fetchSource(now, w, func(e *endpoint) bool { return f.isSource(now, e) })
 	homes.strictShare = s.strictShare(now)
 	var best Choice
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -39,7 +39,7 @@
 	}
 	x.events.lastID = x.fields.LastEventID
 	x.fingerprint = x.requestFingerprint()
-	x.record.Fingerprint, x.record.Parts = x.fingerprint, x.fields.Parts
+	x.record.Fingerprint, x.record.Parts, x.record.BodyBytes = x.fingerprint, x.fields.Parts, len(x.body)
 	for x.attempt(ctx, service) {
 	}
 }
@@ -104,6 +104,9 @@
 		Load:           choice.Load,
 		LoadAge:        choice.LoadAge,
 	})
+	if choice.LeavesZone {
+		x.record.Attempts[len(x.record.Attempts)-1].OtherZone = choice.Endpoint.Zone
+	}
 	start, eventsBefore := time.Now(), x.record.Events
 	attemptCtx, cancel := x.attemptContext(ctx, placed)
 	end := x.send(ctx, attemptCtx, placed)
--- a/gateway/relay/record.go
+++ b/gateway/relay/record.go
@@ -47,6 +47,8 @@
 	// Parts are the segments of its prompt.
 	Fingerprint crashes.Fingerprint
 	Parts       []placement.Part
+	// BodyBytes is the size of the request's body.
+	BodyBytes int
 }
 
 // Broken reports whether an attempt of the request ended with the connection to its
@@ -58,6 +60,9 @@
 // AttemptRecord is the part of a Record about one attempt.
 type AttemptRecord struct {
 	Endpoint string
+	// OtherZone is the availability zone of the endpoint if the request left its own one;
+	// empty otherwise.
+	OtherZone string
 	// Version is the version of the endpoint's software.
 	Version string
 	// Expected is the estimated time to the first event or to the plain response.
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -57,6 +57,10 @@
 	Guarantees []string `json:"guarantees,omitempty"`
 	Features   Features `json:"features,omitzero"`
 	Duties     Duties   `json:"duties,omitzero"`
+	// ZonePrice is the cost of a MiB that is sent to another availability zone, in missed
+	// targets: with 0.5, two MiB cost as much as one request that misses its target. It is
+	// used with features.zone_spill; the default is placement.DefaultZonePrice.
+	ZonePrice *float64 `json:"zone_price,omitempty"`
 }
 
 // Listen holds the addresses on which a gateway accepts connections.
@@ -124,6 +128,7 @@
 	require(s.ConfigApplyMS >= 0, "config_apply_ms", "must not be negative")
 	require(s.DrainTimeoutMS >= 0, "drain_timeout_ms", "must not be negative")
 	require(s.LogLinesPerS >= 0, "log_lines_per_s", "must not be negative")
+	require(s.ZonePrice == nil || *s.ZonePrice >= 0, "zone_price", "must not be negative")
 	placementErr, admissionErr := s.PlacementRule.Check(), s.AdmissionRule.Check()
 	require(placementErr == nil, "placement_rule", fmt.Sprint(placementErr))
 	require(admissionErr == nil, "admission_rule", fmt.Sprint(admissionErr))
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -39,6 +39,7 @@
 		{"log_lines_per_s", -5},
 		{"placement_rule", "chepest"},
 		{"admission_rule", "none"},
+		{"zone_price", -0.1},
 		{"unknown_field", 1},
 		{"peer_seeds", []string{"nowhere"}},
 		{"duties", map[string]any{"address": "10.0.0.1:80", "lease_ttl_ms": 3000}},
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -35,6 +35,9 @@
 	DialTimeout time.Duration
 	// OnDial is called after each attempt to open a connection, unless it is nil.
 	OnDial func(address string, err error)
+	// OnConnected is called with the time that it took to open a connection, unless it is
+	// nil.
+	OnConnected func(address string, took time.Duration)
 }
 
 // Pool sends requests and keeps idle connections by address. It is safe for
@@ -60,6 +63,9 @@
 	if o.OnDial == nil {
 		o.OnDial = func(string, error) {}
 	}
+	if o.OnConnected == nil {
+		o.OnConnected = func(string, time.Duration) {}
+	}
 	p := &Pool{options: o, idle: make(map[string][]*conn)}
 	p.dialer = net.Dialer{
 		Timeout: o.DialTimeout,
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -264,11 +264,13 @@
 		}
 		c.Close()
 	}
+	began := time.Now()
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	p.options.OnDial(address, err)
 	if err != nil {
 		return nil, err
 	}
+	p.options.OnConnected(address, time.Since(began))
 	if err := setTCPUserTimeout(raw, tcpUserTimeout); err != nil {
 		raw.Close()
 		return nil, fmt.Errorf("set TCP_USER_TIMEOUT: %w", err)
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -18,6 +18,9 @@
 	Peers           *Gauge[NoLabels]
 	Condemned       *Gauge[ClassLabels]
 	PrefillRate     *Gauge[ClassLabels]
+	ZoneShare       *Gauge[ClassLabels]
+	ZoneRequests    *Counter[ZoneLabels]
+	ZoneBytes       *Counter[ZoneLabels]
 	StoreUp         *Gauge[ReasonLabels]
 	StoreEra        *Gauge[NoLabels]
 	PlatformCalls   *Counter[OperationLabels]
@@ -39,6 +42,9 @@
 		Peers:           newGauge[NoLabels](p, "gateway_peers", "", 1, "Other gateways heard within 5 s."),
 		Condemned:       newGauge[ClassLabels](p, "gateway_condemned", "", maxOutcomes, "Suspects that are condemned for crashing endpoints, by class: request, part."),
 		PrefillRate:     newGauge[ClassLabels](p, "gateway_prefill_rate", "", maxClasses, "Prompt tokens per millisecond that an engine is assumed to read, by service, as all gateways observed it."),
+		ZoneShare:       newGauge[ClassLabels](p, "gateway_zone_share", "", maxClasses, "Share of the requests that may leave the availability zone, by service; none without features.zone_spill."),
+		ZoneRequests:    newCounter[ZoneLabels](p, "gateway_zone_requests", maxZones, "Attempts at endpoints in other availability zones, by zone."),
+		ZoneBytes:       newCounter[ZoneLabels](p, "gateway_zone_bytes", maxZones, "Bytes of request bodies sent to other availability zones, by zone."),
 		StoreUp:         newGauge[ReasonLabels](p, "gateway_store_up", "", maxOutcomes, "1 while the table of the store answers, otherwise 0."),
 		StoreEra:        newGauge[NoLabels](p, "gateway_store_era", "", 1, "Number of times that the store came back from an older copy, as it states; 0 if it states none."),
 		PlatformCalls:   newCounter[OperationLabels](p, "gateway_platform_calls", maxOutcomes, "Calls of the platform's store. Outcomes: ok, conflict, not_found, unavailable, unknown, rejected."),
--- a/telemetry/labels.go
+++ b/telemetry/labels.go
@@ -119,6 +119,13 @@
 	}
 }
 
+// ZoneLabels name an availability zone.
+type ZoneLabels struct{ Zone string }
+
+func (l ZoneLabels) pairs() []attribute.KeyValue {
+	return []attribute.KeyValue{attribute.String("zone", l.Zone)}
+}
+
 // StateLabels hold a state out of a fixed set.
 type StateLabels struct{ State string }
 
--- a/telemetry/router.go
+++ b/telemetry/router.go
@@ -9,6 +9,7 @@
 	maxAccounts = 1024
 	maxOutcomes = 64
 	maxTiers    = 3
+	maxZones    = 16
 	maxCodes    = 256
 	maxRequests = 1024
 )
