--- a/gateway/placement/zones_test.go
+++ b/gateway/placement/zones_test.go
@@ -139,3 +139,23 @@
 		}
 	}
 }
+
+// Guards against a restarted gateway, or one whose statements are stale, that sends all
+// requests away at once: the share moves by at most a tenth in 100 ms, and old knowledge
+// lengthens the time that counts against it.
+func TestShareMovesSlowlyAndAgeIsCounted(t *testing.T) {
+	var z zoneShare
+	z.move(start, 1)
+	for i := range 10 {
+		before := z.share
+		z.move(start.Add(time.Duration(i+1)*100*time.Millisecond), 1)
+		if z.share-before > 0.1+1e-9 {
+			t.Fatalf("the share moved by %.3f in 100 ms", z.share-before)
+		}
+	}
+	f := NewFleet("zone-0")
+	f.PeerLoads(start, "peer", nil)
+	if fresh, stale := f.unknownMS(start), f.unknownMS(start.Add(350*time.Millisecond)); fresh != 0 || stale < 349 {
+		t.Errorf("unknown time %.0f ms when fresh and %.0f ms when 350 ms old, want 0 and 350", fresh, stale)
+	}
+}
--- a/gateway/placement/zonesite_test.go
+++ b/gateway/placement/zonesite_test.go
@@ -147,12 +147,3 @@
 func (s *zoneSite) reset() {
 	s.sent, s.left, s.received, s.started, s.late = [siteZones]float64{}, [siteZones]float64{}, [siteZones]float64{}, [siteZones]float64{}, [siteZones]float64{}
 }
-
-// share is the mean share of the gateways of a zone.
-func (s *zoneSite) share(zone int) float64 {
-	sum, n := 0.0, 0.0
-	for i := zone; i < len(s.gateways); i += siteZones {
-		s.gateways[i].ZoneShares(func(_ string, share float64) { sum, n = sum+share, n+1 })
-	}
-	return sum / n
-}
