Refuse no request that another zone can serve in time

Review of features.zone_spill. The gate saw only the choice by share, so requests were refused as out of time while the share was 0 and another zone was idle; they are now placed in any zone that is quick enough. Token counts of callers could overflow to a negative price. One slow connection could keep requests from a zone for good; connection times are forgotten after 30 s. Connections took the dispatcher's mutex with the feature off. The unknown time visited all peers for each request; it is now computed with the waits, at most every 10 ms.

--- a/gateway/admission/gate.go
+++ b/gateway/admission/gate.go
@@ -104,15 +104,27 @@
 // SetRule sets the rule for the following requests.
 func (g *Gate) SetRule(r Rule) { g.rule = r }
 
+// checkTime decides from the expected times of a request alone.
+func (g *Gate) checkTime(r Request, c Choice) Decision {
+	if g.rule == DeadlineOnly {
+		return checkDeadline(r, c)
+	}
+	return checkLatency(r, c)
+}
+
+// InTime reports whether an endpoint is expected to begin a request early enough that it is
+// not refused for that.
+func (g *Gate) InTime(r Request, c Choice) bool { return g.checkTime(r, c).Admitted }
+
 // Decide admits or refuses a request for which c is the best endpoint. A stream that
 // would miss its target but not its deadline is refused only if no less urgent one was
 // admitted recently; until then it is admitted, and its lateness causes less urgent
 // ones to be refused.
 func (g *Gate) Decide(now time.Time, r Request, c Choice) Decision {
+	decision := g.checkTime(r, c)
 	if g.rule == DeadlineOnly {
-		return checkDeadline(r, c)
+		return decision
 	}
-	decision := checkLatency(r, c)
 	if !r.Streaming || r.IsRetry || decision.Reason == OutOfTime {
 		return decision
 	}
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -151,11 +151,7 @@
 	if refusal := d.restrictVersion(now, w, r); refusal != nil {
 		return nil, refusal
 	}
-	choice, found := d.fleet.Choose(now, w)
-	if !found {
-		return nil, d.refuseNoEndpoint(now, w, r)
-	}
-	decision := d.gate.Decide(now, admission.Request{
+	request := admission.Request{
 		Service:   w.Service,
 		Route:     r.Route,
 		Streaming: w.Streaming,
@@ -164,7 +160,12 @@
 		Target:    w.Target,
 		TimeLeft:  r.TimeLeft,
 		IsRetry:   r.IsRetry,
-	}, choice)
+	}
+	choice, found := d.choose(now, w, request)
+	if !found {
+		return nil, d.refuseNoEndpoint(now, w, r)
+	}
+	decision := d.gate.Decide(now, request, choice)
 	if !decision.Admitted {
 		return nil, &relay.Refusal{Reason: decision.Reason, RetryAfter: decision.RetryAfter, Choice: &choice, RefusedShare: decision.Share}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -139,7 +139,7 @@
 	g.storeStatus = follow.NewStoreStatus(rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())))
 	g.pool = upstream.NewPool(upstream.Options{OnDial: func(_ string, err error) {
 		o.Metrics.Connections.Add(1, telemetry.OKLabels(err == nil))
-	}, OnConnected: g.dispatcher.connected})
+	}, OnConnected: g.dispatcher.onConnected()})
 	g.samplePeers = func(int) []string { return nil }
 	g.registerMetrics()
 	g.callerConnLimits = newConnLimits(g.limits)
--- a/gateway/placement/bench_test.go
+++ b/gateway/placement/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -41,6 +42,37 @@
 	}
 }
 
+// BenchmarkChooseZone measures the choice between zones with features.zone_spill against the
+// choice without it, also while all requests leave the zone.
+func BenchmarkChooseZone(b *testing.B) {
+	for _, size := range []struct{ engines, gateways int }{{54, 29}, {600, 410}} {
+		for _, mode := range []string{"off", "on", "on_overloaded"} {
+			b.Run(fmt.Sprintf("%d_engines_%d_gateways_%s", size.engines, size.gateways, mode), func(b *testing.B) {
+				f := site(size.engines, size.gateways-1)
+				for i := range size.engines {
+					e := f.endpoints[fmt.Sprintf("engine-%d", i)].Endpoint
+					e.Zone = fmt.Sprint("zone-", i%siteZones)
+					f.Put(e)
+					if mode == "on_overloaded" && e.Zone == "zone-0" {
+						f.endpoints[e.ID].ownLoad.Running = 100_000
+					}
+				}
+				f.zone = "zone-0"
+				if mode != "off" {
+					f.SetZoneSpill(ZoneSpillOptions{Rand: rand.New(rand.NewPCG(1, 2)), Price: DefaultZonePrice})
+				}
+				w, now := planWork(77), start
+				for b.Loop() {
+					now = now.Add(time.Millisecond)
+					if _, ok := f.Choose(now, w); !ok {
+						b.Fatal("no endpoint")
+					}
+				}
+			})
+		}
+	}
+}
+
 // BenchmarkPeerLoads measures the processing of one load statement of a peer.
 func BenchmarkPeerLoads(b *testing.B) {
 	for _, engines := range []int{12, 100, 600} {
--- a/gateway/placement/zones.go
+++ b/gateway/placement/zones.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -45,6 +46,9 @@
 	maxZones = 16
 	// latencySmoothing is the weight of the newest connection in the latency of a zone.
 	latencySmoothing = 0.1
+	// connectLifetime is the time after which the connection time of a zone is forgotten. A
+	// price that is too high for any request would otherwise never be measured again.
+	connectLifetime = 30 * time.Second
 )
 
 // ZoneSpillOptions configures the choice between availability zones.
@@ -69,7 +73,13 @@
 	options ZoneSpillOptions
 	// connectMS is the smoothed time to open a connection to an endpoint, in
 	// milliseconds, by zone.
-	connectMS map[string]float64
+	connectMS map[string]connectTime
+}
+
+// connectTime is a smoothed time to open a connection, in milliseconds, as of a time.
+type connectTime struct {
+	ms float64
+	at time.Time
 }
 
 // zoneShare is the share of the requests of this gateway for one service that may leave
@@ -80,6 +90,8 @@
 	own     zoneWait
 	others  []zoneWait
 	waitsAt time.Time
+	// unknownMS is Fleet.unknownMS at waitsAt; it visits all peers.
+	unknownMS float64
 	// updatedAt is when the share last moved, and requestAt the time of the last request.
 	updatedAt, requestAt time.Time
 	// reported is the state of the last SpillChange, at reportedAt.
@@ -99,30 +111,30 @@
 // SetZoneSpill lets requests leave the availability zone by share instead of by a
 // constant cost.
 func (f *Fleet) SetZoneSpill(o ZoneSpillOptions) {
-	f.spill = &zoneSpill{options: o, connectMS: make(map[string]float64)}
+	f.spill = &zoneSpill{options: o, connectMS: make(map[string]connectTime)}
 }
 
 // Connected records how long it took to open a connection to an address. Times are kept
 // for at most maxZones zones.
-func (f *Fleet) Connected(address string, took time.Duration) {
+func (f *Fleet) Connected(now time.Time, address string, took time.Duration) {
 	if f.spill == nil {
 		return
 	}
 	for _, e := range f.endpoints {
 		if e.Address == address {
-			f.spill.observeConnect(e.Zone, float64(took)/float64(time.Millisecond))
+			f.spill.observeConnect(now, e.Zone, float64(took)/float64(time.Millisecond))
 			return
 		}
 	}
 }
 
-func (z *zoneSpill) observeConnect(zone string, ms float64) {
+func (z *zoneSpill) observeConnect(now time.Time, zone string, ms float64) {
 	old, known := z.connectMS[zone]
 	switch {
 	case known:
-		z.connectMS[zone] = old + latencySmoothing*(ms-old)
+		z.connectMS[zone] = connectTime{old.ms + latencySmoothing*(ms-old.ms), now}
 	case len(z.connectMS) < maxZones:
-		z.connectMS[zone] = ms
+		z.connectMS[zone] = connectTime{ms, now}
 	}
 }
 
@@ -134,13 +146,13 @@
 	if !known || !ownKnown {
 		return 0
 	}
-	return max(there-here, 0)
+	return max(there.ms-here.ms, 0)
 }
 
 // zonePrice returns the price of a request in another zone, in targets: the time on the
 // network, and the bytes of the body and of the expected answer.
 func (f *Fleet) zonePrice(w *Work, zone string) float64 {
-	bytes := float64(w.BodyBytes + w.OutputTokens*answerBytesPerToken)
+	bytes := float64(w.BodyBytes) + float64(w.OutputTokens)*answerBytesPerToken
 	return f.zoneLatencyMS(zone)/targetMS(w) + f.spill.options.Price*bytes/bytesPerMiB
 }
 
@@ -190,6 +202,16 @@
 	return local, true
 }
 
+// ChooseInAnyZone returns the endpoint with the lowest cost in all zones, regardless of the
+// share; false if there is none, or if the zones are chosen by cost only.
+func (f *Fleet) ChooseInAnyZone(now time.Time, w *Work) (Choice, bool) {
+	s := f.services[w.Service]
+	if s == nil || f.spill == nil {
+		return Choice{}, false
+	}
+	return f.cheapest(now, s, w, func(e *endpoint) bool { return f.usable(now, e) })
+}
+
 // gains reports whether a request is better off in another zone by more than the price.
 // For a request that was not drawn, only saved prefill counts.
 func (f *Fleet) gains(s *service, w *Work, local, other Choice, drawn bool) bool {
@@ -219,7 +241,7 @@
 			best = max(best, gain)
 		}
 	}
-	fullGain := max(fullShareGain, fullShareAges*f.unknownMS(now)/targetMS(w))
+	fullGain := max(fullShareGain, fullShareAges*s.spill.unknownMS/targetMS(w))
 	s.spill.requestAt = now
 	s.spill.move(now, min(best/fullGain, 1))
 	f.reportSpill(now, w.Service, s)
@@ -245,7 +267,7 @@
 func (f *Fleet) smoothWaits(now time.Time, s *service, w *Work) {
 	z := &s.spill
 	elapsed := now.Sub(z.waitsAt)
-	if elapsed < waitRefresh && len(z.others) > 0 {
+	if elapsed < waitRefresh {
 		return
 	}
 	own, others := f.zoneWaits(now, s, w)
@@ -256,7 +278,7 @@
 			others[i].smooth(z.others[k], weight)
 		}
 	}
-	z.own, z.others, z.waitsAt = own, others, now
+	z.own, z.others, z.waitsAt, z.unknownMS = own, others, now, f.unknownMS(now)
 }
 
 // smooth moves a previous wait towards this one by a weight, and keeps the result.
@@ -350,11 +372,13 @@
 	z.share += min(max(step, -limit), limit)
 }
 
-// RefreshZones lowers the shares of services without requests.
+// RefreshZones lowers the shares of services without requests, and forgets the connection
+// times of zones to which none was opened within connectLifetime.
 func (f *Fleet) RefreshZones(now time.Time) {
 	if f.spill == nil {
 		return
 	}
+	maps.DeleteFunc(f.spill.connectMS, func(_ string, c connectTime) bool { return now.Sub(c.at) >= connectLifetime })
 	for name, s := range f.services {
 		if now.Sub(s.spill.requestAt) >= spillIdleTime {
 			s.spill.move(now, 0)
--- a/gateway/placement/zones_test.go
+++ b/gateway/placement/zones_test.go
@@ -159,3 +159,30 @@
 		t.Errorf("unknown time %.0f ms when fresh and %.0f ms when 350 ms old, want 0 and 350", fresh, stale)
 	}
 }
+
+// Guards against token counts of callers that overflow the price of an answer, which would
+// make another zone cheaper than the own one.
+func TestPriceOfHugeTokenCounts(t *testing.T) {
+	f := newZoneSite(t, [siteZones]int{1, 1, 0}).newGateway(0)
+	if price := f.zonePrice(&Work{OutputTokens: math.MaxInt / 10}, "zone-1"); price <= 0 {
+		t.Errorf("the price is %v, want a positive one", price)
+	}
+}
+
+// Guards against one slow connection that keeps requests from a zone for good, as no request
+// that would measure the latency anew is sent there.
+func TestLatencyOfAZoneIsForgotten(t *testing.T) {
+	f := newZoneSite(t, [siteZones]int{1, 1, 0}).newGateway(0)
+	f.Put(Endpoint{ID: "own", Service: pool, Address: "own", Zone: "zone-0"})
+	f.Put(Endpoint{ID: "other", Service: pool, Address: "other", Zone: "zone-1"})
+	f.Connected(start, "other", time.Second)
+	later := start.Add(connectLifetime)
+	f.Connected(later, "own", time.Millisecond)
+	if ms := f.zoneLatencyMS("zone-1"); ms != 999 {
+		t.Errorf("latency %v ms, want 999", ms)
+	}
+	f.RefreshZones(later)
+	if ms := f.zoneLatencyMS("zone-1"); ms != 0 {
+		t.Errorf("latency %v ms after %v without a connection, want 0", ms, connectLifetime)
+	}
+}
--- a/gateway/zones.go
+++ b/gateway/zones.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pistachiowind/pistachiowind/gateway/admission"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
 	"github.com/pistachiowind/pistachiowind/telemetry"
@@ -24,11 +25,31 @@
 	})
 }
 
-// connected records how long it took to open a connection to an endpoint.
-func (d *dispatcher) connected(address string, took time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.fleet.Connected(address, took)
+// choose chooses the endpoint of a request. One that would be refused for its expected time
+// in the own zone is placed in any zone that is quick enough: no request is refused for lack
+// of time while another zone has it, whatever the share is.
+func (d *dispatcher) choose(now time.Time, w *placement.Work, r admission.Request) (placement.Choice, bool) {
+	choice, found := d.fleet.Choose(now, w)
+	if !found || d.gate.InTime(r, choice) {
+		return choice, found
+	}
+	if other, found := d.fleet.ChooseInAnyZone(now, w); found && d.gate.InTime(r, other) {
+		return other, true
+	}
+	return choice, true
+}
+
+// onConnected returns the function to call with the time that it took to open a connection
+// to an endpoint; nil without the feature, so that connections don't wait for the mutex.
+func (d *dispatcher) onConnected() func(address string, took time.Duration) {
+	if !*d.settings.features().ZoneSpill {
+		return nil
+	}
+	return func(address string, took time.Duration) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.fleet.Connected(time.Now(), address, took)
+	}
 }
 
 // zoneShares calls report with the share of each service's requests that may leave the
