--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -94,6 +94,8 @@
 	onVersion func(versions.Change)
 	// onTrial is called with a request that is sent although its verdict condemns it.
 	onTrial func(request string, v crashes.Verdict)
+	// onSpill is called when a service begins or ends to send requests to other zones.
+	onSpill func(placement.SpillChange)
 }
 
 func newDispatcher(s Settings, rng *rand.Rand) *dispatcher {
@@ -109,7 +111,7 @@
 	fleet.SetPaused(pauses.Paused)
 	limits := ratelimit.New(time.Now(), s.Listen.Peers)
 	fleet.SetLimits(limits)
-	return &dispatcher{
+	d := &dispatcher{
 		fleet:             fleet,
 		health:            health.New(health.Options{Window: 5 * time.Second, OpenTime: 2 * time.Second, MaxOpenTime: 8 * time.Second, RampTime: 3 * time.Second}),
 		gate:              gate,
@@ -133,7 +135,10 @@
 		onSuspects:        func([]crashes.Change) {},
 		onVersion:         func(versions.Change) {},
 		onTrial:           func(string, crashes.Verdict) {},
+		onSpill:           func(placement.SpillChange) {},
 	}
+	d.setZoneSpill(s, rng)
+	return d
 }
 
 // Admit implements relay.Placer.
@@ -149,11 +154,7 @@
 	if refusal := d.restrictVersion(now, w, r); refusal != nil {
 		return nil, refusal
 	}
-	choice, found := d.fleet.Choose(now, w)
-	if !found {
-		return nil, d.refuseNoEndpoint(now, w, r)
-	}
-	decision := d.gate.Decide(now, admission.Request{
+	request := admission.Request{
 		Service:   w.Service,
 		Route:     r.Route,
 		Streaming: w.Streaming,
@@ -162,7 +163,12 @@
 		Target:    w.Target,
 		TimeLeft:  r.TimeLeft,
 		IsRetry:   r.IsRetry,
-	}, choice)
+	}
+	choice, found := d.choose(now, w, request)
+	if !found {
+		return nil, d.refuseNoEndpoint(now, w, r)
+	}
+	decision := d.gate.Decide(now, request, choice)
 	if !decision.Admitted {
 		return nil, &relay.Refusal{Reason: decision.Reason, RetryAfter: decision.RetryAfter, Choice: &choice, RefusedShare: decision.Share}
 	}
@@ -229,6 +235,7 @@
 		})
 	}
 	d.health.Each(now, d.fleet.SetHealth)
+	d.fleet.RefreshZones(now)
 	changes := d.registry.Expire(now)
 	d.applyChanges(now, changes)
 	if d.mixed || len(d.proposed) > 0 {
