Divide admission among client accounts by max-min shares

Cause: the gate refused all accounts of a class at the same rate while one sent six times its usual, and routes with few requests more often, as their size was that of the first prompt. Change: max-min level from stated demands, floors of 0.05 of admitted prompt tokens, sizes of new classes from their nearest sibling; off by default.

--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -33,7 +33,9 @@
 type Request struct {
 	Service string
 	// Route is the name of the route.
-	Route     string
+	Route string
+	// Account is the client account; empty for anonymous routes, which count as one.
+	Account   string
 	Streaming bool
 	Priority  routing.Priority
 	// Prompt is the number of prompt tokens.
@@ -59,6 +61,8 @@
 	// Share is the fraction of such requests that is refused in favor of more urgent
 	// ones, from 0; 1 or more means all.
 	Share float64
+	// Account holds the inputs of the decision by shares of client accounts.
+	Account Share
 }
 
 // checkDeadline refuses a request whose first event or plain response is not expected
--- a/gateway/admission/gate.go
+++ b/gateway/admission/gate.go
@@ -71,6 +71,10 @@
 type decayingPressure struct {
 	Pressure
 	at time.Time
+	// requests is the number of requests since the class was added.
+	requests float64
+	// firstPrompts is the sum of the first prompt sizes while the class has a short history.
+	firstPrompts float64
 }
 
 func (p *decayingPressure) decay(now time.Time) {
@@ -90,6 +94,8 @@
 	own  map[RequestClass]*decayingPressure
 	// peerPressures holds what peers stated, by class and peer.
 	peerPressures map[RequestClass]map[string]*decayingPressure
+	// shares is nil while accounts are not treated separately.
+	shares *shares
 }
 
 // NewGate returns a Gate that has seen no requests.
@@ -125,6 +131,9 @@
 	case decision.Admitted && !g.endpointIdle(now, k, p.Size, r, c):
 		decision = g.shed(now, k, p.Size)
 	}
+	if g.shares != nil {
+		decision = g.divide(now, k, p.Size, r, c, decision)
+	}
 	if decision.Admitted {
 		p.LastAdmitted = now
 	} else {
@@ -236,7 +245,8 @@
 	if late {
 		p.Late++
 	}
-	p.Size += sizeSmoothing * (prompt - p.Size)
+	p.requests++
+	g.updateSize(k, p, prompt)
 	return p
 }
 
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -99,6 +99,7 @@
 	fleet.SetRule(s.PlacementRule, rng)
 	gate := admission.NewGate(rng)
 	gate.SetRule(s.AdmissionRule)
+	gate.SetAccountShares(*s.features().AccountShares)
 	reachable := reach.New(rng)
 	pauses := reach.NewPauses()
 	fleet.SetLeftOut(func(now time.Time, endpoint uint64) bool {
@@ -153,6 +154,7 @@
 	decision := d.gate.Decide(now, admission.Request{
 		Service:   w.Service,
 		Route:     r.Route,
+		Account:   r.Account,
 		Streaming: w.Streaming,
 		Priority:  r.Priority,
 		Prompt:    w.PromptTokens,
@@ -161,7 +163,10 @@
 		IsRetry:   r.IsRetry,
 	}, choice)
 	if !decision.Admitted {
-		return nil, &relay.Refusal{Reason: decision.Reason, RetryAfter: decision.RetryAfter, Choice: &choice, RefusedShare: decision.Share}
+		return nil, &relay.Refusal{
+			Reason: decision.Reason, RetryAfter: decision.RetryAfter, Choice: &choice, RefusedShare: decision.Share,
+			AccountShare: decision.Account,
+		}
 	}
 	a := &placedAttempt{
 		dispatcher: d, suspects: suspects, target: w.Target, choice: choice,
@@ -190,11 +195,12 @@
 	return d.fleet.UnstatedPromptTokens() >= earlyStatementTokens || d.limits.HasUnstated() || d.crashes.HasUnstated() || d.versions.HasUnstated()
 }
 
-// expirePeerLoads drops the loads of peers without a statement for maxAge.
+// expirePeerLoads drops the loads and demands of peers without a statement for maxAge.
 func (d *dispatcher) expirePeerLoads(now time.Time, maxAge time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.fleet.ExpirePeerLoads(now, maxAge)
+	d.gate.ExpireDemands(now, maxAge)
 }
 
 // reload applies new settings. Retry budgets start anew only if their limits changed.
@@ -207,6 +213,7 @@
 	d.settings = s
 	d.fleet.SetRule(s.PlacementRule, d.rng)
 	d.gate.SetRule(s.AdmissionRule)
+	d.gate.SetAccountShares(*s.features().AccountShares)
 }
 
 // refresh updates the health of the endpoints and drops lapsed registry entries whose
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -125,6 +125,7 @@
 	x.gateway.dispatcher.expirePeerLoads(now, peerLoadIntervals*interval)
 	statement := x.gateway.dispatcher.statement(now, x.sentAt[0])
 	x.gateway.dispatcher.addLimits(now, interval, statement)
+	x.gateway.dispatcher.addDemands(now, statement)
 	x.gateway.dispatcher.setAlivePeers(x.exchange.Alive(now), x.exchange.Isolated(now))
 	x.gateway.dispatcher.addCrashes(now, statement)
 	x.gateway.dispatcher.addVersions(now, statement)
@@ -310,6 +311,7 @@
 			LastRefused:  decodeAge(now, r.RefusedAgo),
 		})
 	}
+	d.applyDemands(now, s)
 	d.applyCrashes(now, s)
 	d.applyVersions(now, s)
 	for _, endpoint := range s.Unreachable {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -50,14 +50,19 @@
 	}
 	if r.Refusal != nil && r.Refusal.Choice != nil {
 		c := r.Refusal.Choice
-		event = event.Dict("refused", zerolog.Dict().
+		refused := zerolog.Dict().
 			Str("endpoint", c.Endpoint.ID).
 			Int64("expected_ms", ms(c.Expected)).
 			Int64("wait_ms", ms(c.Wait)).
 			Int("running", c.Load.Running).
 			Int("prefill", c.Load.Prefill).
 			Int64("load_age_ms", ms(c.LoadAge)).
-			Float64("share", math.Round(r.Refusal.RefusedShare*100)/100))
+			Float64("share", hundredths(r.Refusal.RefusedShare))
+		if s := r.Refusal.AccountShare; s.Standing != "" {
+			refused = refused.Str("account_standing", s.Standing).
+				Float64("account_level", hundredths(s.Level)).Float64("account_demand", hundredths(s.Demand))
+		}
+		event = event.Dict("refused", refused)
 	}
 	if len(r.Attempts) > 0 {
 		attempts := zerolog.Arr()
@@ -87,6 +92,9 @@
 	event.Msg("request")
 }
 
+// hundredths rounds to two decimals.
+func hundredths(x float64) float64 { return math.Round(x*100) / 100 }
+
 func ms(d time.Duration) int64 { return d.Milliseconds() }
 
 // maxLoggedParts bounds the parts of a prompt in one line.
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -36,6 +36,9 @@
 	if r.TimeToFirstByte > 0 {
 		m.FirstByte.Record(r.TimeToFirstByte, telemetry.ClassLabels{Class: route})
 	}
+	if r.Refusal != nil && r.Refusal.AccountShare.Standing != "" {
+		m.ShareRefusals.Add(1, telemetry.ResultLabels{Outcome: r.Refusal.AccountShare.Standing})
+	}
 	for _, a := range r.Attempts {
 		m.Attempts.Add(1, telemetry.ResultLabels{Outcome: a.Result})
 	}
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pistachiowind/pistachiowind/gateway/admission"
 	"github.com/pistachiowind/pistachiowind/gateway/crashes"
 	"github.com/pistachiowind/pistachiowind/gateway/outcome"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
@@ -167,6 +168,8 @@
 	// RefusedShare is the fraction of such requests that is refused in favour of more
 	// urgent ones.
 	RefusedShare float64
+	// AccountShare holds the inputs of a refusal by shares of client accounts.
+	AccountShare admission.Share
 }
 
 // Options configure a Relay. All fields are required unless their comments say
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -12,6 +12,7 @@
 	FirstByte       *Duration[ClassLabels]
 	Whole           *Duration[ClassLabels]
 	Attempts        *Counter[ResultLabels]
+	ShareRefusals   *Counter[ResultLabels]
 	Connections     *Counter[ResultLabels]
 	ConfigVersion   *Gauge[NoLabels]
 	Endpoints       *Gauge[StateLabels]
@@ -33,6 +34,7 @@
 		FirstByte:       newDuration[ClassLabels](p, "gateway_first_byte", requestBounds, maxClasses, "Time from receipt to the first byte of an endpoint's answer, by route."),
 		Whole:           newDuration[ClassLabels](p, "gateway_request", requestBounds, maxClasses, "Time from receipt to the end, by route."),
 		Attempts:        newCounter[ResultLabels](p, "gateway_attempts", maxOutcomes, "Attempts at endpoints that ended, by result as in the log."),
+		ShareRefusals:   newCounter[ResultLabels](p, "gateway_share_refusals", maxOutcomes, "Streams refused while their class was short of capacity, by the share of their client account. Outcomes: within_share, above_share."),
 		Connections:     newCounter[ResultLabels](p, "gateway_connections", maxOutcomes, "New connections to endpoints. Outcomes: ok, failed."),
 		ConfigVersion:   newGauge[NoLabels](p, "gateway_config_version", "", 1, "Version of the configuration in force; 0 before the first."),
 		Endpoints:       newGauge[StateLabels](p, "gateway_endpoints", "", maxOutcomes, "Known endpoints by state: ready, draining; paused ones, which are full and want no requests, and limited ones, which name a rate of requests, count again."),
