--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -21,9 +21,15 @@
 	PrefillRate     *Gauge[ClassLabels]
 	StoreUp         *Gauge[ReasonLabels]
 	StoreEra        *Gauge[NoLabels]
+	UsageRequests   *Counter[NoLabels]
+	UsageIncomplete *Gauge[NoLabels]
 	PlatformCalls   *Counter[OperationLabels]
 	DroppedLogLines *ObservedCounter[NoLabels]
 	PlatformLatency *Duration[OperationLabels]
+	// DutyLeaseHeld to OldestUnsentReport concern the calls that one gateway makes for all.
+	DutyLeaseHeld      *Gauge[NoLabels]
+	UsageReports       *Counter[ResultLabels]
+	OldestUnsentReport *Gauge[NoLabels]
 }
 
 // NewGateway registers the instruments of a gateway on p. Call it once per
@@ -43,9 +49,15 @@
 		PrefillRate:     newGauge[ClassLabels](p, "gateway_prefill_rate", "", maxClasses, "Prompt tokens per millisecond that an engine is assumed to read, by service, as all gateways observed it."),
 		StoreUp:         newGauge[ReasonLabels](p, "gateway_store_up", "", maxOutcomes, "1 while the table of the store answers, otherwise 0."),
 		StoreEra:        newGauge[NoLabels](p, "gateway_store_era", "", 1, "Number of times that the store came back from an older copy, as it states; 0 if it states none."),
+		UsageRequests:   newCounter[NoLabels](p, "gateway_usage_requests", 1, "Requests of client accounts that this gateway counted as begun by endpoints; 0 without the duty to report usage."),
+		UsageIncomplete: newGauge[NoLabels](p, "gateway_usage_incomplete_windows", "", 1, "Usage windows of the last 8 that have ended and lack final counts of a gateway."),
 		PlatformCalls:   newCounter[OperationLabels](p, "gateway_platform_calls", maxOutcomes, "Calls of the platform's store. Outcomes: ok, conflict, not_found, unavailable, unknown, rejected."),
 		DroppedLogLines: newObservedCounter[NoLabels](p, "gateway_log_lines_dropped", 1, "Log lines beyond the rate of the settings."),
 		PlatformLatency: newDuration[OperationLabels](p, "gateway_platform_call", requestBounds, maxOutcomes, "Time of a call of the platform's store; a feed waits for changes."),
+
+		DutyLeaseHeld:      newGauge[NoLabels](p, "gateway_duty_lease_held", "", 1, "1 while this gateway holds the lease on the duties, otherwise 0."),
+		UsageReports:       newCounter[ResultLabels](p, "gateway_usage_reports", maxOutcomes, "Calls with a usage report, repetitions included. Outcomes: ok, unavailable, unknown, rejected."),
+		OldestUnsentReport: newGauge[NoLabels](p, "gateway_usage_oldest_unsent", "s", 1, "Time since the end of the oldest window that is due or recorded and was not reported; 0 at gateways that do not hold the lease."),
 	}
 	return g, errors.Join(p.errs...)
 }
