--- a/gateway/demands.go
+++ b/gateway/demands.go
@@ -3,17 +3,27 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/pistachiowind/pistachiowind/gateway/admission"
+	"github.com/pistachiowind/pistachiowind/gateway/peers"
 	"github.com/pistachiowind/pistachiowind/gateway/peers/wire"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
 )
 
-// addDemands adds the demands of client accounts to a statement.
+// statementHeadroom is the part of a datagram, in bytes, that is left for what the exchange
+// itself adds to a statement: addresses and sequence numbers of peers.
+const statementHeadroom = 4 << 10
+
+// addDemands adds the demands of client accounts to a statement that holds all else, largest
+// first, as far as the datagram has room. A larger statement would not be sent at all.
 func (d *dispatcher) addDemands(now time.Time, s *wire.Statement) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, x := range d.gate.ReportDemands(now) {
-		s.Demands = append(s.Demands, &wire.Demand{
+	demands := d.gate.ReportDemands(now)
+	d.mu.Unlock()
+	room := peers.MaxDatagram - statementHeadroom - proto.Size(s)
+	for _, x := range demands {
+		entry := &wire.Demand{
 			Service:   x.Class.Service,
 			Route:     x.Class.Route,
 			Rank:      uint32(max(x.Class.Priority.Rank, 0)),
@@ -21,7 +31,13 @@
 			Account:   x.Account,
 			Offered:   float32(x.Offered),
 			Admitted:  float32(x.Admitted),
-		})
+		}
+		// An entry has a tag and a length of at most two bytes each.
+		room -= proto.Size(entry) + 4
+		if room < 0 {
+			return
+		}
+		s.Demands = append(s.Demands, entry)
 	}
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -152,7 +152,6 @@
 	x.gateway.dispatcher.expirePeerLoads(now, peerLoadIntervals*interval)
 	statement := x.gateway.dispatcher.statement(now, x.sentAt[0])
 	x.gateway.dispatcher.addLimits(now, interval, statement)
-	x.gateway.dispatcher.addDemands(now, statement)
 	x.gateway.dispatcher.setAlivePeers(x.exchange.Alive(now), x.exchange.Isolated(now))
 	x.gateway.dispatcher.addCrashes(now, statement)
 	x.gateway.dispatcher.addVersions(now, statement)
@@ -161,6 +160,7 @@
 	x.sentAt[placementRepeat-1] = now
 	x.gateway.addStoreState(statement)
 	statement.StoreAnswered = storeAnsweredAge(now, x.gateway.storeStatus.RecoveredAt())
+	x.gateway.dispatcher.addDemands(now, statement)
 	datagram, err := x.exchange.Compose(now, statement)
 	if err != nil {
 		x.gateway.log.Warn().Err(err).Msg("statement to peers not sent")
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -11,6 +11,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/admission"
 	"github.com/pistachiowind/pistachiowind/gateway/crashes"
 	"github.com/pistachiowind/pistachiowind/gateway/peers"
+	"github.com/pistachiowind/pistachiowind/gateway/peers/wire"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/ratelimit"
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
@@ -245,6 +246,13 @@
 	for i := range maxPressures {
 		d.gate.CountRefused(now, admission.Request{Service: "s", Streaming: true, Route: fmt.Sprintf("route-%03d", i), Prompt: 20_000})
 	}
+	d.gate.SetAccountShares(true)
+	for i := range 100 {
+		d.gate.Decide(now, admission.Request{
+			Service: "service-of-24-characters", Route: "route-of-24-characters-xx", Streaming: true, Target: time.Second, TimeLeft: time.Minute,
+			Account: fmt.Sprintf("account-of-32-characters-%07d", i),
+		}, placement.Choice{Expected: 9 * time.Second, Wait: 9 * time.Second})
+	}
 	for i := range 3 * maxLoads {
 		for n := range 2 {
 			at := now.Add(time.Duration(n-2) * time.Second)
@@ -276,6 +284,12 @@
 	d.addLimits(now, time.Second, s)
 	d.addCrashes(now, s)
 	d.addVersions(now, s)
+	d.addDemands(now, s)
+	small := &wire.Statement{}
+	d.addDemands(now, small)
+	if len(small.Demands) != 64 {
+		t.Errorf("%d demands in a small statement, want 64", len(small.Demands))
+	}
 	exchange := peers.New("10.0.0.1:9", nil, now)
 	datagram, err := exchange.Compose(now, s)
 	if err != nil {
