--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -160,6 +160,7 @@
 	x.sentAt[placementRepeat-1] = now
 	x.gateway.addStoreState(statement)
 	statement.StoreAnswered = storeAnsweredAge(now, x.gateway.storeStatus.RecoveredAt())
+	x.gateway.dispatcher.addDemands(now, statement)
 	datagram, err := x.exchange.Compose(now, statement)
 	if err != nil {
 		x.gateway.log.Warn().Err(err).Msg("statement to peers not sent")
@@ -337,6 +338,7 @@
 			LastRefused:  decodeAge(now, r.RefusedAgo),
 		})
 	}
+	d.applyDemands(now, s)
 	d.applyCrashes(now, s)
 	d.applyVersions(now, s)
 	d.applyUsage(now, s)
