--- a/gateway/features.go
+++ b/gateway/features.go
@@ -14,8 +14,6 @@
 	// AccountShares divides what can be admitted of a request class among the client
 	// accounts.
 	AccountShares *bool `json:"account_shares,omitempty"`
-	// EngineMemory sends an engine no more than its KV cache is expected to hold.
-	EngineMemory *bool `json:"engine_memory,omitempty"`
 	// EndpointPace learns the lasting pace of each endpoint.
 	EndpointPace *bool `json:"endpoint_pace,omitempty"`
 	// ZoneSpill sends a share of the requests to other availability zones while the own one
@@ -23,8 +21,8 @@
 	ZoneSpill *bool `json:"zone_spill,omitempty"`
 }
 
-// guaranteePressure is the guarantee that engines and gateways stay within their memory
-// while callers compete for it.
+// guaranteePressure is the guarantee that callers who compete for too little capacity do not
+// harm each other.
 const guaranteePressure = "pressure"
 
 // features returns the features with every field set.
@@ -38,7 +36,6 @@
 	}
 	return Features{
 		AccountShares: resolve(s.Features.AccountShares, pressure),
-		EngineMemory:  resolve(s.Features.EngineMemory, pressure),
 		EndpointPace:  resolve(s.Features.EndpointPace, false),
 		ZoneSpill:     resolve(s.Features.ZoneSpill, false),
 	}
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -75,18 +75,18 @@
 func TestFeaturesFollowGuaranteesUnlessSet(t *testing.T) {
 	off := false
 	for _, c := range []struct {
-		name           string
-		settings       Settings
-		shares, memory bool
+		name     string
+		settings Settings
+		shares   bool
 	}{
-		{"nothing", Settings{}, false, false},
-		{"other guarantees", Settings{Guarantees: []string{"base", "unknown"}}, false, false},
-		{"pressure", Settings{Guarantees: []string{"base", "pressure"}}, true, true},
-		{"pressure, but switched off", Settings{Guarantees: []string{"pressure"}, Features: Features{AccountShares: &off}}, false, true},
+		{"nothing", Settings{}, false},
+		{"other guarantees", Settings{Guarantees: []string{"base", "unknown"}}, false},
+		{"pressure", Settings{Guarantees: []string{"base", "pressure"}}, true},
+		{"pressure, but switched off", Settings{Guarantees: []string{"pressure"}, Features: Features{AccountShares: &off}}, false},
 	} {
 		f := c.settings.features()
-		if *f.AccountShares != c.shares || *f.EngineMemory != c.memory || *f.EndpointPace || *f.ZoneSpill {
-			t.Errorf("%s: shares %v, memory %v, pace %v, spill %v", c.name, *f.AccountShares, *f.EngineMemory, *f.EndpointPace, *f.ZoneSpill)
+		if *f.AccountShares != c.shares || *f.EndpointPace || *f.ZoneSpill {
+			t.Errorf("%s: shares %v, pace %v, spill %v", c.name, *f.AccountShares, *f.EndpointPace, *f.ZoneSpill)
 		}
 	}
 }
