Spill over between zones where callers compete for capacity; shares off

Suspected, not traced: what has no room is admitted for accounts below their share. So the guarantee pressure switches on zone_spill, and account_shares is a setting that is off by default.

--- a/gateway/features.go
+++ b/gateway/features.go
@@ -14,15 +14,13 @@
 	// AccountShares divides what can be admitted of a request class among the client
 	// accounts.
 	AccountShares *bool `json:"account_shares,omitempty"`
-	// EndpointPace learns the lasting pace of each endpoint.
-	EndpointPace *bool `json:"endpoint_pace,omitempty"`
 	// ZoneSpill sends a share of the requests to other availability zones while the own one
 	// is short of capacity.
 	ZoneSpill *bool `json:"zone_spill,omitempty"`
 }
 
-// guaranteePressure is the guarantee that callers who compete for too little capacity do not
-// harm each other.
+// guaranteePressure is the guarantee for deployments whose callers compete for too little
+// capacity. Those need the capacity of all availability zones.
 const guaranteePressure = "pressure"
 
 // features returns the features with every field set.
@@ -35,9 +33,8 @@
 		return &otherwise
 	}
 	return Features{
-		AccountShares: resolve(s.Features.AccountShares, pressure),
-		EndpointPace:  resolve(s.Features.EndpointPace, false),
-		ZoneSpill:     resolve(s.Features.ZoneSpill, false),
+		AccountShares: resolve(s.Features.AccountShares, false),
+		ZoneSpill:     resolve(s.Features.ZoneSpill, pressure),
 	}
 }
 
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -77,16 +77,16 @@
 	for _, c := range []struct {
 		name     string
 		settings Settings
-		shares   bool
+		spill    bool
 	}{
 		{"nothing", Settings{}, false},
 		{"other guarantees", Settings{Guarantees: []string{"base", "unknown"}}, false},
 		{"pressure", Settings{Guarantees: []string{"base", "pressure"}}, true},
-		{"pressure, but switched off", Settings{Guarantees: []string{"pressure"}, Features: Features{AccountShares: &off}}, false},
+		{"pressure, but switched off", Settings{Guarantees: []string{"pressure"}, Features: Features{ZoneSpill: &off}}, false},
 	} {
 		f := c.settings.features()
-		if *f.AccountShares != c.shares || *f.EndpointPace || *f.ZoneSpill {
-			t.Errorf("%s: shares %v, pace %v, spill %v", c.name, *f.AccountShares, *f.EndpointPace, *f.ZoneSpill)
+		if *f.ZoneSpill != c.spill || *f.AccountShares {
+			t.Errorf("%s: shares %v, spill %v", c.name, *f.AccountShares, *f.ZoneSpill)
 		}
 	}
 }
