Log the framing of an answer and what was left of an event at its end

The lines of requests could not tell the hypotheses of the incident of short answers apart: an unframed stream that ended inside an event, one that ended between two events, and a break that the gateway saw.

A broken attempt, and one whose answer ends with its connection, now has the framing; a broken one has the bytes of the incomplete event as well. A caller that does not speak HTTP/1.1 is named.

--- a/gateway/log.go
+++ b/gateway/log.go
@@ -9,8 +9,13 @@
 
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
+	"github.com/pistachiowind/pistachiowind/gateway/upstream"
 )
 
+// usualProtocol is the version of HTTP that callers are expected to speak; the log names
+// others.
+const usualProtocol = "HTTP/1.1"
+
 // logRecord logs a finished request and its attempts.
 func logRecord(log zerolog.Logger, r relay.Record) {
 	event := log.Info().
@@ -26,6 +31,9 @@
 		Int64("left_ms", ms(r.TimeLeft)).
 		Int64("first_ms", ms(r.TimeToFirstByte)).
 		Int64("total_ms", ms(r.Total))
+	if r.CallerProtocol != "" && r.CallerProtocol != usualProtocol {
+		event = event.Str("protocol", r.CallerProtocol)
+	}
 	if r.Code != 0 {
 		event = event.Uint32("code", uint32(r.Code))
 	}
@@ -85,8 +93,11 @@
 			if a.FetchedFrom != "" {
 				attempt = attempt.Str("fetched_from", a.FetchedFrom)
 			}
+			if a.Framing != "" && (a.Broken || a.Framing == upstream.FramedByClose) {
+				attempt = attempt.Str("framing", string(a.Framing))
+			}
 			if a.Broken {
-				attempt = attempt.Bool("head", a.HeadReceived).Int("events", a.Events)
+				attempt = attempt.Bool("head", a.HeadReceived).Int("events", a.Events).Int("partial_bytes", a.PartialEventBytes)
 			}
 			attempts = attempts.Dict(attempt)
 		}
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
+	"github.com/pistachiowind/pistachiowind/gateway/upstream"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 )
 
@@ -42,10 +43,10 @@
 		},
 		{
 			ID: "resumed", Route: "chat", Service: "pool", Account: "acme", ConfigVersion: 10, Result: "delivered", Status: 200,
-			TimeLeft: 15 * time.Second, TimeToFirstByte: 240 * time.Millisecond, Total: 3 * time.Second, Events: 81, MaxPause: 265 * time.Millisecond, Resumes: "first", LastEventID: "7",
+			TimeLeft: 15 * time.Second, TimeToFirstByte: 240 * time.Millisecond, Total: 3 * time.Second, Events: 81, MaxPause: 265 * time.Millisecond, CallerProtocol: "HTTP/1.0", Resumes: "first", LastEventID: "7",
 			Fingerprint: 0x2f, Parts: []placement.Part{{ID: 0xa1, Tokens: 1800}, {ID: 0xb2, Tokens: 283}},
 			Attempts: []relay.AttemptRecord{
-				{Endpoint: "e1", Version: "v1", Expected: 349 * time.Millisecond, Duration: time.Second, UncachedTokens: 2083, Load: busy, LoadAge: 60 * time.Millisecond, Result: "stream_broken", HeadReceived: true, Events: 20, Broken: true},
+				{Endpoint: "e1", Version: "v1", Expected: 349 * time.Millisecond, Duration: time.Second, UncachedTokens: 2083, Load: busy, LoadAge: 60 * time.Millisecond, Result: "stream_broken", HeadReceived: true, Events: 20, Broken: true, Framing: upstream.FramedByClose, PartialEventBytes: 7},
 				{Endpoint: "e3", OtherZone: "zone-2", Expected: 100 * time.Millisecond, Duration: 2 * time.Second, FetchedTokens: 1800, UncachedTokens: 283, Result: "delivered"},
 			},
 		},
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -105,7 +105,7 @@
 		LoadAge:        choice.LoadAge,
 	})
 	if choice.LeavesZone {
-		x.record.Attempts[len(x.record.Attempts)-1].OtherZone = choice.Endpoint.Zone
+		x.currentAttempt().OtherZone = choice.Endpoint.Zone
 	}
 	start, eventsBefore := time.Now(), x.record.Events
 	attemptCtx, cancel := x.attemptContext(ctx, placed)
@@ -115,7 +115,7 @@
 		end.err = attemptCtx.Err()
 	}
 	cancel()
-	last := &x.record.Attempts[len(x.record.Attempts)-1]
+	last := x.currentAttempt()
 	last.Duration, last.Result = time.Since(start), end.resultName
 	last.HeadReceived, last.Broken = end.headReceived, end.broken
 	last.Events = x.record.Events - eventsBefore
@@ -125,6 +125,11 @@
 	return x.decideNext(ctx, end)
 }
 
+// currentAttempt returns the record of the latest attempt.
+func (x *exchange) currentAttempt() *AttemptRecord {
+	return &x.record.Attempts[len(x.record.Attempts)-1]
+}
+
 // handleRefusal ends the request if admission refused an attempt. If an earlier
 // attempt may have run, the response must not state that the request did not run.
 func (x *exchange) handleRefusal(refusal *Refusal) {
--- a/gateway/relay/events.go
+++ b/gateway/relay/events.go
@@ -82,6 +82,9 @@
 // insideEvent reports whether a part of an event was received, but not its end.
 func (s *eventSplitter) insideEvent() bool { return len(s.pending) > 0 || s.partialBytes > 0 }
 
+// pendingBytes returns the number of buffered bytes of an incomplete event.
+func (s *eventSplitter) pendingBytes() int { return len(s.pending) }
+
 // discardPending drops the part of an event that was not passed on.
 func (s *eventSplitter) discardPending() { s.pending = nil }
 
--- a/gateway/relay/record.go
+++ b/gateway/relay/record.go
@@ -7,6 +7,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/crashes"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
+	"github.com/pistachiowind/pistachiowind/gateway/upstream"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 )
 
@@ -49,6 +50,8 @@
 	Parts       []placement.Part
 	// BodyBytes is the size of the request's body.
 	BodyBytes int
+	// CallerProtocol is the version of HTTP that the caller speaks, such as "HTTP/1.0".
+	CallerProtocol string
 }
 
 // Broken reports whether an attempt of the request ended with the connection to its
@@ -89,6 +92,11 @@
 	Events       int
 	// Broken is true if the attempt counts as one whose connection broke.
 	Broken bool
+	// Framing is how the endpoint marked the end of its response; empty without a valid head.
+	Framing upstream.Framing
+	// PartialEventBytes is the number of bytes of an incomplete event that were buffered when
+	// the stream ended.
+	PartialEventBytes int
 }
 
 // Observer receives the records of finished requests, for the log and the
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -284,6 +284,7 @@
 // deadline. If it cannot, it responds with an error and returns false.
 func (x *exchange) resolve() bool {
 	x.fields = x.options.Protocol.DecodeRequest(x.r.Header)
+	x.record.CallerProtocol = x.r.Proto
 	x.record.ID, x.record.Resumes, x.record.LastEventID = x.fields.ID, x.fields.Resumes, x.fields.LastEventID
 	if x.table == nil {
 		x.refuse(&Refusal{Reason: "no_config", RetryAfter: time.Second})
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -30,6 +30,7 @@
 	if err != nil {
 		return x.roundTripFailed(ctx, placed, err)
 	}
+	x.currentAttempt().Framing = response.Framing
 	fields := x.options.Protocol.DecodeResponse(response.StatusCode, response.Header)
 	if fields.NotRun || response.StatusCode == http.StatusMisdirectedRequest {
 		return x.rejected(placed, response)
@@ -210,11 +211,12 @@
 		case err != io.EOF:
 		case x.events.insideEvent():
 			err = errEndsInsideEvent
-		case response.CloseDelimited && x.record.Events == eventsBefore:
+		case response.Framing == upstream.FramedByClose && x.record.Events == eventsBefore:
 			err = errEndsWithoutEvent
 		default:
 			return x.finishStream(placed, response)
 		}
+		x.currentAttempt().PartialEventBytes = x.events.pendingBytes()
 		return x.breakStream(ctx, placed, response, err)
 	}
 }
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -65,6 +65,28 @@
 	NoRequest
 )
 
+// Framing is how the end of a body is marked.
+type Framing string
+
+// The framings of HTTP/1.1 (RFC 9112, section 6.3).
+const (
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	// FramedByClose means that the body ends with the connection.
+	FramedByClose Framing = "close"
+)
+
+// framingOf returns the framing of a response.
+func framingOf(response *http.Response) Framing {
+	switch {
+	case len(response.TransferEncoding) > 0:
+		return FramedByChunks
+	case response.ContentLength < 0:
+		return FramedByClose
+	}
+	return FramedByLength
+}
+
 // errNoRequestID fails an exchange whose response may belong to an earlier request.
 var errNoRequestID = errors.New("response without a request id on a reused connection")
 
@@ -118,8 +140,8 @@
 // Response is a response whose head has been read and whose body can be read.
 type Response struct {
 	*http.Response
-	// CloseDelimited states that the body ends with the connection.
-	CloseDelimited bool
+	// Framing is how the endpoint marks the end of the body.
+	Framing Framing
 	// Skipped is the number of responses to other requests that came before.
 	Skipped int
 	pool    *Pool
@@ -211,11 +233,11 @@
 		}
 		if correlation != AnotherRequest {
 			resp.Response = response
-			resp.CloseDelimited = response.ContentLength < 0 && len(response.TransferEncoding) == 0
+			resp.Framing = framingOf(response)
 			return nil
 		}
 		resp.Skipped++
-		if resp.Skipped > maxSkipped || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		if resp.Skipped > maxSkipped || framingOf(response) == FramedByClose {
 			return &Failure{InvalidResponse, errTooManySkipped}
 		}
 		if _, err := io.CopyN(io.Discard, response.Body, maxSkippedBytes); err != io.EOF {
@@ -243,7 +265,7 @@
 		// next must be the rest of the body, so the connection is not reused.
 		return false
 	}
-	return resp.writeErr == nil && !resp.CloseDelimited && !resp.Close && resp.conn.reader.Buffered() == 0
+	return resp.writeErr == nil && resp.Framing != FramedByClose && !resp.Close && resp.conn.reader.Buffered() == 0
 }
 
 // Abort closes the connection.
