Reset the connection when an answer to HTTP/1.0 breaks off

Callers of HTTP/1.0 got streams that broke off as if they were complete, also those that the gateway itself gave up.

Cause: an answer without a length ends with its connection there, and closing that connection is an orderly end, whether the answer is whole or not: after an abort, at the end of the drain and when the process is killed.

Change: until an answer to HTTP/1.0 is whole, its connection lingers for no time, so that each end of it is a reset (package connend). All listeners of gateway, router and agent use it. A request whose connection is not known is refused.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"sync/atomic"
+
+	"github.com/pistachiowind/pistachiowind/connend"
 )
 
 // callerConn is a caller's connection that records whether this process closed it and
@@ -31,6 +33,9 @@
 	return c.Conn.Close()
 }
 
+// NetConn returns the wrapped connection, for package connend.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // callerListener accepts callerConns.
 type callerListener struct {
 	net.Listener
@@ -48,9 +53,10 @@
 
 type connKey struct{}
 
-// withConn adds a connection to the context of its requests, for connClosed.
+// withConn adds a connection to the context of its requests, for connClosed and package
+// connend.
 func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
+	return connend.WithConn(context.WithValue(ctx, connKey{}, c), c)
 }
 
 // connClosed reports whether this process closed the connection of a request before
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/pistachiowind/pistachiowind/connend"
 	"github.com/pistachiowind/pistachiowind/gateway/duty"
 	"github.com/pistachiowind/pistachiowind/gateway/follow"
 	"github.com/pistachiowind/pistachiowind/gateway/ratelimit"
@@ -152,7 +153,7 @@
 	g.registerMetrics()
 	g.callerConnLimits = newConnLimits(g.limits)
 	g.callerServer = &http.Server{
-		Handler: relay.New(relay.Options{
+		Handler: connend.Handler(relay.New(relay.Options{
 			Protocol:      o.Protocol,
 			Table:         g.table.Load,
 			Placer:        g.dispatcher,
@@ -161,7 +162,7 @@
 			PickService:   g.dispatcher.pickService,
 			ConnClosed:    connClosed,
 			MaxBodyMemory: int64(float64(o.Settings.MemoryMB) * bodyMemoryFraction * 1e6),
-		}),
+		})),
 		MaxHeaderBytes: maxHeaderBytes,
 		ConnState:      g.callerConnLimits.connStateChanged,
 		ConnContext:    withConn,
--- a/gateway/relay/endings_test.go
+++ b/gateway/relay/endings_test.go
@@ -153,7 +153,7 @@
 // brought and its continuation.
 func TestBrokenAnswerNeverLooksComplete(t *testing.T) {
 	whole := eventsOf("a", 1, 2, 3)
-	for _, caller := range []string{"HTTP/1.1"} {
+	for _, caller := range []string{"HTTP/1.1", "HTTP/1.0"} {
 		for _, route := range []string{"read", "charge", "stream", "resume"} {
 			for _, framing := range []string{"HTTP/1.1 length", "HTTP/1.1 chunks", "HTTP/1.1 close", "HTTP/1.0 length", "HTTP/1.0 close"} {
 				for _, end := range []string{"closed", "reset"} {
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/sebdah/goldie/v2"
 
+	"github.com/pistachiowind/pistachiowind/connend"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
 	"github.com/pistachiowind/pistachiowind/gateway/upstream"
@@ -302,7 +303,9 @@
 		Pool: upstream.NewPool(upstream.Options{}), Observer: s.records,
 		PickService: func(r *routing.Route, _ string) string { return r.Split[0].Service },
 	})
-	s.server = httptest.NewServer(s.relay)
+	s.server = httptest.NewUnstartedServer(connend.Handler(s.relay))
+	s.server.Config.ConnContext = connend.WithConn
+	s.server.Start()
 	t.Cleanup(s.server.Close)
 	return s
 }
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/pistachiowind/pistachiowind/connend"
 	"github.com/pistachiowind/pistachiowind/rpc"
 )
 
@@ -57,7 +58,8 @@
 		listener = tls.NewListener(listener, tlsConfig)
 	}
 	return &Server{name: name, listener: listener, http: &http.Server{
-		Handler:           handler,
+		Handler:           connend.Handler(handler),
+		ConnContext:       connend.WithConn,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
