Keep an endpoint's error out of a stream that has begun

Callers found the text of an error in the middle of their stream, and the stream ended as if it were complete.

Cause: where a stream that may be resumed broke, the answer of the next endpoint was delivered whatever its status was. Its body was appended to the events, and the end of the handler added the last chunk.

Change: after the head of a stream, an answer of another status only ends the attempt. The stream goes on at a further endpoint, if one is allowed, or is broken off.

--- a/gateway/relay/endings_test.go
+++ b/gateway/relay/endings_test.go
@@ -14,11 +14,13 @@
 )
 
 // cutEndpoint answers each request with one response and ends the connection after as many
-// of its bytes as the header Cut says, by closing or resetting it.
+// of its bytes as the header Cut says, or after cut bytes, by closing or resetting it.
 type cutEndpoint struct {
 	listener net.Listener
 	response string
 	reset    bool
+	// cut is negative if the header decides.
+	cut int
 }
 
 func newCutEndpoint(t *testing.T, response string, reset bool) *cutEndpoint {
@@ -27,7 +29,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	e := &cutEndpoint{listener: listener, response: response, reset: reset}
+	e := &cutEndpoint{listener: listener, response: response, reset: reset, cut: -1}
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -47,9 +49,11 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
-	cut, err := strconv.Atoi(r.Header.Get("Cut"))
-	if err != nil {
-		cut = len(e.response)
+	cut := e.cut
+	if cut < 0 {
+		if cut, err = strconv.Atoi(r.Header.Get("Cut")); err != nil {
+			return
+		}
 	}
 	_, _ = io.WriteString(c, e.response[:cut])
 	if e.reset {
@@ -196,3 +200,79 @@
 	}
 	return "looks complete"
 }
+
+// newBrokenStream returns an endpoint whose stream ends inside its second event.
+func newBrokenStream(t *testing.T) *cutEndpoint {
+	e := newCutEndpoint(t, framed("HTTP/1.1", "chunks", eventsOf("a", 1, 2, 3)), false)
+	e.cut = strings.Index(e.response, "a2")
+	return e
+}
+
+// resumeAt asks for a stream that breaks after its first event and goes on at next.
+func (s *harness) resumeAt(t *testing.T, caller string, next *cutEndpoint, cut int) received {
+	s.placer.targets = []string{newBrokenStream(t).listener.Addr().String(), next.listener.Addr().String()}
+	s.placer.retryBudget = 1
+	got := s.ask(callerRequest(caller, "/resume/x", cut))
+	<-s.records.done
+	return got
+}
+
+// Guards against a stream that goes on at another endpoint and looks complete although that
+// endpoint's answer broke off, and against one that is not passed on although it is whole.
+func TestBrokenContinuationNeverLooksComplete(t *testing.T) {
+	const begun = "id: 1\ndata: a1\n\n"
+	rest := eventsOf("b", 2, 3)
+	for _, caller := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		for _, framing := range []string{"length", "chunks", "close"} {
+			for _, end := range []string{"closed", "reset"} {
+				t.Run(strings.Join([]string{"to", caller, framing, end}, " "), func(t *testing.T) {
+					next := newCutEndpoint(t, framed("HTTP/1.1", framing, rest), end == "reset")
+					s := newHarness(t, testTable())
+					for _, cut := range cutsOf(next.response) {
+						got := s.resumeAt(t, caller, next, cut)
+						continued, ok := strings.CutPrefix(got.body, begun)
+						if got.status != http.StatusOK || !ok {
+							t.Fatalf("cut after %q: the events before the break are missing: %+v", next.response[:cut], got)
+						}
+						got.body = continued
+						if problem := judgeSingleRun(got, rest, "resume", framing, end, cut == len(next.response)); problem != "" {
+							t.Fatalf("cut after %q: %s: %+v", next.response[:cut], problem, got)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against an answer that does not continue a stream and is passed on in the middle of
+// it: an error, another representation, or a run that begins anew.
+func TestOnlyAContinuationIsJoinedToAStream(t *testing.T) {
+	const begun = "id: 1\ndata: a1\n\n"
+	statusLine := "HTTP/1.1 200 OK"
+	stream := framed("HTTP/1.1", "chunks", eventsOf("b", 2, 3))
+	responses := map[string]string{
+		"a success without content":     strings.Replace(framed("HTTP/1.1", "length", ""), "200 OK", "204 No Content", 1),
+		"a partial representation":      strings.Replace(stream, "200 OK", "206 Partial Content", 1),
+		"an answer without a signature": strings.Replace(stream, "Signed: x\r\n", "", 1),
+	}
+	for _, status := range []string{"302 Found", "400 Bad Request", "404 Not Found", "408 Request Timeout", "409 Conflict", "410 Gone", "421 Misdirected Request", "429 Too Many Requests", "500 Error", "503 Service Unavailable", "504 Gateway Timeout"} {
+		for _, statement := range []string{"", "Not-Run: 1\r\n"} {
+			for _, framing := range []string{"length", "chunks", "close"} {
+				for _, body := range []string{"", "failed", "data: failed\n\n", eventsOf("b", 2, 3)} {
+					name := fmt.Sprintf("%s %s%s %q", status, statement, framing, body)
+					responses[name] = strings.Replace(strings.Replace(framed("HTTP/1.1", framing, body), statusLine, "HTTP/1.1 "+status, 1), "Signed: x\r\n", "Signed: x\r\n"+statement, 1)
+				}
+			}
+		}
+	}
+	for name, response := range responses {
+		for _, caller := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			next := newCutEndpoint(t, response, false)
+			got := newHarness(t, testTable()).resumeAt(t, caller, next, len(response))
+			if got.complete || got.status != http.StatusOK || got.body != begun {
+				t.Errorf("%s to %s: %+v, want the event before the break and no end", name, caller, got)
+			}
+		}
+	}
+}
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -19,6 +19,7 @@
 	errUnrequestedEncoding = errors.New("response has a Content-Encoding that was not requested")
 	errEndsInsideEvent     = errors.New("stream ends inside an event")
 	errEndsWithoutEvent    = errors.New("stream without a length or chunks ends before its first event")
+	errStatusMidStream     = errors.New("response of another status in the middle of a stream")
 	errResponseTooLarge    = fmt.Errorf("non-streaming response exceeds %d bytes", maxBufferedResponseBytes)
 )
 
@@ -40,6 +41,9 @@
 		placed.Ended(ResultBroken)
 		return attemptEnd{kind: outcome.Unknown, resultName: "answer_spoiled", err: err, headReceived: true, broken: true}
 	}
+	if x.headSent && response.StatusCode != x.record.Status {
+		return x.statusMidStream(placed, response)
+	}
 	if x.route.Kind == routing.Streaming && isSuccess(response.StatusCode) {
 		return x.forwardStream(ctx, placed, response)
 	}
@@ -63,6 +67,19 @@
 	return nil
 }
 
+// statusMidStream ends an attempt that was to go on with a stream and got a valid
+// response of another status, which must not become a part of the stream.
+func (x *exchange) statusMidStream(placed PlacedAttempt, response *upstream.Response) attemptEnd {
+	status := response.StatusCode
+	response.Discard()
+	result := ResultComplete
+	if status >= http.StatusInternalServerError {
+		result = ResultServerError
+	}
+	placed.Ended(result)
+	return attemptEnd{kind: outcome.Unknown, resultName: failedPrefix + strconv.Itoa(status), err: errStatusMidStream, headReceived: true}
+}
+
 // upstreamRequest builds the request to the endpoint of an attempt.
 func (x *exchange) upstreamRequest(placed PlacedAttempt) *upstream.Request {
 	h := endToEndHeaders(x.r.Header)
