Go on with a stream only where the next endpoint goes on

Callers of a stream that broke could get a run of another endpoint joined to it that begins anew, or another representation, as a complete stream.

Cause: an answer of the same status was passed on whatever it held. An endpoint that does not know Last-Event-Id sends its events from the first one.

Change: the first id after a break has to be later than the last one before it, also where the caller itself takes a stream up, and the Content-Type has to be that of the stream. Otherwise the attempt counts as broken.

Evidence: the three cases that are added to TestOnlyAContinuationIsJoinedToAStream failed before to callers of HTTP/1.0 and 1.1, and pass now.

--- a/gateway/relay/endings_test.go
+++ b/gateway/relay/endings_test.go
@@ -252,6 +252,9 @@
 	statusLine := "HTTP/1.1 200 OK"
 	stream := framed("HTTP/1.1", "chunks", eventsOf("b", 2, 3))
 	responses := map[string]string{
+		"a run that begins anew":        framed("HTTP/1.1", "chunks", eventsOf("b", 1, 2, 3)),
+		"the last event once more":      framed("HTTP/1.1", "length", eventsOf("b", 1, 2)),
+		"another representation":        strings.Replace(framed("HTTP/1.1", "length", "{}\n\n"), "text/event-stream", "application/json", 1),
 		"a success without content":     strings.Replace(framed("HTTP/1.1", "length", ""), "200 OK", "204 No Content", 1),
 		"a partial representation":      strings.Replace(stream, "200 OK", "206 Partial Content", 1),
 		"an answer without a signature": strings.Replace(stream, "Signed: x\r\n", "", 1),
--- a/gateway/relay/events.go
+++ b/gateway/relay/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strconv"
 	"strings"
 )
 
@@ -44,6 +45,10 @@
 	// partialBytes is the number of bytes of the current event that were passed on
 	// in pieces.
 	partialBytes int
+	// seam is the id of the last event before the attempt, until the attempt has brought one
+	// with an id; repeats states that this one is not later.
+	seam    string
+	repeats bool
 }
 
 // push appends b to the pending bytes and removes and returns the complete events
@@ -62,6 +67,9 @@
 	}
 	s.partialBytes = 0
 	complete := s.pending[:end:end]
+	if s.checkSeam(complete); s.repeats {
+		return nil
+	}
 	s.recordLastID(complete)
 	rest := make([]byte, len(s.pending)-end)
 	copy(rest, s.pending[end:])
@@ -85,8 +93,35 @@
 // pendingBytes returns the number of buffered bytes of an incomplete event.
 func (s *eventSplitter) pendingBytes() int { return len(s.pending) }
 
-// discardPending drops the part of an event that was not passed on.
-func (s *eventSplitter) discardPending() { s.pending = nil }
+// beginAttempt drops the part of an event that was not passed on. What follows has to go on
+// after the last event.
+func (s *eventSplitter) beginAttempt() { s.pending, s.seam, s.repeats = nil, s.lastID, false }
+
+// checkSeam sets repeats if the first id among the events is not later than the seam. The
+// order of ids that are no numbers is not known; they only must differ.
+func (s *eventSplitter) checkSeam(events []byte) {
+	if s.seam == "" {
+		return
+	}
+	first, ok := firstID(events)
+	if !ok {
+		return
+	}
+	before, beforeErr := strconv.ParseUint(s.seam, 10, 64)
+	after, afterErr := strconv.ParseUint(first, 10, 64)
+	s.repeats = first == s.seam || beforeErr == nil && afterErr == nil && after <= before
+	s.seam = ""
+}
+
+// firstID returns the id of the first event that has one.
+func firstID(events []byte) (string, bool) {
+	for line := range bytes.Lines(events) {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(id)), true
+		}
+	}
+	return "", false
+}
 
 // recordLastID keeps the id of the last event that has one.
 func (s *eventSplitter) recordLastID(events []byte) {
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -20,6 +20,8 @@
 	errEndsInsideEvent     = errors.New("stream ends inside an event")
 	errEndsWithoutEvent    = errors.New("stream without a length or chunks ends before its first event")
 	errStatusMidStream     = errors.New("response of another status in the middle of a stream")
+	errTypeMidStream       = errors.New("response of another Content-Type in the middle of a stream")
+	errRepeatsEvents       = errors.New("stream was to go on after an event and sends an earlier one")
 	errResponseTooLarge    = fmt.Errorf("non-streaming response exceeds %d bytes", maxBufferedResponseBytes)
 )
 
@@ -36,7 +38,7 @@
 	if fields.NotRun || response.StatusCode == http.StatusMisdirectedRequest {
 		return x.rejected(placed, response)
 	}
-	if err := checkResponse(response, fields); err != nil {
+	if err := x.checkResponse(response, fields); err != nil {
 		response.Abort()
 		placed.Ended(ResultBroken)
 		return attemptEnd{kind: outcome.Unknown, resultName: "answer_spoiled", err: err, headReceived: true, broken: true}
@@ -53,9 +55,10 @@
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
 // checkResponse returns an error if a response must not be passed on as the
-// endpoint's own. A status that tells callers that the request did not run is
-// only true if the endpoint states that in its headers, too.
-func checkResponse(response *upstream.Response, fields ResponseFields) error {
+// endpoint's own, or does not go on with the stream that the caller has begun to
+// receive. A status that tells callers that the request did not run is only true if
+// the endpoint states that in its headers, too.
+func (x *exchange) checkResponse(response *upstream.Response, fields ResponseFields) error {
 	switch {
 	case isSuccess(response.StatusCode) && !fields.Signed:
 		return errUnsigned
@@ -63,6 +66,8 @@
 		return errUnrequestedEncoding
 	case outcome.ImpliesNotRun(response.StatusCode):
 		return fmt.Errorf("status %d without a statement that the request did not run", response.StatusCode)
+	case x.headSent && response.StatusCode == x.record.Status && response.Header.Get("Content-Type") != x.w.Header().Get("Content-Type"):
+		return errTypeMidStream
 	}
 	return nil
 }
@@ -204,14 +209,18 @@
 
 // forwardStream passes events on to the caller as they arrive.
 func (x *exchange) forwardStream(ctx context.Context, placed PlacedAttempt, response *upstream.Response) attemptEnd {
-	x.events.discardPending()
+	x.events.beginAttempt()
 	eventsBefore := x.record.Events
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
 			placed.Started()
-			if writeErr := x.forwardEvents(response, x.events.push(buffer[:n])); writeErr != nil {
+			events := x.events.push(buffer[:n])
+			if x.events.repeats {
+				return x.breakStream(ctx, placed, response, errRepeatsEvents)
+			}
+			if writeErr := x.forwardEvents(response, events); writeErr != nil {
 				response.Abort()
 				placed.Ended(ResultInconclusive)
 				x.record.Cause = writeErr.Error()
