Tell a reset from an orderly end while a request is being written

Callers could get an answer without a length or chunks that was reset on the way as if it were complete, where the request was still being written, as with a body above 8 KiB that the endpoint answers before it has read it.

Cause: the kernel reports a reset once. A write that is blocked at that moment takes the error, and the reader gets the same end as after an orderly close.

Change: at the end of a connection the reader looks at its state: after an orderly end it is half open, after a reset it is closed, or the writer has closed it (connend.TellReset). Gateway and agent read endpoints through it.

--- a/agent/endpoint/endpoint.go
+++ b/agent/endpoint/endpoint.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pistachiowind/pistachiowind/connend"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
 )
@@ -82,7 +83,13 @@
 func newTransport(keepAlives bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, Control: setTCPUserTimeout}
 	return &http.Transport{
-		DialContext:           dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return connend.TellReset(c), nil
+		},
 		MaxIdleConns:          maxIdleConnections,
 		MaxIdleConnsPerHost:   maxIdleConnections,
 		IdleConnTimeout:       idleConnTimeout,
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -22,6 +22,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/pistachiowind/pistachiowind/connend"
 )
 
 const (
@@ -301,7 +303,7 @@
 }
 
 func newConn(raw net.Conn, address string) *conn {
-	bounded := &boundedReader{Conn: raw}
+	bounded := &boundedReader{Conn: connend.TellReset(raw)}
 	return &conn{Conn: raw, bounded: bounded, address: address, reader: bufio.NewReaderSize(bounded, readBufferBytes)}
 }
 
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -228,3 +228,43 @@
 		t.Error("a connection that the endpoint is about to close was used")
 	}
 }
+
+// Guards against an answer without a length or chunks that was reset while the request was
+// still being written, and looks complete: the write takes the error of the reset, and the
+// reader gets the same end as after an orderly close.
+func TestResetDuringTheWriteIsNotTheEndOfTheAnswer(t *testing.T) {
+	const tries = 200
+	received := make(chan struct{})
+	conversation := func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\nConnection: close\r\n\r\npart")
+		<-received
+		c.(*net.TCPConn).SetLinger(0)
+	}
+	conversations := make([]func(net.Conn, *bufio.Reader), tries)
+	for i := range conversations {
+		conversations[i] = conversation
+	}
+	address := scriptedServer(t, conversations...)
+	pool := NewPool(Options{})
+	body := make([]byte, 32<<20)
+	for range tries {
+		request := getRequest("a")
+		request.Body = body
+		response, err := pool.RoundTrip(context.Background(), address, request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		part := make([]byte, len("part"))
+		if _, err := io.ReadFull(response.Body, part); err != nil {
+			t.Fatal(err)
+		}
+		received <- struct{}{}
+		if n, err := response.Body.Read(part); err == io.EOF {
+			t.Fatalf("%d bytes and a regular end after a reset", n)
+		}
+		response.Abort()
+	}
+}
