Open a connection for each run at an endpoint beside its agent

Callers could be told that a request did not run although the engine ran it, or get the answer to another request, if an endpoint wrote an earlier answer once more on a kept connection.

Cause: net/http takes the next answer on a connection for that of the request it has sent last. Nothing in an engine's answer names the request.

Change: runs and orders have a connection of their own; only health checks and lists of models keep theirs.

Evidence: TestLateCopyIsNotTheAnswerToTheNextRequest failed in all eight cases (refusals with 503, 429 and 404, and an answer, from an engine and a service), and passes now.

--- a/agent/endpoint/endings_test.go
+++ b/agent/endpoint/endings_test.go
@@ -154,3 +154,43 @@
 		}
 	}
 }
+
+// Guards against a copy of an earlier refusal or answer that arrives on a kept connection
+// after the next request was sent: a caller would be told that its request, which runs, did
+// not run, or get the answer to another one.
+func TestLateCopyIsNotTheAnswerToTheNextRequest(t *testing.T) {
+	for name, copied := range map[string]string{
+		"refusal": framed("HTTP/1.1", "503 Service Unavailable", "length", "full"),
+		"429":     framed("HTTP/1.1", "429 Too Many Requests", "length", "full"),
+		"404":     framed("HTTP/1.1", "404 Not Found", "length", "none"),
+		"answer":  framed("HTTP/1.1", "200 OK", "length", strings.ReplaceAll(engineEvents, "one", "another")),
+	} {
+		for _, kind := range []string{"engine", "service"} {
+			t.Run(kind+" "+name, func(t *testing.T) {
+				var requests atomic.Int64
+				url := scriptedEndpoint(t, func(c *net.TCPConn, r *bufio.Reader) {
+					for first := true; readRequest(r); first = false {
+						if requests.Add(1) == 1 {
+							_, _ = io.WriteString(c, copied)
+							continue
+						}
+						if !first {
+							// The connection was kept: the copy comes before the answer.
+							_, _ = io.WriteString(c, copied)
+						}
+						_, _ = io.WriteString(c, framed("HTTP/1.1", "200 OK", "length", engineEvents))
+					}
+				})
+				var backend Backend = NewService(url)
+				want := engineEvents
+				if kind == "engine" {
+					backend, want = NewEngine(url), "one two"
+				}
+				_, _ = run(t, backend, nil)
+				if got, err := run(t, backend, nil); err != nil || got != want {
+					t.Errorf("the next request ended as %q, %v", got, err)
+				}
+			})
+		}
+	}
+}
--- a/agent/endpoint/engine.go
+++ b/agent/endpoint/engine.go
@@ -35,26 +35,31 @@
 
 // Engine is the Backend for a model engine with the OpenAI-compatible HTTP API.
 type Engine struct {
-	url    string
-	client *http.Client
+	url string
+	// runs opens a connection for each run, like that of a Service; probes keeps them.
+	runs, probes *http.Client
 }
 
 // NewEngine returns the Backend for the engine at a base URL, given without a
 // trailing slash.
 func NewEngine(url string) *Engine {
-	return &Engine{url: url, client: &http.Client{Transport: newTransport(true)}}
+	return &Engine{
+		url:    url,
+		runs:   &http.Client{Transport: newTransport(false)},
+		probes: &http.Client{Transport: newTransport(true)},
+	}
 }
 
 // Check queries the engine's health route.
 func (e *Engine) Check(ctx context.Context) error {
-	return checkHealth(ctx, e.client, e.url+"/health")
+	return checkHealth(ctx, e.probes, e.url+"/health")
 }
 
 // Models lists the ids of the models that the engine serves.
 func (e *Engine) Models(ctx context.Context) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
-	resp, err := get(ctx, e.client, e.url+"/v1/models")
+	resp, err := get(ctx, e.probes, e.url+"/v1/models")
 	if err != nil {
 		return nil, err
 	}
@@ -94,7 +99,7 @@
 	}
 	httpReq.Header.Set("Content-Type", "application/json")
 	httpReq.Header.Set("X-Request-Id", req.GetRequestId())
-	resp, err := e.client.Do(httpReq)
+	resp, err := e.runs.Do(httpReq)
 	if err != nil {
 		return tracker.transportError(err)
 	}
--- a/agent/endpoint/orders.go
+++ b/agent/endpoint/orders.go
@@ -44,7 +44,7 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(fencingHeader, strconv.FormatUint(o.GetFencingNumber(), 10))
-	resp, err := e.client.Do(req)
+	resp, err := e.runs.Do(req)
 	if err != nil {
 		return err
 	}
--- a/agent/endpoint/service.go
+++ b/agent/endpoint/service.go
@@ -17,22 +17,22 @@
 // Service is the Backend for a plain HTTP service.
 type Service struct {
 	url string
-	// keepAlive reuses connections; it is used for idempotent calls and health
-	// checks only.
-	keepAlive *http.Client
-	// noKeepAlive opens a connection for each call. net/http retries a request on
-	// its own when a reused connection breaks and the request carries an
-	// Idempotency-Key header; on a new connection it never does.
-	noKeepAlive *http.Client
+	// probes keeps its connections between health checks.
+	probes *http.Client
+	// runs opens a connection for each call. On a kept one, a copy of an earlier answer
+	// that arrives late would be taken for the answer to the call, and net/http retries
+	// a request on its own when such a connection breaks and the request carries an
+	// Idempotency-Key header.
+	runs *http.Client
 }
 
 // NewService returns the Backend for the service at a base URL, given without a
 // trailing slash.
 func NewService(url string) *Service {
 	return &Service{
-		url:         url,
-		keepAlive:   serviceClient(newTransport(true)),
-		noKeepAlive: serviceClient(newTransport(false)),
+		url:    url,
+		probes: serviceClient(newTransport(true)),
+		runs:   serviceClient(newTransport(false)),
 	}
 }
 
@@ -48,7 +48,7 @@
 
 // Check queries the service's health route.
 func (s *Service) Check(ctx context.Context) error {
-	return checkHealth(ctx, s.keepAlive, s.url+"/health")
+	return checkHealth(ctx, s.probes, s.url+"/health")
 }
 
 // Models returns an empty list: a plain service has no models.
@@ -64,11 +64,7 @@
 	if err != nil {
 		return resultcode.Wrap(resultcode.MalformedBody, err, "the call cannot be passed on")
 	}
-	client := s.noKeepAlive
-	if req.GetIdempotent() {
-		client = s.keepAlive
-	}
-	resp, err := client.Do(httpReq)
+	resp, err := s.runs.Do(httpReq)
 	if err != nil {
 		return tracker.transportError(err)
 	}
