Take no refusal without an id after an answer to another request

A caller could be told that its request did not run although the endpoint ran it: on a new connection, a refusal without an id that follows an answer to another request was taken for that of the request.

Cause: only earlier requests of the gateway on the connection were looked at, not earlier answers.

Change: an answer without an id counts only as the first one on its connection.

Evidence: TestCopyOfARefusalIsNotTakenForTheNextRequest plays copies of an earlier refusal on a kept connection: five statuses, with the statement, an earlier id, both or neither, three framings, after an answer and after a refusal. These 120 cases passed before (with the check of the id off, 42 of its checks fail); its last case, on a new connection, failed before with a 503.

--- a/gateway/relay/endings_test.go
+++ b/gateway/relay/endings_test.go
@@ -279,3 +279,40 @@
 		}
 	}
 }
+
+// Guards against a copy of an earlier refusal that arrives on a kept connection and is taken
+// for the refusal of the next request, which the endpoint runs: the caller would be told that
+// it did not run, or it would run at a second endpoint as well.
+func TestCopyOfARefusalIsNotTakenForTheNextRequest(t *testing.T) {
+	refusal := func(status, headers, framing string) string {
+		return strings.NewReplacer("200 OK", status, "Id: a1\r\n", headers, "Signed: x\r\n", "").Replace(framed("HTTP/1.1", framing, "full"))
+	}
+	for _, status := range []string{"503 Service Unavailable", "429 Too Many Requests", "421 Misdirected Request", "408 Request Timeout", "400 Bad Request"} {
+		for _, headers := range []string{"Not-Run: 1\r\n", "Id: a0\r\nNot-Run: 1\r\n", "Id: a0\r\n", ""} {
+			for _, framing := range []string{"length", "chunks", "close"} {
+				for _, earlier := range []string{completeResponse, refusal("503 Service Unavailable", "Not-Run: 1\r\n", "length")} {
+					copied := refusal(status, headers, framing)
+					earlier = strings.Replace(earlier, "a1", "a0", 1)
+					name := fmt.Sprintf("%s, headers %q, %s, after %.12s", status, headers, framing, earlier)
+					runs, idle := newScriptedEndpoint(t, earlier, copied+completeResponse), newScriptedEndpoint(t, completeResponse, completeResponse)
+					s := newHarness(t, testTable())
+					s.placer.targets = []string{runs.listener.Addr().String()}
+					s.call(strings.Replace(request("POST", "/charge/x", "pay"), "Id: a1", "Id: a0", 1))
+					s.placer.targets = []string{runs.listener.Addr().String(), idle.listener.Addr().String()}
+					got := s.ask(request("POST", "/charge/x", "pay"))
+					if got.status != http.StatusOK && got.status != http.StatusBadGateway {
+						t.Errorf("%s: the caller got status %d for a request that ran", name, got.status)
+					}
+					if n := len(idle.receivedRequests()); n != 0 {
+						t.Errorf("%s: the request also reached a second endpoint", name)
+					}
+				}
+			}
+		}
+	}
+	fresh := newScriptedEndpoint(t, strings.Replace(completeResponse, "a1", "a0", 1)+refusal("503 Service Unavailable", "Not-Run: 1\r\n", "length")+completeResponse)
+	s := newHarness(t, testTable(), fresh)
+	if got := s.ask(request("POST", "/charge/x", "pay")); got.status != http.StatusBadGateway {
+		t.Errorf("status %d after an answer to another request and a refusal without an id", got.status)
+	}
+}
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -212,7 +212,7 @@
 // readHead reads responses until one belongs to the request. Responses that name
 // another request are skipped: they are second or late responses to earlier
 // requests. A response that names no request can be such a late one, too, unless
-// the connection had no earlier request.
+// it is the first response on its connection.
 func (resp *Response) readHead(r *Request) error {
 	request := &http.Request{Method: r.Method}
 	remaining := maxHeadBytes
@@ -230,7 +230,7 @@
 		if r.Correlate != nil {
 			correlation = r.Correlate(response.StatusCode, response.Header)
 		}
-		if correlation == NoRequest && resp.conn.hadRequest {
+		if correlation == NoRequest && (resp.conn.hadRequest || resp.Skipped > 0) {
 			return &Failure{InvalidResponse, errNoRequestID}
 		}
 		if correlation != AnotherRequest {
