Break the connection after the error event of a stream

Callers of a router got a stream that broke off with a framing that says it is complete: the error event was followed by the last chunk, or with HTTP/1.0 by an orderly end.

Cause: the sink of a stream returned after the error event, and the server ended the answer as usual.

Change: the connection breaks after the error event, as it does for a service.

Evidence: TestBrokenAnswerNeverLooksComplete of router/ingress failed for streams to callers of HTTP/1.0 and 1.1, and passes now; answers of services, with and without a length, passed before.

--- a/router/ingress/events.go
+++ b/router/ingress/events.go
@@ -98,7 +98,8 @@
 }
 
 // fail ends the answer with an error: as a plain HTTP response before the first
-// chunk, and as an error event without an end marker after it.
+// chunk. After it, an error event without an end marker follows, and the connection
+// breaks, so that no caller takes a part for the whole answer.
 func (s *eventSink) fail(err *resultcode.Error) error {
 	if !s.headWritten {
 		return writeRefusal(s.c, err)
@@ -111,7 +112,8 @@
 	s.buf = append(s.buf, body...)
 	s.buf = append(s.buf, "\n\n"...)
 	_ = s.send()
-	return nil
+	s.Flush()
+	panic(http.ErrAbortHandler)
 }
 
 // Buffered is false: each chunk is passed on at once.
