Test that an engine's error stays out of a stream at the router

The engine at which a broken text goes on answers with an error, or with something that is no stream, for seven statuses.

--- a/sessions/chat_test.go
+++ b/sessions/chat_test.go
@@ -4,6 +4,11 @@
 package sessions
 
 import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -43,6 +48,36 @@
 	s.checkGolden()
 }
 
+// Guards against an error of the engine at which a broken stream goes on that callers find in
+// the middle of their text, and against such a stream that ends as if it were complete.
+func TestErrorOfTheNextEngineStaysOutOfTheStream(t *testing.T) {
+	const text = "no such thing"
+	for _, status := range []int{200, 204, 400, 404, 429, 500, 503} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			s := startSession(t, "", demo.SiteOptions{Engines: 2, Routers: 1, EngineModel: slowEngine})
+			s.standIns.continued = func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(status)
+				_, _ = io.WriteString(w, text)
+			}
+			release := s.standIns.holdStreams(3)
+			c := s.send(0, chat(`"max_tokens":8,"stream":true`))
+			c.readEvents(3)
+			if err := s.Engines[s.enginesWithStarted(1)[0]].SetFaults(standin.EngineFaults{Down: standin.DownClose}); err != nil {
+				t.Fatal(err)
+			}
+			release()
+			rest, err := io.ReadAll(c.body)
+			if err == nil || bytes.Contains(rest, []byte("[DONE]")) {
+				t.Errorf("the stream looks complete: %q, ended with %v", rest, err)
+			}
+			events, failure, _ := strings.Cut(string(rest), "event: error\n")
+			if strings.Contains(events, text) || !strings.HasPrefix(failure, "data: {") || strings.Count(failure, "\n") > 2 {
+				t.Errorf("the stream went on as %q", rest)
+			}
+		})
+	}
+}
+
 func TestCallerLeaves(t *testing.T) {
 	s := startSession(t, "Guards against an engine that goes on generating for a caller that went away.",
 		demo.SiteOptions{Engines: 1, Routers: 1})
--- a/sessions/record_test.go
+++ b/sessions/record_test.go
@@ -26,6 +26,9 @@
 	hold        *streamHold
 	// marker restricts the record to requests whose body contains it.
 	marker string
+	// continued serves the requests to continue a text in place of the engine, unless it is
+	// nil.
+	continued http.HandlerFunc
 }
 
 func newRecorder() *recorder { return &recorder{calls: make(map[string][]string)} }
@@ -65,6 +68,10 @@
 			return
 		}
 		req.Body = io.NopCloser(bytes.NewReader(body))
+		if r.continued != nil && bytes.Contains(body, []byte(`"continue_final_message":true`)) {
+			r.continued(w, req)
+			return
+		}
 		if h := r.record(name, req, body); h != nil && engine != nil {
 			w = &heldWriter{ResponseWriter: w, hold: h, eventsLeft: h.events, requestDone: req.Context().Done(), engine: engine}
 		}
