Test the answers that the gateway itself ends early

A deadline and the closing of the server end an answer of each framing halfway, to callers of HTTP/1.0 and 1.1.

--- a/gateway/relay/endings_test.go
+++ b/gateway/relay/endings_test.go
@@ -19,6 +19,8 @@
 	listener net.Listener
 	response string
 	reset    bool
+	// hold keeps the connection open after these bytes, until the peer closes it.
+	hold bool
 	// cut is negative if the header decides.
 	cut int
 }
@@ -56,6 +58,9 @@
 		}
 	}
 	_, _ = io.WriteString(c, e.response[:cut])
+	if e.hold {
+		_, _ = c.Read(make([]byte, 1))
+	}
 	if e.reset {
 		_ = c.SetLinger(0)
 	}
@@ -201,6 +206,37 @@
 	return "looks complete"
 }
 
+// Guards against an answer that the gateway itself ends early, at a deadline or in a stop, and
+// that looks complete to its caller, for each framing of the endpoint's answer.
+func TestAnswerEndedByTheGatewayNeverLooksComplete(t *testing.T) {
+	whole := eventsOf("a", 1, 2, 3)
+	for _, caller := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		for _, route := range []string{"read", "charge", "stream", "resume"} {
+			for _, framing := range []string{"length", "chunks", "close"} {
+				for _, by := range []string{"deadline", "stop"} {
+					t.Run(strings.Join([]string{"to", caller, route, framing, by}, " "), func(t *testing.T) {
+						t.Parallel()
+						e := newCutEndpoint(t, framed("HTTP/1.1", framing, whole), false)
+						e.hold = true
+						s := newHarness(t, testTable())
+						s.placer.targets = []string{e.listener.Addr().String()}
+						raw := callerRequest(caller, "/"+route+"/x", strings.Index(e.response, "id: 3"))
+						if by == "deadline" {
+							raw = strings.Replace(raw, "Left: 10000", "Left: 300", 1)
+						} else {
+							stop := time.AfterFunc(200*time.Millisecond, func() { _ = s.server.Config.Close() })
+							defer stop.Stop()
+						}
+						if got := s.ask(raw); got.complete && got.status == http.StatusOK {
+							t.Errorf("looks complete: %+v", got)
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
 // newBrokenStream returns an endpoint whose stream ends inside its second event.
 func newBrokenStream(t *testing.T) *cutEndpoint {
 	e := newCutEndpoint(t, framed("HTTP/1.1", "chunks", eventsOf("a", 1, 2, 3)), false)
