Leave out entries of endpoints that name no endpoint to use

An entry of another writer with a number too large, or with an address that cannot be connected to, was taken for an endpoint: a capacity of 2^62 makes the sums over a service overflow, and 0.0.0.0 is the gateway's own machine. What a peer states of the directory was not checked at all, so that there a port out of range, an empty id or a capacity of zero was accepted as well.

--- a/gateway/sitestate.go
+++ b/gateway/sitestate.go
@@ -188,6 +188,13 @@
 	if err := json.Unmarshal(state.Endpoints, &entries); err != nil {
 		return fmt.Errorf("decode endpoints: %w", err)
 	}
+	entries = slices.DeleteFunc(entries, func(e registry.Entry) bool {
+		err := e.Validate()
+		if err != nil {
+			g.log.Warn().Str("endpoint", e.ID).Err(err).Msg("entry in the site state of a peer left out")
+		}
+		return err != nil
+	})
 	g.adopt(config)
 	if state.Listed && !g.dispatcher.isListed() {
 		g.EndpointsListed(entries)
