Read the sound parts of a row of the site beside an odd one

Gateways lost the condemned suspects, or the versions of all services, that stood in a row beside one odd value, and designations of versions with a sequence out of range outlasted all later ones.

Cause: each row was decoded as a whole, one bad id ended the loading of the others, and sequences and deadlines had no bound.

Change: suspects and services are decoded one by one. Designations with a sequence, a deadline or a share out of range are not followed.

--- a/gateway/crashes/stored.go
+++ b/gateway/crashes/stored.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"strconv"
@@ -39,30 +40,44 @@
 func (t *Table) Unstored(single bool) bool { return len(t.unstored) > 0 || single && t.unstoredCrash }
 
 // Load adds the suspects in the store to the table. The value is that of Encode, or empty.
-// It returns the suspects whose state changes, and an error for a value that cannot be
-// decoded.
+// It returns the suspects whose state changes, and an error if the value, or a suspect in
+// it, cannot be decoded; the other suspects are added all the same.
 func (t *Table) Load(now time.Time, value []byte) ([]Change, error) {
 	if len(value) == 0 {
 		return nil, nil
 	}
-	var stored storedSuspects
+	var stored struct {
+		Suspects []json.RawMessage `json:"suspects"`
+	}
 	if err := json.Unmarshal(value, &stored); err != nil {
 		return nil, fmt.Errorf("decode stored suspects: %w", err)
 	}
 	var changes []Change
-	for _, s := range stored.Suspects[:min(len(stored.Suspects), maxStored)] {
-		if now.Sub(time.Unix(s.LastUnix, 0)) > condemnedTTL {
-			continue
-		}
-		id, err := strconv.ParseUint(s.ID, 16, 64)
-		if err != nil {
-			return changes, fmt.Errorf("decode stored suspect: %w", err)
-		}
-		suspect := Suspect{IsPart: s.Part, ID: id}
-		changes = append(changes, t.loadRounds(now, suspect, s.Rounds)...)
-		t.RecordTrials(now, suspect, s.Trials)
-		t.recordStored(suspect, s)
+	var failed error
+	for _, text := range stored.Suspects[:min(len(stored.Suspects), maxStored)] {
+		loaded, err := t.loadSuspect(now, text)
+		changes, failed = append(changes, loaded...), errors.Join(failed, err)
+	}
+	return changes, failed
+}
+
+// loadSuspect adds one of the suspects in the store.
+func (t *Table) loadSuspect(now time.Time, text []byte) ([]Change, error) {
+	var s storedSuspect
+	if err := json.Unmarshal(text, &s); err != nil {
+		return nil, fmt.Errorf("decode stored suspect: %w", err)
+	}
+	if now.Sub(time.Unix(s.LastUnix, 0)) > condemnedTTL {
+		return nil, nil
+	}
+	id, err := strconv.ParseUint(s.ID, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("decode stored suspect: %w", err)
 	}
+	suspect := Suspect{IsPart: s.Part, ID: id}
+	changes := t.loadRounds(now, suspect, s.Rounds)
+	t.RecordTrials(now, suspect, s.Trials)
+	t.recordStored(suspect, s)
 	return changes, nil
 }
 
--- a/gateway/versions/outbox.go
+++ b/gateway/versions/outbox.go
@@ -206,10 +206,23 @@
 	}
 }
 
+const (
+	// maxSequence bounds stated sequences: no site changes its shares so often, and none could
+	// follow a number that leaves no room for later ones.
+	maxSequence = 1 << 40
+	// maxStatedDeadline bounds stated deadlines of streams. Callers allow seconds to minutes.
+	maxStatedDeadline = 24 * time.Hour
+	// maxWeight bounds a stated share, which is a number of endpoints.
+	maxWeight = 1 << 20
+)
+
 // valid reports whether a peer or the store can have recorded the designations.
 func (d *Designations) valid() bool {
-	invalid := func(x Share) bool { return x.Weight <= 0 }
-	return d.Sequence > 0 && len(d.Spans) > 0 && !slices.ContainsFunc(d.Spans, func(s Span) bool {
+	invalid := func(x Share) bool { return x.Weight <= 0 || x.Weight > maxWeight }
+	if d.MaxDeadline < 0 || d.MaxDeadline > maxStatedDeadline {
+		return false
+	}
+	return d.Sequence > 0 && d.Sequence <= maxSequence && len(d.Spans) > 0 && !slices.ContainsFunc(d.Spans, func(s Span) bool {
 		return len(s.Shares) == 0 || len(s.Shares) > maxShares || slices.ContainsFunc(s.Shares, invalid)
 	})
 }
--- a/gateway/versions/stored.go
+++ b/gateway/versions/stored.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -39,22 +41,30 @@
 }
 
 // Load applies the designations in the store. The value is that of Encode, or empty;
-// storeTime is the time of the store's clock. It returns the changes, and an error for a
-// value that cannot be decoded.
+// storeTime is the time of the store's clock. It returns the changes, and an error if the
+// value, or a service in it, cannot be decoded; the other services are applied all the same.
 func (t *Table) Load(now time.Time, storeTime time.Duration, value []byte) ([]Change, error) {
 	t.complete = true
 	if len(value) == 0 {
 		return nil, nil
 	}
-	var stored storedServices
+	var stored struct {
+		Services map[string]json.RawMessage `json:"services"`
+	}
 	if err := json.Unmarshal(value, &stored); err != nil {
 		return nil, fmt.Errorf("decode stored designations: %w", err)
 	}
 	var changes []Change
-	for name, s := range stored.Services {
-		d := Designations{Service: name, Sequence: s.Sequence, MaxDeadline: time.Duration(s.DeadlineMS) * time.Millisecond, Stored: true}
+	var failed error
+	for name, text := range stored.Services {
+		var s storedService
+		if err := json.Unmarshal(text, &s); err != nil {
+			failed = errors.Join(failed, fmt.Errorf("decode stored designations of service %q: %w", name, err))
+			continue
+		}
+		d := Designations{Service: name, Sequence: s.Sequence, MaxDeadline: storedMS(s.DeadlineMS), Stored: true}
 		for _, span := range s.Spans {
-			loaded := Span{From: now.Add(time.Duration(span.FromMS)*time.Millisecond - storeTime)}
+			loaded := Span{From: now.Add(storedMS(span.FromMS) - storeTime)}
 			for _, x := range span.Shares {
 				loaded.Shares = append(loaded.Shares, Share(x))
 			}
@@ -64,7 +74,13 @@
 			changes = append(changes, c)
 		}
 	}
-	return changes, nil
+	return changes, failed
+}
+
+// storedMS converts a stored number of milliseconds. One out of range counts as the bound.
+func storedMS(n int64) time.Duration {
+	const bound = math.MaxInt64 / int64(4*time.Millisecond)
+	return time.Duration(max(min(n, bound), -bound)) * time.Millisecond
 }
 
 // Encode returns the recorded designations to keep in the store. They count as stored unless
