Leave out single odd entries of the VM list and the shared evidence

Routers stopped following the VM list as soon as another writer had left one entry in it with a value of another type, out of range or nested too deeply, and took entries without a name or with a port of 0 for VMs. One such record in the row of the quarantine hid all others, and no process could publish evidence any more. A catalog version out of reach that one agent stated made routers ignore the statements of all later ones.

Cause: list and row were decoded as a whole, and an unreadable row was never replaced.

Change: elements are split before they are decoded (storage.Elements), each entry is checked, and those left out are logged once. A row that cannot be read counts as empty and is replaced by the next write. A stated version that the faster polls have not found hides no lower one.

--- a/catalog/update_scheduler.go
+++ b/catalog/update_scheduler.go
@@ -126,9 +126,10 @@
 
 // VersionSeen takes the catalog version that a message from a peer carries. A version
 // above have, the version in effect, triggers a read of the store and, if that
-// fails or returns an older version, of this peer.
+// fails or returns an older version, of this peer. A version that none of the faster polls
+// has found hides no lower one.
 func (s *UpdateScheduler) VersionSeen(now time.Time, have, version uint64, peer string) {
-	if version <= have || version <= s.targetVersion {
+	if version <= have || version == s.targetVersion || version < s.targetVersion && s.behind(have) {
 		return
 	}
 	s.targetVersion = version
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -47,10 +47,17 @@
 	Records []Record `json:"records"`
 }
 
-// Read returns the shared evidence. If the row does not exist there is none. Errors are
-// those of the table, and a decoding error if the row is malformed.
+// errMalformed is returned for a row that another writer may have left.
+var errMalformed = errors.New("malformed row")
+
+// Read returns the shared evidence, without the records that cannot be decoded: the next
+// Publish replaces them. If the row does not exist there is none. Errors are those of the
+// table.
 func (x *Exchange) Read(ctx context.Context) ([]Record, error) {
 	records, _, err := x.read(ctx)
+	if errors.Is(err, errMalformed) {
+		return records, nil
+	}
 	return records, err
 }
 
@@ -62,11 +69,27 @@
 	if err != nil {
 		return nil, "", err
 	}
-	var shared sharedRecords
-	if err := json.Unmarshal(row.Value, &shared); err != nil {
-		return nil, "", fmt.Errorf("decode %s: %w", RowKey, err)
+	records, err := decodeRecords(row.Value)
+	return records, row.Revision, err
+}
+
+// decodeRecords returns the records that can be decoded, and an error if the row, or one of
+// its records, cannot be.
+func decodeRecords(value []byte) ([]Record, error) {
+	texts, failed := storage.Elements(value, "records")
+	var records []Record
+	for _, text := range texts {
+		var r Record
+		if err := json.Unmarshal(text, &r); err != nil {
+			failed = errors.Join(failed, err)
+			continue
+		}
+		records = append(records, r)
+	}
+	if failed != nil {
+		return records, fmt.Errorf("%w: %s: %w", errMalformed, RowKey, failed)
 	}
-	return shared.Records, row.Revision, nil
+	return records, nil
 }
 
 // Publish merges evidence into the row. It repeats a failed attempt, such as one
@@ -87,7 +110,7 @@
 
 func (x *Exchange) publish(ctx context.Context, now time.Time, records []Record) error {
 	shared, revision, err := x.read(ctx)
-	if err != nil {
+	if err != nil && !errors.Is(err, errMalformed) {
 		return err
 	}
 	tracker := NewTracker()
--- a/router/router.go
+++ b/router/router.go
@@ -171,7 +171,9 @@
 	r.states = telemetry.NewStateLog(r.opts.Log, r.metrics.StateChanged)
 	r.opts.Table = r.opts.Table.WithObserver(r.metrics)
 	if r.opts.VMs != nil {
-		r.opts.VMs = r.opts.VMs.WithObserver(r.metrics)
+		r.opts.VMs = r.opts.VMs.WithObserver(r.metrics).WithLeftOut(func(entry string, cause error) {
+			r.opts.Log.Warn().Str("entry", entry).Err(cause).Msg("entry of the VM list left out")
+		})
 	}
 	return provider, nil
 }
--- a/storage/observer.go
+++ b/storage/observer.go
@@ -48,5 +48,5 @@
 
 // WithObserver returns a copy of the client that reports its calls to o.
 func (l *VMList) WithObserver(o Observer) *VMList {
-	return &VMList{client: l.client.WithObserver(o)}
+	return &VMList{client: l.client.WithObserver(o), onLeftOut: l.onLeftOut}
 }
