--- a/catalog/update_scheduler_test.go
+++ b/catalog/update_scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -231,3 +232,26 @@
 		<-done
 	})
 }
+
+// Guards against a version out of reach, which a faulty peer states, that hides the later
+// versions of all others.
+func TestVersionOutOfReachHidesNoOther(t *testing.T) {
+	s := NewUpdateScheduler(1)
+	s.anySourceResponded = true
+	now := start
+	s.VersionSeen(now, 5, math.MaxUint64, "faulty")
+	for range maxTargetAttempts + 2 {
+		now = s.NextAt()
+		s.Next(now, 5, nil)
+		s.storePending = false
+	}
+	now = now.Add(time.Second)
+	s.VersionSeen(now, 5, math.MaxUint64, "faulty")
+	if due := s.NextAt(); !due.After(now) {
+		t.Errorf("the version out of reach is looked for again at once")
+	}
+	s.VersionSeen(now, 5, 6, "sound")
+	if due := s.NextAt(); due.After(now) {
+		t.Errorf("the store is read %v after a later version was seen, want at once", due.Sub(now))
+	}
+}
