--- a/gateway/usage/usage_test.go
+++ b/gateway/usage/usage_test.go
@@ -7,6 +7,11 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pistachiowind/pistachiowind/gateway/peers/wire"
+	"github.com/pistachiowind/pistachiowind/oddvalue"
 )
 
 const testWindow = 5 * time.Second
@@ -261,3 +266,39 @@
 		t.Error("a huge sum keeps the window incomplete")
 	}
 }
+
+// Guards against an odd row of counts that ends the gateways which read it, changes the counts
+// of other sources, or keeps later rows from being merged.
+func TestOddCheckpointHarmsNothing(t *testing.T) {
+	a, b := newTestLedger("a"), newTestLedger("b")
+	a.Count(1000, "acme")
+	b.Count(1000, "acme")
+	rows, err := b.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var sound wire.UsageCheckpoint
+	if err := proto.Unmarshal(rows[0], &sound); err != nil {
+		t.Fatal(err)
+	}
+	own, err := a.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, odd := range oddvalue.Message(&sound) {
+		l := newTestLedger("c")
+		_ = l.Merge(odd)
+		l.Advance(begin.Add(time.Second))
+		for _, row := range [][]byte{own[0], rows[0]} {
+			if err := l.Merge(row); err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+		}
+		if n := l.Totals(1000)["acme"]; n < 2 {
+			t.Errorf("%s: %d requests are counted, want 2 or more", name, n)
+		}
+		if _, err := l.Encode(); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
