Refuse chunks in an answer of HTTP/1.0

Callers got the framing of chunks as the body of an answer, and it looked complete wherever the endpoint broke it off.

Cause: HTTP/1.0 has no chunks, and net/http drops the header Transfer-Encoding of such an answer, so that it seems to end with its connection. RFC 9112, section 6.1, calls it faulty.

Change: gateway and agent look at the head of an answer of HTTP/1.0 themselves, and take one with that header for no valid answer.

Evidence: TestChunksOfHTTP10AreNoAnswer failed on all four kinds of routes at the gateway, and for services at the agent (3 of 6 cases; the end marker of an engine's stream already showed it there).

--- a/agent/endpoint/endings_test.go
+++ b/agent/endpoint/endings_test.go
@@ -155,6 +155,24 @@
 	}
 }
 
+// Guards against an answer of HTTP/1.0 in chunks, which that version lacks, whose framing is
+// taken for its body.
+func TestChunksOfHTTP10AreNoAnswer(t *testing.T) {
+	for _, pieces := range []int{1, 7, 1000} {
+		url := scriptedEndpoint(t, func(c *net.TCPConn, r *bufio.Reader) {
+			response := framed("HTTP/1.0", "200 OK", "chunks", engineEvents)
+			for readRequest(r); len(response) > 0; response = response[min(pieces, len(response)):] {
+				_, _ = io.WriteString(c, response[:min(pieces, len(response))])
+			}
+		})
+		for _, backend := range []Backend{NewService(url), NewEngine(url)} {
+			if got, err := run(t, backend, nil); err == nil {
+				t.Errorf("%T, pieces of %d bytes: %q counts as whole", backend, pieces, got)
+			}
+		}
+	}
+}
+
 // Guards against a copy of an earlier refusal or answer that arrives on a kept connection
 // after the next request was sent: a caller would be told that its request, which runs, did
 // not run, or get the answer to another one.
--- a/agent/endpoint/endpoint.go
+++ b/agent/endpoint/endpoint.go
@@ -88,7 +88,11 @@
 			if err != nil {
 				return nil, err
 			}
-			return connend.TellReset(c), nil
+			c = connend.TellReset(c)
+			if !keepAlives {
+				c = newHTTP10Conn(c)
+			}
+			return c, nil
 		},
 		MaxIdleConns:          maxIdleConnections,
 		MaxIdleConnsPerHost:   maxIdleConnections,
--- a/gateway/relay/endings_test.go
+++ b/gateway/relay/endings_test.go
@@ -237,6 +237,19 @@
 	}
 }
 
+// Guards against an answer of HTTP/1.0 in chunks, which that version lacks, whose framing
+// reaches the caller as its body, and which looks complete wherever it breaks off.
+func TestChunksOfHTTP10AreNoAnswer(t *testing.T) {
+	for _, route := range []string{"read", "charge", "stream", "resume"} {
+		e := newCutEndpoint(t, framed("HTTP/1.0", "chunks", eventsOf("a", 1, 2, 3)), false)
+		s := newHarness(t, testTable())
+		s.placer.targets = []string{e.listener.Addr().String()}
+		if got := s.ask(callerRequest("HTTP/1.1", "/"+route+"/x", len(e.response))); got.status == http.StatusOK {
+			t.Errorf("%s: %+v", route, got)
+		}
+	}
+}
+
 // newBrokenStream returns an endpoint whose stream ends inside its second event.
 func newBrokenStream(t *testing.T) *cutEndpoint {
 	e := newCutEndpoint(t, framed("HTTP/1.1", "chunks", eventsOf("a", 1, 2, 3)), false)
--- a/gateway/upstream/bound.go
+++ b/gateway/upstream/bound.go
@@ -1,11 +1,14 @@
 package upstream
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -67,7 +70,7 @@
 // ones before it.
 func (c *conn) readResponse(request *http.Request) (*http.Response, error) {
 	for range maxInterimResponses + 1 {
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := c.parseResponse(request)
 		// The parser may report a head that was cut at the limit as malformed.
 		if err != nil && c.bounded.remaining <= 0 {
 			return nil, ErrHeadTooLarge
@@ -85,6 +88,52 @@
 	return nil, ErrInterimLimit
 }
 
+// http10 begins the status line of a response of HTTP/1.0.
+const http10 = "HTTP/1.0"
+
+// errChunksOfHTTP10 fails a response whose end cannot be told: HTTP/1.0 has no chunks.
+var errChunksOfHTTP10 = errors.New("response of HTTP/1.0 with a Transfer-Encoding")
+
+// parseResponse parses the head of the next response. One of HTTP/1.0 with a Transfer-Encoding
+// is an error (RFC 9112, section 6.1): net/http drops that header, and would pass the framing
+// on as the body. The connection is not reused after a response of HTTP/1.0.
+func (c *conn) parseResponse(request *http.Request) (*http.Response, error) {
+	if version, err := c.reader.Peek(len(http10)); err != nil || string(version) != http10 {
+		return http.ReadResponse(c.reader, request)
+	}
+	head, err := c.readRawHead()
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(io.MultiReader(bytes.NewReader(head), c.reader)), request)
+	if err != nil {
+		return nil, err
+	}
+	response.Close = true
+	for line := range bytes.Lines(head) {
+		if name, _, _ := bytes.Cut(line, []byte(":")); strings.EqualFold(string(bytes.TrimSpace(name)), "Transfer-Encoding") {
+			return nil, errChunksOfHTTP10
+		}
+	}
+	return response, nil
+}
+
+// readRawHead reads to the end of a head, without interpreting it.
+func (c *conn) readRawHead() ([]byte, error) {
+	var head []byte
+	for {
+		line, err := c.reader.ReadSlice('\n')
+		head = append(head, line...)
+		switch {
+		case err == bufio.ErrBufferFull:
+		case err != nil:
+			return nil, err
+		case len(bytes.TrimSpace(line)) == 0:
+			return head, nil
+		}
+	}
+}
+
 // IsHeadLimitError reports whether an exchange failed because the endpoint sent too
 // large a head or too many interim responses.
 func IsHeadLimitError(err error) bool {
