Let the soak's endpoints leave answers unframed, and speak HTTP/1.0 to it

Half of the answers have neither a length nor chunks, streams among them break inside an event, and a quarter of the callers speak HTTP/1.0.

--- a/soak/endpoint_test.go
+++ b/soak/endpoint_test.go
@@ -164,16 +164,21 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Response-Signature", signature(id, b.id))
+	unframed := b.chance(0.5)
+	if unframed {
+		// net/http then marks the end of the body with the end of the connection.
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	if r.URL.Path[:5] == "/ask/" || r.URL.Path[:5] == "/say/" {
-		b.serveStream(w, r, id)
+		b.serveStream(w, r, id, unframed)
 		return
 	}
 	_, _ = fmt.Fprintf(w, "answer to %s", id)
 }
 
-// serveStream sends the events after Last-Event-Id and breaks the connection at
-// random.
-func (b *endpoint) serveStream(w http.ResponseWriter, r *http.Request, id string) {
+// serveStream sends the events after Last-Event-Id and breaks the connection at random. An
+// unframed stream breaks inside an event, as callers could not notice it otherwise.
+func (b *endpoint) serveStream(w http.ResponseWriter, r *http.Request, id string, unframed bool) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	next := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
@@ -181,6 +186,10 @@
 	}
 	for ; next <= eventsPerStream; next++ {
 		if b.chance(0.01) {
+			if text := eventText(id, b.version, next); unframed {
+				_, _ = io.WriteString(w, text[:1+len(text)/2])
+				_ = http.NewResponseController(w).Flush()
+			}
 			panic(http.ErrAbortHandler)
 		}
 		if _, err := io.WriteString(w, eventText(id, b.version, next)); err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,12 +1,15 @@
 package soak
 
 import (
+	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -411,12 +414,53 @@
 	return text
 }
 
+// http10Transport sends requests of HTTP/1.0, each on a connection of its own. An answer
+// without a length is whole if the connection ends without an error.
+type http10Transport struct{}
+
+func (http10Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	c, err := net.DialTimeout("tcp", r.URL.Host, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(r.Context(), func() { c.Close() })
+	defer stop()
+	defer c.Close()
+	var head bytes.Buffer
+	fmt.Fprintf(&head, "%s %s HTTP/1.0\r\nHost: %s\r\nContent-Length: %d\r\n", r.Method, r.URL.RequestURI(), r.Host, r.ContentLength)
+	_ = r.Header.Write(&head)
+	head.WriteString("\r\n")
+	if _, err := io.Copy(c, io.MultiReader(&head, r.Body)); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), r)
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(resp.Body)
+	resp.Body = io.NopCloser(io.MultiReader(bytes.NewReader(body), failingReader{err}))
+	return resp, nil
+}
+
+// failingReader ends with an error, or with the regular end if that is nil.
+type failingReader struct{ err error }
+
+func (f failingReader) Read([]byte) (int, error) {
+	if f.err != nil {
+		return 0, f.err
+	}
+	return 0, io.EOF
+}
+
 var routes = []string{"pay", "get", "ask", "say"}
 
 // sendRequests sends random requests on keep-alive connections until stop is closed.
 func (s *site) sendRequests(caller int, rng *rand.Rand, stop <-chan struct{}) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}, Timeout: 5 * time.Second}
 	defer client.CloseIdleConnections()
+	if caller%4 == 0 {
+		client.Transport = http10Transport{}
+	}
 	keys := []string{"k-acme", "k-blau"}
 	for n := 0; ; n++ {
 		select {
