Replay an answer only with its whole body

A caller that sends an idempotency key again could get a part of the answer as if it were complete, if the object store's answer broke off without a length.

Change: the record of a run holds the size of a body in the object store, and an answer with another size is refused as not readable now.

Evidence: TestTruncatedBodyIsNotReplayed replayed half of the body before.

--- a/agent/claim/claiming.go
+++ b/agent/claim/claiming.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/resultcode"
@@ -250,6 +251,9 @@
 		return refuseWith(resultcode.Ran, resultcode.StoreUnavailable, "the request ran; its answer is not readable now")
 	}
 	o := *c.otherRecord.Outcome
+	if o.ObjectBytes > 0 && len(e.Body) != o.ObjectBytes {
+		return refuseWith(resultcode.Ran, resultcode.StoreUnavailable, fmt.Sprintf("the request ran; %d of %d bytes of its answer were read", len(e.Body), o.ObjectBytes))
+	}
 	o.Body = e.Body
 	return c.replay(&o)
 }
--- a/agent/claim/ledger_test.go
+++ b/agent/claim/ledger_test.go
@@ -201,6 +201,30 @@
 	}
 }
 
+// Guards against a replayed answer whose body broke off on the way from the object store and
+// that looks complete.
+func TestTruncatedBodyIsNotReplayed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeStore()
+		a, b := f.agent(t, "1", "a1"), f.agent(t, "2", "b1")
+		expect(t, claimOnce(t, a, "n1"), "run")
+		a.Finish("n1", Outcome{Execution: resultcode.Ran, Status: 200, Body: bytes.Repeat([]byte("x"), InlineBytes+1)})
+		if err := a.Flush(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		whole := map[string][]byte{}
+		f.set(func() {
+			for key, body := range f.objects {
+				whole[key], f.objects[key] = body, body[:len(body)/2]
+			}
+		})
+		f.agent(t, "1", "a2")
+		expect(t, claimOnce(t, b, "n2"), "ran store_unavailable")
+		f.set(func() { f.objects = whole })
+		expect(t, claimOnce(t, b, "n3"), "replay 200")
+	})
+}
+
 // Guards against a key that stays blocked after an attempt that certainly did not
 // run, because of a store outage or of a refusal by the endpoint, and against a
 // second run after an endpoint failed when it may have run the request.
--- a/agent/claim/outbox.go
+++ b/agent/claim/outbox.go
@@ -108,7 +108,7 @@
 	r.State = outcome.finalState()
 	u := &unsavedOutcome{record: r, revision: revision, body: outcome.Body, addedAt: now, nextAttempt: now, retryDelay: firstSaveDelay, step: SaveRow}
 	if len(outcome.Body) > InlineBytes {
-		outcome.Object = objectPrefix + r.Nonce
+		outcome.Object, outcome.ObjectBytes = objectPrefix+r.Nonce, len(outcome.Body)
 		outcome.Body = nil
 		u.step = SaveObject
 	}
--- a/agent/claim/record.go
+++ b/agent/claim/record.go
@@ -101,6 +101,8 @@
 	Omitted bool `json:"omitted,omitempty"`
 	// Object is the key of the body in the object store; empty if it is inline.
 	Object string `json:"object,omitempty"`
+	// ObjectBytes is the size of that body; zero if it is not known.
+	ObjectBytes int `json:"object_bytes,omitempty"`
 }
 
 // Header is one header of an answer. Order and repetitions are kept.
