--- a/gateway/relay/endings_test.go
+++ b/gateway/relay/endings_test.go
@@ -101,19 +101,7 @@
 // ask sends a request on a new connection, and returns the answer.
 func (s *harness) ask(raw string) received {
 	s.t.Helper()
-	c, err := net.Dial("tcp", s.server.Listener.Addr().String())
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	defer c.Close()
-	if _, err := io.WriteString(c, raw); err != nil {
-		s.t.Fatal(err)
-	}
-	if err := c.SetReadDeadline(time.Now().Add(20 * time.Second)); err != nil {
-		s.t.Fatal(err)
-	}
-	b, err := io.ReadAll(c)
-	return readAnswer(string(b), err)
+	return readAnswer(s.receive(raw))
 }
 
 // framed returns a signed response with the body in one of the framings length, chunks and
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -313,6 +313,16 @@
 // call sends raw bytes on a new connection and returns what the relay sends until
 // it closes the connection; the request should have "Connection: close".
 func (s *harness) call(raw string) string {
+	s.t.Helper()
+	text, err := s.receive(raw)
+	if err != nil {
+		return text + "<" + "reset" + ">"
+	}
+	return text
+}
+
+// receive is like call, and returns how the connection ended.
+func (s *harness) receive(raw string) (string, error) {
 	s.t.Helper()
 	c, err := net.Dial("tcp", s.server.Listener.Addr().String())
 	if err != nil {
@@ -326,10 +336,7 @@
 		s.t.Fatal(err)
 	}
 	b, err := io.ReadAll(c)
-	if err != nil {
-		return string(b) + "<" + "reset" + ">"
-	}
-	return string(b)
+	return string(b), err
 }
 
 func request(method, path, body string, headers ...string) string {
--- a/storage/vmlist.go
+++ b/storage/vmlist.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"net/netip"
 	"sync"
 )
 
@@ -70,14 +69,7 @@
 	if v.Name == "" {
 		return errors.New("entry has no name")
 	}
-	address, err := netip.ParseAddrPort(v.Address)
-	if err != nil {
-		return err
-	}
-	if ip := address.Addr(); address.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast() {
-		return fmt.Errorf("address %s cannot be connected to", v.Address)
-	}
-	return nil
+	return CheckAddress(v.Address)
 }
 
 // decodeVM decodes and checks one entry of the list.
