--- a/gateway/duty/record.go
+++ b/gateway/duty/record.go
@@ -24,6 +24,8 @@
 	// values of 48 KiB stay below the size of a transaction.
 	maxCountRows  = 12
 	recordVersion = 1
+	// maxRecordedCount bounds a recorded count; the ledger counts no further.
+	maxRecordedCount = 1 << 40
 )
 
 // record is the value of a row with a recorded window.
@@ -79,6 +81,11 @@
 	if r.Format != recordVersion || r.Window < 0 || slotIndex(r.Window) != index {
 		return record{}, fmt.Errorf("decode recorded window: format %d, window %d in row %d", r.Format, r.Window, index)
 	}
+	for account, count := range r.Counts {
+		if count > maxRecordedCount {
+			return record{}, fmt.Errorf("decode recorded window: %d requests of account %q", count, account)
+		}
+	}
 	if r.Counts == nil {
 		r.Counts = map[string]uint64{}
 	}
