--- a/agent/endpoint/endpoint.go
+++ b/agent/endpoint/endpoint.go
@@ -90,7 +90,7 @@
 			}
 			c = connend.TellReset(c)
 			if !keepAlives {
-				c = newHTTP10Conn(c)
+				c = connend.RefuseChunksOfHTTP10(c)
 			}
 			return c, nil
 		},
--- a/gateway/relay/events.go
+++ b/gateway/relay/events.go
@@ -45,10 +45,10 @@
 	// partialBytes is the number of bytes of the current event that were passed on
 	// in pieces.
 	partialBytes int
-	// seam is the id of the last event before the attempt, until the attempt has brought one
-	// with an id; repeats states that this one is not later.
-	seam    string
-	repeats bool
+	// resumedAfter is the id of the last event before the attempt, until the attempt has
+	// brought an event with an id; repeats states that this one is not later.
+	resumedAfter string
+	repeats      bool
 }
 
 // push appends b to the pending bytes and removes and returns the complete events
@@ -67,7 +67,7 @@
 	}
 	s.partialBytes = 0
 	complete := s.pending[:end:end]
-	if s.checkSeam(complete); s.repeats {
+	if s.checkResumption(complete); s.repeats {
 		return nil
 	}
 	s.recordLastID(complete)
@@ -95,22 +95,22 @@
 
 // beginAttempt drops the part of an event that was not passed on. What follows has to go on
 // after the last event.
-func (s *eventSplitter) beginAttempt() { s.pending, s.seam, s.repeats = nil, s.lastID, false }
+func (s *eventSplitter) beginAttempt() { s.pending, s.resumedAfter, s.repeats = nil, s.lastID, false }
 
-// checkSeam sets repeats if the first id among the events is not later than the seam. The
+// checkResumption sets repeats if the first id among the events is not later than resumedAfter. The
 // order of ids that are no numbers is not known; they only must differ.
-func (s *eventSplitter) checkSeam(events []byte) {
-	if s.seam == "" {
+func (s *eventSplitter) checkResumption(events []byte) {
+	if s.resumedAfter == "" {
 		return
 	}
 	first, ok := firstID(events)
 	if !ok {
 		return
 	}
-	before, beforeErr := strconv.ParseUint(s.seam, 10, 64)
+	before, beforeErr := strconv.ParseUint(s.resumedAfter, 10, 64)
 	after, afterErr := strconv.ParseUint(first, 10, 64)
-	s.repeats = first == s.seam || beforeErr == nil && afterErr == nil && after <= before
-	s.seam = ""
+	s.repeats = first == s.resumedAfter || beforeErr == nil && afterErr == nil && after <= before
+	s.resumedAfter = ""
 }
 
 // firstID returns the id of the first event that has one.
--- a/gateway/upstream/bound.go
+++ b/gateway/upstream/bound.go
@@ -8,8 +8,9 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"time"
+
+	"github.com/pistachiowind/pistachiowind/connend"
 )
 
 const (
@@ -88,17 +89,10 @@
 	return nil, ErrInterimLimit
 }
 
-// http10 begins the status line of a response of HTTP/1.0.
-const http10 = "HTTP/1.0"
-
-// errChunksOfHTTP10 fails a response whose end cannot be told: HTTP/1.0 has no chunks.
-var errChunksOfHTTP10 = errors.New("response of HTTP/1.0 with a Transfer-Encoding")
-
-// parseResponse parses the head of the next response. One of HTTP/1.0 with a Transfer-Encoding
-// is an error (RFC 9112, section 6.1): net/http drops that header, and would pass the framing
-// on as the body. The connection is not reused after a response of HTTP/1.0.
+// parseResponse parses the head of the next response. One of HTTP/1.0 is read beforehand, for
+// connend.CheckHTTP10Head, and its connection is not reused.
 func (c *conn) parseResponse(request *http.Request) (*http.Response, error) {
-	if version, err := c.reader.Peek(len(http10)); err != nil || string(version) != http10 {
+	if version, err := c.reader.Peek(len(connend.HTTP10)); err != nil || string(version) != connend.HTTP10 {
 		return http.ReadResponse(c.reader, request)
 	}
 	head, err := c.readRawHead()
@@ -110,12 +104,7 @@
 		return nil, err
 	}
 	response.Close = true
-	for line := range bytes.Lines(head) {
-		if name, _, _ := bytes.Cut(line, []byte(":")); strings.EqualFold(string(bytes.TrimSpace(name)), "Transfer-Encoding") {
-			return nil, errChunksOfHTTP10
-		}
-	}
-	return response, nil
+	return response, connend.CheckHTTP10Head(head)
 }
 
 // readRawHead reads to the end of a head, without interpreting it.
