Test answers that break off and are tried again

The first endpoint's answer ends at each byte, closed and reset, and a second endpoint runs a plain request again or goes on with a stream, also one that its caller takes up.

--- a/gateway/relay/endings_test.go
+++ b/gateway/relay/endings_test.go
@@ -23,6 +23,9 @@
 	hold bool
 	// cut is negative if the header decides.
 	cut int
+	// continued returns the response to a request that resumes after an event; nil if that is
+	// response.
+	continued func(lastEventID string) string
 }
 
 func newCutEndpoint(t *testing.T, response string, reset bool) *cutEndpoint {
@@ -51,13 +54,17 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
-	cut := e.cut
+	response, cut := e.response, e.cut
+	if e.continued != nil {
+		response = e.continued(r.Header.Get("Last"))
+		cut = len(response)
+	}
 	if cut < 0 {
 		if cut, err = strconv.Atoi(r.Header.Get("Cut")); err != nil {
 			return
 		}
 	}
-	_, _ = io.WriteString(c, e.response[:cut])
+	_, _ = io.WriteString(c, response[:cut])
 	if e.hold {
 		_, _ = c.Read(make([]byte, 1))
 	}
@@ -282,6 +289,89 @@
 	}
 }
 
+// Guards against an answer that breaks off at its first endpoint, goes on at a second one, and
+// is neither the whole of one run nor what one run brought and its continuation, and against a
+// retry that the caller does not get whole.
+func TestRetriedAnswerIsWhole(t *testing.T) {
+	const events = 3
+	after := func(run, lastEventID string) string {
+		last, _ := strconv.Atoi(lastEventID)
+		var ids []int
+		for id := last + 1; id <= events; id++ {
+			ids = append(ids, id)
+		}
+		return eventsOf(run, ids...)
+	}
+	for _, caller := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		for _, route := range []string{"read", "resume"} {
+			for _, framing := range []string{"length", "chunks", "close"} {
+				for _, end := range []string{"closed", "reset"} {
+					// A caller takes a stream up itself after its first event, or asks anew.
+					for _, taken := range []string{"", "1"} {
+						if taken != "" && route != "resume" {
+							continue
+						}
+						t.Run(strings.Join([]string{"to", caller, route, framing, end, "after", taken}, " "), func(t *testing.T) {
+							first := newCutEndpoint(t, framed("HTTP/1.1", framing, after("a", taken)), end == "reset")
+							second := newCutEndpoint(t, "", false)
+							second.continued = func(lastEventID string) string {
+								// The connection is not kept, as this endpoint closes it.
+								return strings.Replace(framed("HTTP/1.1", framing, after("b", lastEventID)), "Signed: x", "Connection: close\r\nSigned: x", 1)
+							}
+							s := newHarness(t, testTable())
+							for _, cut := range cutsOf(first.response) {
+								s.placer.targets = []string{first.listener.Addr().String(), second.listener.Addr().String()}
+								s.placer.retryBudget = 1
+								raw := callerRequest(caller, "/"+route+"/x", cut)
+								if taken != "" {
+									raw = strings.Replace(raw, "Left:", "Last: "+taken+"\r\nLeft:", 1)
+								}
+								got := s.ask(raw)
+								<-s.records.done
+								if !isWholeAnswer(got, route, taken, after) && !endsByClose(got, route, framing, end, taken, after) {
+									t.Fatalf("cut after %q: %+v", first.response[:cut], got)
+								}
+							}
+						})
+					}
+				}
+			}
+		}
+	}
+}
+
+// isWholeAnswer reports whether an answer is complete and holds a whole run, or for a stream
+// the first events of run a and the others of run b.
+func isWholeAnswer(got received, route, taken string, after func(run, lastEventID string) string) bool {
+	if !got.complete || got.status != http.StatusOK {
+		return false
+	}
+	if got.body == after("a", taken) || got.body == after("b", taken) {
+		return true
+	}
+	for id := 1; route == "resume" && id < 3; id++ {
+		last := strconv.Itoa(id)
+		if begun, ok := strings.CutSuffix(got.body, after("b", last)); ok && begun+after("a", last) == after("a", taken) {
+			return true
+		}
+	}
+	return false
+}
+
+// endsByClose reports whether an answer ends as only one without a mark of its end may: its
+// connection was closed in an orderly way, for a stream between two events, which looks
+// complete; or all events came, the connection was reset, and the continuation has none, which
+// can't be told from one that broke off and does not look complete.
+func endsByClose(got received, route, framing, end, taken string, after func(run, lastEventID string) string) bool {
+	if framing != "close" || !strings.HasPrefix(after("a", taken), got.body) {
+		return false
+	}
+	if end == "reset" {
+		return route == "resume" && got.body == after("a", taken) && !got.complete
+	}
+	return route == "read" || got.body != "" && strings.HasSuffix(got.body, "\n\n")
+}
+
 // Guards against an answer that does not continue a stream and is passed on in the middle of
 // it: an error, another representation, or a run that begins anew.
 func TestOnlyAContinuationIsJoinedToAStream(t *testing.T) {
