--- a/gateway/relay/endings_test.go
+++ b/gateway/relay/endings_test.go
@@ -13,6 +13,9 @@
 	"time"
 )
 
+// unhurriedAttempt lets no attempt end by its timeout on a busy machine.
+const unhurriedAttempt = 10 * time.Second
+
 // cutEndpoint answers each request with one response and ends the connection after as many
 // of its bytes as the header Cut says, or after cut bytes, by closing or resetting it.
 type cutEndpoint struct {
@@ -165,6 +168,7 @@
 						version, framing, _ := strings.Cut(framing, " ")
 						first := newCutEndpoint(t, framed(version, framing, whole), end == "reset")
 						s := newHarness(t, testTable())
+						s.placer.attemptTimeout = unhurriedAttempt
 						for _, cut := range cutsOf(first.response) {
 							s.placer.targets = []string{first.listener.Addr().String()}
 							got := s.ask(callerRequest(caller, "/"+route+"/x", cut))
@@ -319,6 +323,7 @@
 								return strings.Replace(framed("HTTP/1.1", framing, after("b", lastEventID)), "Signed: x", "Connection: close\r\nSigned: x", 1)
 							}
 							s := newHarness(t, testTable())
+							s.placer.attemptTimeout = unhurriedAttempt
 							for _, cut := range cutsOf(first.response) {
 								s.placer.targets = []string{first.listener.Addr().String(), second.listener.Addr().String()}
 								s.placer.retryBudget = 1
