--- a/review/kit/crashes_test.go
+++ b/review/kit/crashes_test.go
@@ -19,7 +19,7 @@
 	asks       = 6
 	askEvery   = 5 * time.Second
 	retries    = 3
-	retryPause = 5 * time.Millisecond
+	retryPause = 25 * time.Millisecond
 	// othersEvery is the time between two requests of the other callers.
 	othersEvery = 100 * time.Millisecond
 	// allowedRetries is the number of retries that may reach replicas later than livenessMs after
@@ -68,7 +68,8 @@
 	time.Sleep(liveness)
 	stop := make(chan struct{})
 	var done sync.WaitGroup
-	others, cut := 0, 0
+	cut := 0
+	var sent []answer
 	done.Go(func() {
 		ticker := time.NewTicker(othersEvery)
 		defer ticker.Stop()
@@ -83,7 +84,7 @@
 				a := ask(g, "/ask/other", newID(), "")
 				mu.Lock()
 				defer mu.Unlock()
-				others++
+				sent = append(sent, a)
 				if a.status != 200 || a.err != nil {
 					cut++
 				}
@@ -100,6 +101,7 @@
 			a := ask(g, "/ask/deadly", id, deadlyBody)
 			mu.Lock()
 			attempts[id] = a.sentAt
+			sent = append(sent, a)
 			mu.Unlock()
 			b.note("ask %d, attempt %d: request %s at %s got status %d, error: %v", n+1, try+1, id, g.name, a.status, a.err)
 			if a.status == 200 && a.err == nil {
@@ -114,6 +116,7 @@
 	done.Wait()
 	mu.Lock()
 	defer mu.Unlock()
+	b.list(sent)
 	slices.SortFunc(crashed, func(x, y crash) int { return x.at.Compare(y.at) })
 	arrivals := 0
 	late := make(map[string]bool)
@@ -132,7 +135,7 @@
 	}
 	b.note("%d crashes; later than livenessMs after the third, %d retries of the client reached replicas, %d times in all; %d retries are allowed",
 		len(crashed), len(late), arrivals, allowedRetries)
-	b.note("other callers: %d requests, %d of them without a whole answer", others, cut)
+	b.note("other callers: %d requests, %d of them without a whole answer", len(sent)-len(attempts), cut)
 	switch {
 	case !b.trouble && served < asks, b.trouble && len(crashed) < 3:
 		return exitNotRun
@@ -143,7 +146,8 @@
 }
 
 // ask sends one request of the route that may be resumed.
-func ask(g *gateway, path, id, body string) answer {
+func ask(g *gateway, path, id, body string) (a answer) {
+	defer func() { a.gateway = g.name }()
 	c, err := dial(g)
 	if err != nil {
 		return answer{id: id, sentAt: time.Now(), err: err}
--- a/review/kit/feedanswer_test.go
+++ b/review/kit/feedanswer_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -111,9 +112,13 @@
 	close(stop)
 	done.Wait()
 	statuses := make(map[int]int)
+	var sent []answer
 	for _, a := range answers {
 		statuses[a.status]++
+		sent = append(sent, a)
 	}
+	slices.SortFunc(sent, func(x, y answer) int { return x.sentAt.Compare(y.sentAt) })
+	b.list(sent)
 	b.note("%d requests by the status that clients got (0: no answer): %v", len(answers), statuses)
 	b.note("answers of the store that were lost: %d", b.store.lost)
 	switch {
--- a/review/kit/gateway_test.go
+++ b/review/kit/gateway_test.go
@@ -102,8 +102,6 @@
 	g.cmd = exec.Command(g.program)
 	g.cmd.Env = append(os.Environ(), "PISTACHIOWIND_NODE_FILE="+g.settings)
 	g.cmd.Stdout, g.cmd.Stderr = g.log, g.log
-	// The gateway ends also if this program is killed.
-	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := g.cmd.Start(); err != nil {
 		return err
 	}
--- a/review/kit/kit_test.go
+++ b/review/kit/kit_test.go
@@ -7,8 +7,11 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -22,8 +25,9 @@
 
 // cases are the cases by the name that a script passes.
 var cases = map[string]func(*bed) int{
+	"goes-on":     goesOn,
+	"early":       early,
 	"feed-answer": feedAnswer,
-	"late-stop":   lateStop,
 	"crashes":     crashes,
 }
 
@@ -50,6 +54,15 @@
 	}
 	defer b.out.Close()
 	defer b.stop()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-ended
+		b.note("the case was ended from outside")
+		b.stop()
+		os.RemoveAll(dir)
+		os.Exit(exitNotRun)
+	}()
 	code := func() (code int) {
 		defer func() {
 			if failure, ok := recover().(notRun); ok {
@@ -83,6 +96,7 @@
 	store        *store
 	gateways     []*gateway
 	replicas     []*replica
+	stopping     sync.Once
 }
 
 // note writes a line with the time since the start to the record.
@@ -92,11 +106,33 @@
 	fmt.Fprintf(b.out, "%8.3f  %s\n", time.Since(b.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// list writes a line for each request: what was sent, answered and run.
+func (b *bed) list(answers []answer) {
+	runs := make(map[string][]string)
+	for _, r := range b.replicas {
+		for _, x := range r.seen() {
+			end := "cut"
+			if !x.ended.IsZero() {
+				end = fmt.Sprintf("whole answer made at %.3f", b.since(x.ended))
+			}
+			runs[x.id] = append(runs[x.id], fmt.Sprintf("%s at %.3f (%s)", r.id, b.since(x.at), end))
+		}
+	}
+	for _, a := range answers {
+		b.note("request %s at %s: sent at %.3f, status %d at %.3f, error: %v; reached: %s",
+			a.id, a.gateway, b.since(a.sentAt), a.status, b.since(a.at), a.err, strings.Join(runs[a.id], ", "))
+	}
+}
+
 // since returns a time in seconds since the start, as in the record.
 func (b *bed) since(t time.Time) float64 { return t.Sub(b.began).Seconds() }
 
 // stop ends everything that was started.
 func (b *bed) stop() {
+	b.stopping.Do(b.end)
+}
+
+func (b *bed) end() {
 	for _, g := range b.gateways {
 		g.kill()
 	}
--- a/review/kit/replica_test.go
+++ b/review/kit/replica_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -26,8 +27,11 @@
 	at time.Time
 	// body is what the client sent.
 	body string
-	// ended is when its answer was complete; zero if it was cut.
-	ended time.Time
+	// resumes is the Last-Event-Id; empty for none.
+	resumes string
+	// ended is when its answer was complete; zero if it was cut. left is when the replica
+	// stopped working on it.
+	ended, left time.Time
 }
 
 // replica is a server of a service. A plain one works for a time on each request; one with events
@@ -41,22 +45,32 @@
 	pause             time.Duration
 	// deadly is the body of the request that crashes the replica as it begins to run it; empty
 	// for none.
-	deadly    string
-	onCrash   func(*replica)
-	addr      string
-	born      int64
-	server    *http.Server
-	once      sync.Once
-	stopBeats context.CancelFunc
-	mu        sync.Mutex
-	sequence  int
-	arrivals  []*arrival
+	deadly  string
+	onCrash func(*replica)
+	// window, if not zero, is the receive buffer of its connections in bytes, and readsAfter how
+	// long after the head of a request it reads the body; it answers meanwhile.
+	window     int
+	readsAfter time.Duration
+	addr       string
+	born       int64
+	server     *http.Server
+	once       sync.Once
+	stopBeats  context.CancelFunc
+	mu         sync.Mutex
+	sequence   int
+	arrivals   []*arrival
 }
 
 // start opens the replica and registers it in the store.
 func (r *replica) start(b *bed) *replica {
 	r.bed, r.born = b, time.Now().UnixMilli()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		if r.window == 0 {
+			return nil
+		}
+		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, r.window) })
+	}}
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	fail(err)
 	r.addr = listener.Addr().String()
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
@@ -106,7 +120,7 @@
 func (r *replica) crash() {
 	r.once.Do(func() {
 		r.stopBeats()
-		go r.server.Close()
+		_ = r.server.Close()
 		time.AfterFunc(3*heartbeat, func() { r.bed.store.change("servers", r.id, "") })
 		r.onCrash(r)
 	})
@@ -147,10 +161,23 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	a := &arrival{id: q.Header.Get("Attempt-Id"), at: time.Now()}
+	a := &arrival{id: q.Header.Get("Attempt-Id"), at: time.Now(), resumes: q.Header.Get("Last-Event-Id")}
 	r.mu.Lock()
 	r.arrivals = append(r.arrivals, a)
 	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if a.left.IsZero() {
+			a.left = time.Now()
+		}
+	}()
+	w.Header().Set("Attempt-Id", a.id)
+	w.Header().Set("Response-Signature", a.id+"."+r.id)
+	if r.readsAfter > 0 {
+		r.answerEarly(w, q, a)
+		return
+	}
 	body, err := io.ReadAll(q.Body)
 	if err != nil {
 		return
@@ -161,10 +188,8 @@
 	if r.deadly != "" && a.body == r.deadly {
 		time.Sleep(beginsAfter)
 		r.crash()
-		return
+		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("Attempt-Id", a.id)
-	w.Header().Set("Response-Signature", a.id+"."+r.id)
 	if r.events > 0 {
 		r.stream(w, q, a)
 		return
@@ -178,6 +203,29 @@
 	r.end(a)
 }
 
+// answerEarly answers a request with a stream before it has read the body, and reads on later.
+func (r *replica) answerEarly(w http.ResponseWriter, q *http.Request, a *arrival) {
+	fail(http.NewResponseController(w).EnableFullDuplex())
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		time.Sleep(r.readsAfter)
+		body, err := io.ReadAll(q.Body)
+		if err != nil {
+			r.bed.note("replica %s could not read the rest of request %s: %v", r.id, a.id, err)
+			return
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		a.body = string(body)
+	}()
+	r.stream(w, q, a)
+	r.mu.Lock()
+	a.left = time.Now()
+	r.mu.Unlock()
+	<-read
+}
+
 func (r *replica) end(a *arrival) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
