--- a/review/kit/crashes_test.go
+++ b/review/kit/crashes_test.go
@@ -19,9 +19,9 @@
 	asks       = 6
 	askEvery   = 5 * time.Second
 	retries    = 3
-	retryPause = 25 * time.Millisecond
+	retryPause = 35 * time.Millisecond
 	// othersEvery is the time between two requests of the other callers.
-	othersEvery = 100 * time.Millisecond
+	othersEvery = 40 * time.Millisecond
 	// allowedRetries is the number of retries that may reach replicas later than livenessMs after
 	// the third crash.
 	allowedRetries = 3
