Keep connections whose peer acknowledges and reads late

Cause: TCP_USER_TIMEOUT also counts while the peer keeps its receive window closed and answers every probe (TCP_INFO: window 0, last acknowledgement just after each probe, then CLOSED at the timeout).

acktimeout moves the timeout ahead as long as the peer is heard. The same fault is fixed from agent to endpoint, from router to agent and towards the router's callers.

Ruled out: a longer timeout, which only moves the length, and none, which leaves silence to a backoff of up to 120 s.

--- a/agent/endpoint/endings_test.go
+++ b/agent/endpoint/endings_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
@@ -155,6 +156,26 @@
 	}
 }
 
+// Guards against an answer that is cut because its endpoint reads the request later than
+// ackTimeout: the endpoint is there and acknowledges.
+func TestEndpointThatReadsTheBodyLateIsNotCut(t *testing.T) {
+	t.Parallel()
+	url := scriptedEndpoint(t, func(c *net.TCPConn, r *bufio.Reader) {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n")
+		time.Sleep(3 * ackTimeout / 2)
+		if _, err := io.Copy(io.Discard, request.Body); err == nil {
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+		}
+	})
+	if got, err := run(t, NewService(url), make([]byte, 16<<20)); err != nil {
+		t.Errorf("%q, then %v", got, err)
+	}
+}
+
 // Guards against an answer of HTTP/1.0 in chunks, which that version lacks, whose framing is
 // taken for its body.
 func TestChunksOfHTTP10AreNoAnswer(t *testing.T) {
--- a/agent/endpoint/endpoint.go
+++ b/agent/endpoint/endpoint.go
@@ -9,9 +9,9 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
-	"syscall"
 	"time"
 
+	"github.com/pistachiowind/pistachiowind/acktimeout"
 	"github.com/pistachiowind/pistachiowind/connend"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
@@ -50,9 +50,9 @@
 	// common servers limit theirs to 8 to 64 KiB.
 	maxResponseHeaderBytes = 64 << 10
 
-	// tcpUserTimeout bounds how long sent data may stay unacknowledged before the
-	// kernel reports the connection as broken (TCP_USER_TIMEOUT).
-	tcpUserTimeout = 5 * time.Second
+	// ackTimeout ends a connection whose endpoint acknowledges nothing for it while data waits
+	// for that; see acktimeout.
+	ackTimeout = 5 * time.Second
 )
 
 // connTracker records whether a request got a connection to the endpoint.
@@ -81,18 +81,22 @@
 }
 
 func newTransport(keepAlives bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, Control: setTCPUserTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
-			c = connend.TellReset(c)
+			guarded, err := acktimeout.Wrap(connend.TellReset(c), ackTimeout)
+			if err != nil {
+				c.Close()
+				return nil, err
+			}
 			if !keepAlives {
-				c = connend.RefuseChunksOfHTTP10(c)
+				guarded = connend.RefuseChunksOfHTTP10(guarded)
 			}
-			return c, nil
+			return guarded, nil
 		},
 		MaxIdleConns:          maxIdleConnections,
 		MaxIdleConnsPerHost:   maxIdleConnections,
@@ -105,9 +109,5 @@
 	}
 }
 
-func setTCPUserTimeout(_, _ string, c syscall.RawConn) error {
-	return rpc.SetUserTimeout(c, tcpUserTimeout)
-}
-
 // RunFunc is the signature of Backend.Run.
 type RunFunc func(ctx context.Context, req *rpc.RunRequest, emit Emit) *resultcode.Error
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -23,6 +23,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/pistachiowind/pistachiowind/acktimeout"
 	"github.com/pistachiowind/pistachiowind/connend"
 )
 
@@ -37,9 +38,9 @@
 	concurrentWriteBytes = 8 << 10
 	// readBufferBytes has room for the head of a response and a few events.
 	readBufferBytes = 4 << 10
-	// tcpUserTimeout (TCP_USER_TIMEOUT) ends a connection whose sent bytes are not
-	// acknowledged within it.
-	tcpUserTimeout = 1500 * time.Millisecond
+	// ackTimeout ends a connection whose endpoint acknowledges nothing for it while bytes wait
+	// for that. An endpoint that reads a body late acknowledges the kernel's probes meanwhile.
+	ackTimeout = 1500 * time.Millisecond
 )
 
 // Stage is how far an exchange got before it failed.
@@ -128,6 +129,8 @@
 // conn is a connection to an endpoint.
 type conn struct {
 	net.Conn
+	// guard ends the connection once its endpoint is silent; nil for a connection other than TCP.
+	guard *acktimeout.Guard
 	// bounded is the source of reader.
 	bounded *boundedReader
 	// hadRequest states that an earlier request was sent on the connection.
@@ -184,6 +187,9 @@
 func (p *Pool) write(resp *Response, r *Request) {
 	head := encodeHead(r)
 	send := func() {
+		if resp.conn.guard != nil {
+			resp.conn.guard.BeforeWrite()
+		}
 		buffers := net.Buffers{head, r.Body}
 		_, resp.writeErr = buffers.WriteTo(resp.conn.Conn)
 		close(resp.written)
@@ -295,11 +301,14 @@
 		return nil, err
 	}
 	p.options.OnConnected(address, time.Since(began))
-	if err := setTCPUserTimeout(raw, tcpUserTimeout); err != nil {
-		raw.Close()
-		return nil, fmt.Errorf("set TCP_USER_TIMEOUT: %w", err)
+	c := newConn(raw, address)
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		if c.guard, err = acktimeout.New(tcp, ackTimeout); err != nil {
+			raw.Close()
+			return nil, err
+		}
 	}
-	return newConn(raw, address), nil
+	return c, nil
 }
 
 func newConn(raw net.Conn, address string) *conn {
@@ -307,22 +316,6 @@
 	return &conn{Conn: raw, bounded: bounded, address: address, reader: bufio.NewReaderSize(bounded, readBufferBytes)}
 }
 
-func setTCPUserTimeout(c net.Conn, d time.Duration) error {
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return nil
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var sockoptErr error
-	err = raw.Control(func(fd uintptr) {
-		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
-	})
-	return errors.Join(err, sockoptErr)
-}
-
 // usable reports whether an idle connection is open and has no bytes to read.
 // Bytes that arrive on an idle connection belong to no request.
 func (c *conn) usable() bool {
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -11,14 +11,13 @@
 	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/pistachiowind/pistachiowind/acktimeout"
 	"github.com/pistachiowind/pistachiowind/connend"
-	"github.com/pistachiowind/pistachiowind/rpc"
 )
 
 const (
@@ -29,9 +28,9 @@
 	idleTimeout    = 11 * time.Minute
 	maxHeaderBytes = 64 << 10
 
-	// tcpUserTimeout limits how long sent data may stay unacknowledged before the
-	// connection is reported as broken.
-	tcpUserTimeout = 5 * time.Second
+	// ackTimeout ends a connection whose client acknowledges nothing for it while data waits
+	// for that; see acktimeout. A client that reads slowly does acknowledge.
+	ackTimeout = 5 * time.Second
 
 	// shutdownTimeout limits the wait for connections to end after the drain.
 	shutdownTimeout = 2 * time.Second
@@ -47,13 +46,11 @@
 // Listen opens a listener on the address and returns a server for the handler. name
 // is used in errors and supervisor events. A nil tlsConfig means plain HTTP.
 func Listen(name, address string, handler http.Handler, tlsConfig *tls.Config) (*Server, error) {
-	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		return rpc.SetUserTimeout(c, tcpUserTimeout)
-	}}
-	listener, err := config.Listen(context.Background(), "tcp", address)
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for %s on %s: %w", name, address, err)
 	}
+	listener = acktimeout.Listener(listener, ackTimeout)
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
 	}
--- a/router/dispatch/client.go
+++ b/router/dispatch/client.go
@@ -9,11 +9,11 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/pistachiowind/pistachiowind/acktimeout"
 	"github.com/pistachiowind/pistachiowind/httpbound"
 	"github.com/pistachiowind/pistachiowind/rpc"
 )
@@ -27,10 +27,10 @@
 	idleConnTimeout    = 10 * time.Minute
 	maxIdlePerAgent    = 256
 	maxIdleConnections = 1024
-	// tcpUserTimeout is the TCP_USER_TIMEOUT of connections: how long sent data may
-	// stay unacknowledged.
-	tcpUserTimeout = 5 * time.Second
-	frameBacklog   = 16
+	// ackTimeout ends a connection whose peer acknowledges nothing for it while data waits for
+	// that; see acktimeout.
+	ackTimeout   = 5 * time.Second
+	frameBacklog = 16
 	// maxHeadBytes bounds the response header of an agent, which has a few lines.
 	maxHeadBytes = 16 << 10
 )
@@ -71,14 +71,11 @@
 func (c *Client) URL(address string) string { return c.scheme + "://" + address }
 
 // NewTransport returns a transport for traffic between processes. A connection whose
-// peer stops acknowledging data fails after tcpUserTimeout.
+// peer stops acknowledging data fails after ackTimeout.
 func NewTransport() *http.Transport {
-	dialer := &net.Dialer{
-		Timeout: dialTimeout,
-		Control: func(_, _ string, raw syscall.RawConn) error { return rpc.SetUserTimeout(raw, tcpUserTimeout) },
-	}
+	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:           dialer.DialContext,
+		DialContext:           acktimeout.Dialer(dialer.DialContext, ackTimeout),
 		TLSHandshakeTimeout:   dialTimeout,
 		MaxIdleConns:          maxIdleConnections,
 		MaxIdleConnsPerHost:   maxIdlePerAgent,
