Learn of a change in the directory after a lost answer of the store

The gateway had lost the answer to one long poll. It gave the poll up only 2 s after its wait of up to 5 s (25 s on a large site), and then took the failure for an outage of the directory, so that the removed entry was kept for 2 s more.

Gateways now state the latest change of the directory that they received; one that is behind for longer than changes are coalesced polls again. One without peers waits at most 0.8 s. They also state when the store last answered: the grace begins when the store was back, and there is none if it answered somebody all the while.

Ruled out: short waits for all, which cost calls where hundreds of gateways share the store.

--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -30,14 +30,17 @@
 )
 
 // errAbandoned ends a call that waits for changes after something else has shown that
-// the store failed, recovered or began a later era.
-var errAbandoned = errors.New("follow: call abandoned because the store failed, recovered or began a later era")
+// the store failed, recovered, began a later era or has changes that the call did not bring.
+var errAbandoned = errors.New("follow: call abandoned because the store failed, recovered, began a later era or has further changes")
 
 // Row is a row of the table.
 type Row struct {
 	Key     string
 	Data    []byte
 	Deleted bool
+	// Version is the version of the store at which the row was last written or deleted;
+	// zero if the store does not state it.
+	Version int64
 	// Era is the era of the answer that contained the row; see Page.
 	Era uint64
 }
@@ -86,6 +89,8 @@
 	Rand *rand.Rand
 	// Status is shared by all followers of one store; if nil, New creates one.
 	Status *StoreStatus
+	// Uptime records when the store answered calls for the table; nil for no record.
+	Uptime *Uptime
 	// CoalesceDelay is the longest pause after an answer with changes, during which
 	// further changes accumulate for the next call; zero means 300 ms.
 	CoalesceDelay time.Duration
@@ -98,6 +103,8 @@
 	rng           *rand.Rand
 	status        *StoreStatus
 	coalesceDelay time.Duration
+	uptime        *Uptime
+	progress      progress
 	// lost states that the last call failed.
 	lost bool
 	// answeredOnce is set once a call succeeded.
@@ -112,7 +119,13 @@
 
 // New returns a Follower.
 func New(o Options) *Follower {
-	f := &Follower{source: o.Source, sink: o.Sink, rng: o.Rand, status: o.Status, coalesceDelay: o.CoalesceDelay}
+	f := &Follower{
+		source: o.Source, sink: o.Sink, rng: o.Rand, status: o.Status, coalesceDelay: o.CoalesceDelay, uptime: o.Uptime,
+		progress: progress{behind: make(chan struct{})},
+	}
+	if f.uptime == nil {
+		f.uptime = &Uptime{}
+	}
 	if f.status == nil {
 		f.status = NewStoreStatus(o.Rand)
 	}
@@ -140,6 +153,7 @@
 			listed = false
 		case err == nil:
 			f.succeeded()
+			f.progress.answered(page)
 			f.deliver(page, listed)
 			if listed && len(page.Rows) > 0 {
 				f.sleep(ctx, f.coalesceDelay)
@@ -178,10 +192,13 @@
 	}
 	watched, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
+	behind := f.progress.interrupted()
 	go func() {
 		select {
 		case <-abandoned:
 			stop(errAbandoned)
+		case <-behind:
+			stop(errAbandoned)
 		case <-watched.Done():
 		}
 	}()
@@ -210,6 +227,7 @@
 
 // succeeded records a call that the store answered.
 func (f *Follower) succeeded() {
+	f.uptime.Answered(time.Now())
 	if f.lost {
 		f.status.answered(time.Now())
 	}
--- a/gateway/follow/outage_test.go
+++ b/gateway/follow/outage_test.go
@@ -58,7 +58,7 @@
 		var sinks []*returnSink
 		for i := range gateways {
 			status := NewStoreStatus(rand.New(rand.NewPCG(uint64(i), 1)))
-			status.SetGateways(gateways)
+			status.SetGateways(gateways, gateways == 1)
 			for table := range 2 {
 				sink := &returnSink{}
 				sinks = append(sinks, sink)
@@ -90,7 +90,7 @@
 func TestHintOfAPeerEndsThePause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		status := NewStoreStatus(rand.New(rand.NewPCG(1, 2)))
-		status.SetGateways(100)
+		status.SetGateways(100, false)
 		status.failed(time.Now())
 		for range 10 {
 			status.waitTurn(t.Context())
@@ -175,7 +175,7 @@
 			var statuses []*StoreStatus
 			for i := range gateways {
 				status := NewStoreStatus(rand.New(rand.NewPCG(uint64(i), 1)))
-				status.SetGateways(gateways)
+				status.SetGateways(gateways, gateways == 1)
 				statuses = append(statuses, status)
 				for table, source := range []silentSource{{began, silentFrom, back, changed}, {began, silentFrom, back, 0}} {
 					sink := &changeSink{}
@@ -214,7 +214,7 @@
 func TestFollowersShareAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		status := NewStoreStatus(rand.New(rand.NewPCG(1, 2)))
-		status.SetGateways(1000)
+		status.SetGateways(1000, false)
 		status.failed(time.Now())
 		var mu sync.Mutex
 		var turns []string
--- a/gateway/follow/storestatus.go
+++ b/gateway/follow/storestatus.go
@@ -20,13 +20,19 @@
 	// back for that time.
 	maxBackoff = 2500 * time.Millisecond
 	// minWait is the shortest wait of a long poll, and waitPerGateway raises the longest
-	// one with the number of gateways up to maxWait. A store that goes silent never
-	// answers the long polls that are waiting. Those with shorter waits, among all
-	// gateways, time out first and show the failure, and the others are then made again.
+	// one with the number of gateways from fewGatewaysMaxWait to maxWait. A store that goes
+	// silent never answers the long polls that are waiting. Those with shorter waits, among
+	// all gateways, time out first and show the failure, and the others are then made again.
 	// With few gateways, waits must be shorter for that.
-	minWait        = 2 * time.Second
-	waitPerGateway = time.Second
-	maxWait        = 25 * time.Second
+	minWait            = 2 * time.Second
+	fewGatewaysMaxWait = 3 * time.Second
+	waitPerGateway     = time.Second
+	maxWait            = 25 * time.Second
+	// minWaitAlone and maxWaitAlone are the same for a gateway that hears of no other, or
+	// of less than half of them: nobody tells it that it misses a change. With callSlack, a
+	// lost answer is noticed within the 3 s in which the platform expects that.
+	minWaitAlone = 600 * time.Millisecond
+	maxWaitAlone = 800 * time.Millisecond
 	// hintSpread is the time over which gateways spread their calls after a peer has
 	// stated that the store answers again.
 	hintSpread = 300 * time.Millisecond
@@ -47,8 +53,8 @@
 	backoff time.Duration
 	// backoffLimit is the upper bound of backoff.
 	backoffLimit time.Duration
-	// waitLimit is the upper bound of the wait of a long poll.
-	waitLimit time.Duration
+	// shortestWait and longestWait bound the wait of a long poll.
+	shortestWait, longestWait time.Duration
 	// nextCallAt is when the store may be called again while it is down.
 	nextCallAt time.Time
 	// abandoned is closed, and replaced, to abort the long polls in progress.
@@ -71,18 +77,24 @@
 // random source is for the jitter that spreads the calls of many processes.
 func NewStoreStatus(rng *rand.Rand) *StoreStatus {
 	return &StoreStatus{
-		rng: rng, backoff: minBackoff, backoffLimit: fewGatewaysMaxBackoff, waitLimit: 2 * minWait,
+		rng: rng, backoff: minBackoff, backoffLimit: fewGatewaysMaxBackoff, shortestWait: minWait, longestWait: fewGatewaysMaxWait,
 		nextCallMoved: make(chan struct{}), abandoned: make(chan struct{}),
 	}
 }
 
-// SetGateways sets the number of gateways that follow the store; it determines the
-// longest backoff and wait.
-func (s *StoreStatus) SetGateways(n int) {
+// SetGateways sets the number of gateways that follow the store, and whether this one is
+// alone: the only one, or cut off from most others. They determine the longest backoff and
+// the waits.
+func (s *StoreStatus) SetGateways(n int, alone bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.backoffLimit = min(max(time.Duration(n)*backoffPerGateway, fewGatewaysMaxBackoff), maxBackoff)
-	s.waitLimit = min(max(time.Duration(n)*waitPerGateway, 2*minWait), maxWait)
+	if alone {
+		s.shortestWait, s.longestWait = minWaitAlone, maxWaitAlone
+		return
+	}
+	s.shortestWait = minWait
+	s.longestWait = min(max(time.Duration(n)*waitPerGateway, fewGatewaysMaxWait), maxWait)
 }
 
 // nextWait returns how long the next long poll waits for changes, and the channel that
@@ -90,7 +102,7 @@
 func (s *StoreStatus) nextWait() (time.Duration, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return minWait + time.Duration(s.rng.Int64N(int64(s.waitLimit-minWait))), s.abandoned
+	return s.shortestWait + time.Duration(s.rng.Int64N(int64(s.longestWait-s.shortestWait))), s.abandoned
 }
 
 // abandon aborts the long polls in progress. The mutex is held.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -131,6 +131,10 @@
 	startedAt time.Time
 	// storeStatus is shared by the followers of all tables of the store.
 	storeStatus *follow.StoreStatus
+	// directory follows the endpoints; nil before Serve. directoryUptime is when the store
+	// answered calls for them, those of peers included.
+	directory       *follow.Follower
+	directoryUptime follow.Uptime
 	// gracePeriod is the time from SIGTERM to SIGKILL in nanoseconds; Reload changes
 	// it.
 	gracePeriod atomic.Int64
@@ -281,15 +285,16 @@
 // concurrent use.
 func (g *Gateway) services() []serviceFunc {
 	seed := func() *rand.Rand { return rand.New(rand.NewPCG(g.options.Rand.Uint64(), g.options.Rand.Uint64())) }
+	g.directory = follow.New(follow.Options{
+		Source: g.options.Endpoints, Sink: g.options.EndpointSink(g), Rand: seed(), Status: g.storeStatus, Uptime: &g.directoryUptime,
+		CoalesceDelay: coalesceDelay(g.options.Settings.DrainTimeoutMS),
+	})
 	services := []serviceFunc{
 		{"config", follow.New(follow.Options{
 			Source: g.options.Config, Sink: g.options.ConfigSink(g), Rand: seed(), Status: g.storeStatus,
 			CoalesceDelay: coalesceDelay(g.options.Settings.ConfigApplyMS),
 		}).Serve},
-		{"endpoints", follow.New(follow.Options{
-			Source: g.options.Endpoints, Sink: g.options.EndpointSink(g), Rand: seed(), Status: g.storeStatus,
-			CoalesceDelay: coalesceDelay(g.options.Settings.DrainTimeoutMS),
-		}).Serve},
+		{"endpoints", g.directory.Serve},
 		{"connections", g.pool.Sweep},
 		{"health", g.refreshHealth},
 	}
@@ -305,6 +310,7 @@
 			serviceFunc{"peer state", g.servePeers},
 			serviceFunc{"ask peers", g.askPeers})
 	} else {
+		g.storeStatus.SetGateways(1, true)
 		g.dispatcher.startUsage(g.options.Settings.Name, time.Now())
 	}
 	if g.options.Rows != nil {
--- a/gateway/newerconfig.go
+++ b/gateway/newerconfig.go
@@ -24,19 +24,27 @@
 	since time.Time
 }
 
-// addStoreState adds the store's era and the configuration version in force to a
-// statement.
-func (g *Gateway) addStoreState(s *wire.Statement) {
+// addStoreState adds the store's era, the latest change of the directory and the
+// configuration version in force to a statement.
+func (g *Gateway) addStoreState(now time.Time, s *wire.Statement) {
 	s.StoreEra = g.storeStatus.Era()
+	s.DirectoryAnswered = encodeAge(now, g.directoryUptime.LastAnswer())
+	if g.directory != nil {
+		s.DirectoryEra, s.DirectoryVersion = g.directory.LatestChange()
+	}
 	if table := g.table.Load(); table != nil {
 		s.ConfigVersion = table.Version
 	}
 }
 
-// receiveStoreState handles the store's era and the configuration version in a peer's
-// statement.
+// receiveStoreState handles the store's era, the latest change of the directory and the
+// configuration version in a peer's statement.
 func (g *Gateway) receiveStoreState(now time.Time, s *wire.Statement) {
 	g.storeStatus.HintEra(now, s.StoreEra)
+	g.directoryUptime.Answered(decodeAge(now, s.DirectoryAnswered))
+	if g.directory != nil {
+		g.directory.HintChange(now, s.DirectoryEra, s.DirectoryVersion)
+	}
 	table := g.table.Load()
 	if table == nil || s.ConfigVersion <= table.Version {
 		return
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -122,14 +122,21 @@
 // DirectoryLost records that the directory does not answer.
 func (r *Registry) DirectoryLost() { r.down = true }
 
-// DirectoryRecovered records that the directory answers again and begins the grace. It
-// must be called before the changes of the first answer are applied.
-func (r *Registry) DirectoryRecovered(now time.Time) {
+// DirectoryRecovered records that the directory answers again. It must be called before the
+// changes of the first answer are applied. The grace begins when the directory was back:
+// answeringSince is the time since which it is known to answer, this gateway or others, or
+// zero if that is not known. A single answer that was lost is no outage of the directory, and
+// then no entry has lapsed by one.
+func (r *Registry) DirectoryRecovered(now, answeringSince time.Time) {
 	if !r.down {
 		return
 	}
 	r.down = false
-	r.graceEnd = now.Add(ReregistrationGrace)
+	back := now
+	if !answeringSince.IsZero() && answeringSince.Before(now) {
+		back = answeringSince
+	}
+	r.graceEnd = back.Add(ReregistrationGrace)
 }
 
 // MarkLeaving records that an endpoint announced in a response that it is leaving. The
--- a/gateway/registry/registry_test.go
+++ b/gateway/registry/registry_test.go
@@ -41,18 +41,44 @@
 	r.Put(entry("a", 1))
 	r.Put(entry("b", 1))
 	r.DirectoryLost()
-	r.DirectoryRecovered(start)
+	r.DirectoryRecovered(start, time.Time{})
 	expect(t, r.Replace(start, []Entry{entry("b", 1)}), "a lapsed")
 	expect(t, r.Expire(start.Add(ReregistrationGrace-time.Millisecond)))
 	expect(t, r.Expire(start.Add(ReregistrationGrace)), "a gone")
 }
 
+// Guards against an endpoint that has left and is kept for a grace of its own at a gateway
+// which lost a single answer, or noticed the return of the directory later than others.
+func TestGraceBeginsWhenTheDirectoryWasBack(t *testing.T) {
+	for _, c := range []struct {
+		answeringFor time.Duration
+		want         []string
+	}{
+		{time.Hour, []string{"a gone"}},
+		{ReregistrationGrace, []string{"a gone"}},
+		{ReregistrationGrace / 2, []string{"a lapsed"}},
+		{0, []string{"a lapsed"}},
+	} {
+		r := New()
+		r.Put(entry("a", 1))
+		r.DirectoryLost()
+		r.DirectoryRecovered(start, start.Add(-c.answeringFor))
+		expect(t, r.Replace(start, nil), c.want...)
+		left := ReregistrationGrace - c.answeringFor
+		if left <= 0 {
+			continue
+		}
+		expect(t, r.Expire(start.Add(left-time.Millisecond)))
+		expect(t, r.Expire(start.Add(left)), "a gone")
+	}
+}
+
 // Guards against removing an endpoint that re-registered within the grace.
 func TestLapsedEntryThatReturnsStays(t *testing.T) {
 	r := New()
 	r.Put(entry("a", 1))
 	r.DirectoryLost()
-	r.DirectoryRecovered(start)
+	r.DirectoryRecovered(start, time.Time{})
 	r.Remove(start, "a")
 	if _, changed := r.Put(entry("a", 1)); !changed {
 		t.Fatal("the return of a lapsed entry was not reported")
@@ -78,7 +104,7 @@
 	e.Draining = true
 	r.Put(e)
 	r.DirectoryLost()
-	r.DirectoryRecovered(start)
+	r.DirectoryRecovered(start, time.Time{})
 	if c, _ := r.Remove(start, "a"); c.State != "gone" {
 		t.Fatalf("state %s, want gone", c.State)
 	}
--- a/gateway/sinks.go
+++ b/gateway/sinks.go
@@ -91,7 +91,7 @@
 // first time.
 func (g *Gateway) StoreRegained(table string) {
 	g.dispatcher.updateRegistry(func(now time.Time, r *registry.Registry) []registry.Change {
-		r.DirectoryRecovered(now)
+		r.DirectoryRecovered(now, g.directoryUptime.Since(now))
 		return nil
 	})
 	g.tableUp.Store(table, true)
