Hold a repeated request until a further crash would count

Crashes within 250 ms count as one round, as endpoints may have failed together, so that all crashes of one ask were one round of the three that condemn. Nothing kept the request from being sent again within a round.

A request that stood in two crashes is now held until 250 ms after the last one; each further crash is a round of its own. Requests that only share a part are not held.

Ruled out: shorter rounds, which condemn what follows a failing rack.

--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -4,7 +4,9 @@
 // request that an endpoint answers to its end clears all its suspects, and what is at
 // fault is never cleared.
 //
-// A suspect is condemned by condemnRounds crashes without such an answer. Suspects that
+// A suspect is condemned by condemnRounds rounds of crashes without such an answer; endpoints
+// that fail together are one round. A request that stood in several crashes is not sent again
+// before a further one would be a round of its own. Suspects that
 // stood in the same crashes can't be told apart; only a request that holds all of them is
 // refused, and others show which of them is at fault. A condemned suspect that is asked
 // for often is tried again with a single request.
@@ -33,6 +35,10 @@
 	// roundGap is the least time between two rounds. Endpoints that crash within it may
 	// have failed together, such as those of one rack, and count once.
 	roundGap = 250 * time.Millisecond
+	// spacedCrashes is the number of crashes from which a request is sent again only
+	// roundGap after the last one. Otherwise a request that is repeated at once crashes any
+	// number of endpoints in one round.
+	spacedCrashes = 2
 	// suspectTTL is how long a suspect that is not condemned is kept after its last crash. A
 	// caller that repeats a request does so within seconds or minutes. condemnedTTL is the
 	// same for a condemned one.
@@ -102,6 +108,15 @@
 	return n
 }
 
+// pause returns how long to wait until a further crash would be a round of its own; zero for
+// suspects of less than spacedCrashes crashes.
+func (r *record) pause(now time.Time) time.Duration {
+	if len(r.sightings) < spacedCrashes {
+		return 0
+	}
+	return max(roundGap-now.Sub(r.lastAt()), 0)
+}
+
 func (r *record) condemned() bool { return r.rounds() >= condemnRounds }
 
 // expired reports whether the last sighting is too long ago to count.
--- a/gateway/crashes/crashes_test.go
+++ b/gateway/crashes/crashes_test.go
@@ -88,6 +88,34 @@
 	}
 }
 
+// Guards against a request that crashes any number of endpoints in one round because it is
+// repeated at once, and against a wait for requests that only share a part with it, that
+// stood in a single crash, or that were answered since.
+func TestRepeatedRequestWaitsUntilACrashWouldCount(t *testing.T) {
+	table := New()
+	pause := func(after time.Duration, suspects ...Suspect) time.Duration {
+		return table.Check(start.Add(after), suspects, 1, func(Suspect) bool { return false }).Pause
+	}
+	table.RecordLocal(crash(10, 0, request(1), part(5)))
+	if p := pause(10*time.Millisecond, request(1), part(5)); p != 0 {
+		t.Errorf("a request of one crash waits %v", p)
+	}
+	table.Record(crash(11, 50*time.Millisecond, request(1), part(5)))
+	if p, want := pause(60*time.Millisecond, request(1), part(5)), roundGap-10*time.Millisecond; p != want {
+		t.Errorf("a request of two crashes waits %v, want %v", p, want)
+	}
+	if p := pause(60*time.Millisecond, request(2), part(5)); p != 0 {
+		t.Errorf("a request with a part of two crashes waits %v", p)
+	}
+	if p := pause(50*time.Millisecond+roundGap, request(1), part(5)); p != 0 {
+		t.Errorf("a request waits %v although a further crash is a round of its own", p)
+	}
+	table.RecordSuccess([]Suspect{request(1)})
+	if p := pause(60*time.Millisecond, request(1)); p != 0 {
+		t.Errorf("a request that was answered waits %v", p)
+	}
+}
+
 // Guards against suspects and reports that grow without limit in an outage, and against
 // suspects of several crashes that the others push out.
 func TestBounds(t *testing.T) {
--- a/gateway/crashes/verdict.go
+++ b/gateway/crashes/verdict.go
@@ -39,11 +39,16 @@
 	Rounds  int
 	// Trial is true if the request may be sent only as the trial of Suspect; see BeginTrial.
 	Trial bool
+	// Pause, if not zero, is how long the request must wait before it is checked again.
+	Pause time.Duration
 }
 
 // Check returns the verdict on a request with the given suspects. Gateways is the number of
 // gateways that share the trials, and mayTry reports whether this one tries a suspect.
 func (t *Table) Check(now time.Time, suspects []Suspect, gateways int, mayTry func(Suspect) bool) Verdict {
+	if pause := t.pause(now, suspects); pause > 0 {
+		return Verdict{Pause: pause}
+	}
 	if t.standing.Len() == 0 {
 		return Verdict{}
 	}
@@ -72,6 +77,18 @@
 	return verdict
 }
 
+// pause returns how long a request must wait for its own crashes. It does not wait for those of
+// its parts, which innocent requests share.
+func (t *Table) pause(now time.Time, suspects []Suspect) time.Duration {
+	var longest time.Duration
+	for _, s := range suspects {
+		if r := t.record(s); !s.IsPart && r != nil && !r.condemned() {
+			longest = max(longest, r.pause(now))
+		}
+	}
+	return longest
+}
+
 // explainedByOther reports whether a condemned suspect outside of the request stood in all
 // the crashes of r. It may be at fault instead; requests with only one of the two show
 // which one is.
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -131,6 +132,28 @@
 	}
 }
 
+// Guards against a part of prompts whose requests come in bursts, several at once at different
+// gateways every five seconds: the crashes of a burst count as one round.
+func TestDeadlyPartInBursts(t *testing.T) {
+	const until = 40 * time.Second
+	for seed := uint64(1); seed <= 3; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				site := newCrashSite(seed, 24, 5)
+				site.deadlyPerS = func(at time.Duration) float64 {
+					const first, every, length, perSecond = 4 * time.Second, 5 * time.Second, 100 * time.Millisecond, 50
+					if at < first || (at-first)%every >= length {
+						return 0
+					}
+					return perSecond / float64(len(site.gateways))
+				}
+				site.run(until)
+				site.check(t, until)
+			})
+		})
+	}
+}
+
 // Guards against statements that are too old to stop the requests in time at the largest
 // site, where one gateway sends a regular one every 4.9 s.
 func TestDeadlyPartAtFourHundredGateways(t *testing.T) {
--- a/gateway/crashsite_test.go
+++ b/gateway/crashsite_test.go
@@ -60,6 +60,15 @@
 	// counted is true if the rule counts the request for its gateway.
 	counted bool
 	begun   bool
+	// begins is how long after its arrival the endpoint begins the answer; zero for a random
+	// time.
+	begins time.Duration
+	// ended is called when the attempt ends without a whole answer, with the refusal if it was
+	// not placed; nil for nothing.
+	ended func(*relay.Refusal)
+	// arrived and began are called when the request reaches an endpoint and when its answer
+	// begins; nil for nothing.
+	arrived, began func()
 }
 
 // crashEndpoint is an endpoint that crashes as it begins an answer to a deadly request.
@@ -181,11 +190,22 @@
 func (s *crashSite) send(r *crashRequest) {
 	r.sentAt, r.process = s.now(), r.gateway.gateway
 	r.counted = r.sentAt >= r.gateway.troubledAt+deadlyNotice
-	attempt, refusal := r.process.dispatcher.Admit(&r.work, relay.AdmissionRequest{Route: "r", Fingerprint: r.fingerprint, TimeLeft: 20 * time.Second})
 	if !r.deadly && r.counted {
 		s.countSound(r, func(c *soundCount) { c.asked++ })
 	}
-	if refusal != nil {
+	s.place(r)
+}
+
+// place asks for an endpoint, as often as the gateway asks the relay to wait, and passes the
+// request to it.
+func (s *crashSite) place(r *crashRequest) {
+	attempt, refusal := r.process.dispatcher.Admit(&r.work, relay.AdmissionRequest{Route: "r", Fingerprint: r.fingerprint, TimeLeft: 20 * time.Second})
+	switch {
+	case refusal != nil && refusal.Pause > 0:
+		s.after(refusal.Pause, func() { r.gateway.whenRunning(r.process, func() { s.place(r) }) })
+		return
+	case refusal != nil:
+		r.end(refusal)
 		return
 	}
 	r.attempt = attempt
@@ -194,6 +214,13 @@
 	s.after(simDelay, func() { s.arrive(e, r) })
 }
 
+// end reports that an attempt ended without a whole answer.
+func (r *crashRequest) end(refusal *relay.Refusal) {
+	if r.ended != nil {
+		r.ended(refusal)
+	}
+}
+
 func (s *crashSite) countSound(r *crashRequest, count func(*soundCount)) {
 	second := int(r.sentAt / time.Second)
 	if s.sound[second] == nil {
@@ -212,15 +239,24 @@
 // arrive handles a request at its endpoint.
 func (s *crashSite) arrive(e *crashEndpoint, r *crashRequest) {
 	if e.down {
-		r.gateway.whenRunning(r.process, func() { r.attempt.Ended(relay.ResultUnreachable) })
+		r.gateway.whenRunning(r.process, func() {
+			r.attempt.Ended(relay.ResultUnreachable)
+			r.end(nil)
+		})
 		return
 	}
+	if r.arrived != nil {
+		r.arrived()
+	}
 	if r.deadly && r.counted {
 		s.deadlySent = append(s.deadlySent, r.sentAt)
 	}
 	e.running = append(e.running, r)
-	born := e.born
-	s.after(minPrefill+time.Duration(s.rng.Int64N(int64(prefillSpread))), func() {
+	born, begins := e.born, r.begins
+	if begins == 0 {
+		begins = minPrefill + time.Duration(s.rng.Int64N(int64(prefillSpread)))
+	}
+	s.after(begins, func() {
 		if !e.down && e.born == born {
 			s.begin(e, r)
 		}
@@ -235,6 +271,9 @@
 		return
 	}
 	r.begun = true
+	if r.began != nil {
+		r.began()
+	}
 	if r.counted {
 		s.countSound(r, func(c *soundCount) { c.begun++ })
 	}
@@ -252,7 +291,10 @@
 // crash ends an endpoint with all requests that it runs, and starts it again later.
 func (s *crashSite) crash(e *crashEndpoint) {
 	for _, r := range e.running {
-		r.gateway.whenRunning(r.process, func() { r.attempt.Ended(relay.ResultBroken) })
+		r.gateway.whenRunning(r.process, func() {
+			r.attempt.Ended(relay.ResultBroken)
+			r.end(nil)
+		})
 	}
 	e.running, e.down = nil, true
 	s.after(crashDowntime, func() {
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -149,8 +149,11 @@
 	now := time.Now()
 	suspects := suspectsOf(w, r.Fingerprint)
 	verdict := d.checkSuspects(now, suspects)
-	if verdict.Refused {
+	switch {
+	case verdict.Refused:
 		return nil, refuseCondemned(verdict)
+	case verdict.Pause > 0:
+		return nil, &relay.Refusal{Reason: relay.CrashSuspect, RetryAfter: verdict.Pause, Pause: verdict.Pause}
 	}
 	if refusal := d.restrictVersion(now, w, r); refusal != nil {
 		return nil, refusal
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -43,13 +43,16 @@
 	if r.RetryAfter > 0 {
 		event = event.Int64("retry_after_ms", ms(r.RetryAfter))
 	}
+	if r.Paused > 0 {
+		event = event.Int64("paused_ms", ms(r.Paused))
+	}
 	if r.LastEventID != "" {
 		event = event.Str("resumes", r.Resumes).Str("last_event", r.LastEventID)
 	}
 	if r.Events > 0 {
 		event = event.Int("events", r.Events).Int64("max_pause_ms", ms(r.MaxPause))
 	}
-	if r.Broken() || r.Result == relay.Condemned {
+	if r.Broken() || r.Result == relay.Condemned || r.Result == relay.CrashSuspect {
 		event = event.Str("fingerprint", hex(uint64(r.Fingerprint))).Array("parts", partIDs(r.Parts))
 	}
 	if r.Refusal != nil && r.Result == relay.Condemned {
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -77,13 +77,12 @@
 		Priority:    x.priority,
 		Fingerprint: x.fingerprint,
 		Account:     x.account,
-		TimeLeft:    time.Until(x.deadline),
 		IsRetry:     isRetry,
 		Resumable:   x.route.Resumable,
 		Continues:   x.continues,
 		CallerTime:  x.fields.TimeLeft,
 	}
-	placed, refusal := x.options.Placer.Admit(&x.work, request)
+	placed, refusal := x.admit(ctx, request)
 	if refusal != nil {
 		x.handleRefusal(refusal)
 		return false
@@ -125,6 +124,33 @@
 	return x.decideNext(ctx, end)
 }
 
+// admit asks the Placer for an attempt, and again after each pause that it asks for, while the
+// deadline allows that.
+func (x *exchange) admit(ctx context.Context, request AdmissionRequest) (PlacedAttempt, *Refusal) {
+	for {
+		request.TimeLeft = time.Until(x.deadline)
+		placed, refusal := x.options.Placer.Admit(&x.work, request)
+		if refusal == nil || refusal.Pause == 0 || refusal.Pause+minTimeForAttempt > request.TimeLeft {
+			return placed, refusal
+		}
+		x.record.Paused += refusal.Pause
+		select {
+		case <-ctx.Done():
+			x.abortIfCallerLeft()
+			return nil, refusal
+		case <-time.After(refusal.Pause):
+		}
+	}
+}
+
+// abortIfCallerLeft ends the request if its caller has closed the connection.
+func (x *exchange) abortIfCallerLeft() {
+	if x.r.Context().Err() != nil {
+		x.record.Result = "caller_left"
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // currentAttempt returns the record of the latest attempt.
 func (x *exchange) currentAttempt() *AttemptRecord {
 	return &x.record.Attempts[len(x.record.Attempts)-1]
@@ -165,10 +191,7 @@
 	if end.delivered {
 		return false
 	}
-	if x.r.Context().Err() != nil {
-		x.record.Result = "caller_left"
-		panic(http.ErrAbortHandler)
-	}
+	x.abortIfCallerLeft()
 	if end.kind == outcome.NotSent {
 		x.state.UnsentAttempts++
 	} else {
--- a/gateway/relay/failure.go
+++ b/gateway/relay/failure.go
@@ -21,6 +21,7 @@
 	"body_timeout":              resultcode.BodyTimeout,
 	"body_memory":               resultcode.RouterSaturated,
 	Condemned:                   resultcode.RequestCondemned,
+	CrashSuspect:                resultcode.TimeTooShort,
 	VersionUnknown:              resultcode.VersionUnknown,
 	"no_endpoint":               resultcode.NoEndpoint,
 	"endpoint_limit":            resultcode.NoEndpoint,
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -151,6 +151,9 @@
 const (
 	// Condemned requests crash endpoints.
 	Condemned = "condemned"
+	// CrashSuspect requests stood in crashes of endpoints lately, and must wait longer than
+	// their time allows.
+	CrashSuspect = "crash_suspect"
 	// VersionUnknown streams began at a version that is not known, or would begin at one that
 	// may be outdated.
 	VersionUnknown = "version_unknown"
@@ -162,6 +165,8 @@
 	Reason string
 	// RetryAfter is the time after which there should be capacity.
 	RetryAfter time.Duration
+	// Pause, if not zero, is the time after which the relay should ask again by itself.
+	Pause time.Duration
 	// Choice is the endpoint that was considered; nil if there was none.
 	Choice *placement.Choice
 	// Suspect is what a condemned request is refused for, and CrashRounds the number of
