State the streams that a change of the versions moves

A change of the shares moves names to another version, and for some seconds their age does not tell whether they began before or after it. Only the gateway at which they began knows, and it told its peers when a stream broke, which a killed one does not.

Each gateway now states the moved streams that began there, once, while the change leaves them in doubt. Ruled out: smaller steps of the shares, which overload what is left of the old version, and guessing by age.

--- /dev/null
+++ b/gateway/versions/moved.go
@@ -0,0 +1,89 @@
+package versions
+
+import (
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// maxBegun bounds the streams that began here and may have to be stated; those that began
+// longest ago are forgotten.
+const maxBegun = 4096
+
+// begunStream is a stream that began at this gateway.
+type begunStream struct {
+	name, version string
+	at            time.Time
+	stated        bool
+}
+
+// begunStreams are the streams that began here, by streamID.
+type begunStreams struct {
+	*simplelru.LRU[uint64, *begunStream]
+}
+
+func newBegunStreams() begunStreams {
+	// NewLRU fails only if the size is not positive.
+	streams, _ := simplelru.NewLRU[uint64, *begunStream](maxBegun, nil)
+	return begunStreams{streams}
+}
+
+// longestAge returns how old a stream of the service can be.
+func (s *service) longestAge() time.Duration {
+	if s.maxDeadline == 0 {
+		return streamTTL
+	}
+	return s.maxDeadline
+}
+
+// inDoubt reports whether a change of the shares is so recent that a stream which is taken up
+// now may have begun before or after it.
+func (s *service) inDoubt(now time.Time) bool {
+	if len(s.spans) < 2 {
+		return false
+	}
+	return s.spans[len(s.spans)-1].from.Add(overlap + s.longestAge() + ageMargin).After(now)
+}
+
+// moves reports whether such a change moves a stream to another version.
+func (s *service) moves(now time.Time, name string) bool {
+	for i := range s.spans[1:] {
+		next := s.spans[i+1]
+		if next.from.Add(overlap+s.longestAge()+ageMargin).After(now) && s.spans[i].shares.pick(name) != next.shares.pick(name) {
+			return true
+		}
+	}
+	return false
+}
+
+// stateMoved adds the streams that began here and that a recent change moves to what is stated
+// to the peers. They cannot tell the version of such a stream by its name, and this gateway may
+// end before the stream does.
+func (t *Table) stateMoved(now time.Time) {
+	for _, s := range t.services {
+		if s.inDoubt(now) {
+			t.stateMovedOf(now, s)
+		}
+	}
+}
+
+func (t *Table) stateMovedOf(now time.Time, s *service) {
+	for _, id := range t.begun.Keys() {
+		b, _ := t.begun.Peek(id)
+		if b.stated || now.Sub(b.at) > s.longestAge() || !s.moves(now, b.name) {
+			continue
+		}
+		b.stated = true
+		t.addStated(id, b.version, 1)
+	}
+}
+
+// mayState reports whether a stream that begins now may have to be stated.
+func (t *Table) mayState(now time.Time) bool {
+	for _, s := range t.services {
+		if s.inDoubt(now) {
+			return true
+		}
+	}
+	return false
+}
--- a/gateway/versions/outbox.go
+++ b/gateway/versions/outbox.go
@@ -10,9 +10,9 @@
 	// stateRepeat is the number of successive statements that include a change or a broken
 	// stream, so that the loss of a datagram does not lose it.
 	stateRepeat = 3
-	// maxBroken bounds the broken streams that wait to be stated; the oldest are dropped.
-	// maxStatedBroken bounds those in one statement.
-	maxBroken       = 256
+	// maxBroken bounds the broken and the moved streams that wait to be stated; the oldest are
+	// dropped. maxStatedBroken bounds those in one statement.
+	maxBroken       = 1024
 	maxStatedBroken = 48
 	// standingInterval and standingPerGateway determine how often a gateway states all
 	// designations, for gateways that start: each second, or as often as keeps the sum over
@@ -37,17 +37,23 @@
 type brokenStream struct {
 	BrokenStream
 	stated int
+	// fresh is set until it was stated once.
+	fresh bool
 }
 
-// BrokenStream is a stream that broke off, by the hash of the attempt that began it.
+// BrokenStream is a stream that broke off, or that a change moved, by the hash of the attempt
+// that began it.
 type BrokenStream struct {
 	ID      uint64
 	Version string
 }
 
-func (o *outbox) addBroken(id uint64, version string) {
+func (o *outbox) addBroken(id uint64, version string) { o.addStated(id, version, stateRepeat) }
+
+// addStated adds a stream to be stated a number of times.
+func (o *outbox) addStated(id uint64, version string, times int) {
 	o.urgent = true
-	o.broken = append(o.broken, &brokenStream{BrokenStream: BrokenStream{id, version}})
+	o.broken = append(o.broken, &brokenStream{BrokenStream{id, version}, stateRepeat - times, true})
 	o.broken = o.broken[max(len(o.broken)-maxBroken, 0):]
 }
 
@@ -82,6 +88,7 @@
 
 // Statement returns what to state now, given the number of gateways.
 func (t *Table) Statement(now time.Time, gateways int) Statement {
+	t.stateMoved(now)
 	s := Statement{Broken: t.takeBroken()}
 	standing := t.complete && now.Sub(t.standingStatedAt) >= max(standingInterval, time.Duration(gateways)*standingPerGateway)
 	names := t.sortedServices(func(s *service) bool { return s.sequence > 0 && (standing || s.stated < stateRepeat) })
@@ -90,7 +97,7 @@
 		t.standingStatedAt = now
 		s.Complete = len(s.Designations) == len(names)
 	}
-	t.urgent = false
+	t.urgent = slices.ContainsFunc(t.broken, func(b *brokenStream) bool { return b.fresh })
 	return s
 }
 
@@ -101,6 +108,7 @@
 	for _, b := range o.broken[:min(len(o.broken), maxStatedBroken)] {
 		taken = append(taken, b.BrokenStream)
 		b.stated++
+		b.fresh = false
 	}
 	o.broken = slices.DeleteFunc(o.broken, func(b *brokenStream) bool { return b.stated >= stateRepeat })
 	return taken
@@ -184,6 +192,7 @@
 	if slices.Equal(s.latest(), before) {
 		return Change{}, false
 	}
+	t.urgent = true
 	return Change{Service: d.Service, Shares: s.latest(), Sequence: s.sequence, ByPeer: true}, true
 }
 
--- a/gateway/versions/versions.go
+++ b/gateway/versions/versions.go
@@ -149,6 +149,7 @@
 type Table struct {
 	services map[string]*service
 	streams  *simplelru.LRU[uint64, stream]
+	begun    begunStreams
 	// complete is set once the designations of the site were read from the store or a peer.
 	complete bool
 	outbox
@@ -158,7 +159,7 @@
 func New() *Table {
 	// NewLRU fails only if the size is not positive.
 	streams, _ := simplelru.NewLRU[uint64, stream](maxStreams, nil)
-	return &Table{services: make(map[string]*service), streams: streams}
+	return &Table{services: make(map[string]*service), streams: streams, begun: newBegunStreams()}
 }
 
 // service returns a service, which it adds if it is not known; nil at maxServices.
@@ -308,9 +309,12 @@
 // Began records the version at which a stream began, by the caller's attempt that brought
 // its first event.
 func (t *Table) Began(now time.Time, attempt, version string) {
-	if attempt != "" {
-		t.streams.Add(streamID(attempt), stream{version, now})
+	if attempt == "" {
+		return
 	}
+	t.streams.Add(streamID(attempt), stream{version, now})
+	t.begun.Add(streamID(attempt), &begunStream{name: attempt, version: version, at: now})
+	t.urgent = t.urgent || t.mayState(now)
 }
 
 // Broke records that a stream that this gateway ran broke off, so that its caller may take
@@ -333,11 +337,7 @@
 	if s == nil || !t.complete || !current {
 		return "", false
 	}
-	longest := s.maxDeadline
-	if longest == 0 {
-		longest = streamTTL
-	}
-	return s.pickedSince(now.Add(-max(longest-timeLeft, 0)-ageMargin), now, attempt)
+	return s.pickedSince(now.Add(-max(s.longestAge()-timeLeft, 0)-ageMargin), now, attempt)
 }
 
 // pickedSince returns the version at which a stream began between two times; false if
--- a/gateway/versions/versions_test.go
+++ b/gateway/versions/versions_test.go
@@ -90,6 +90,50 @@
 	}
 }
 
+// Guards against streams that are refused at other gateways because a change moved them and
+// the gateway at which they began was killed: it must have stated them before, whether they
+// began before the change, or after it.
+func TestMovedStreamsAreStatedBeforeTheyBreak(t *testing.T) {
+	const streams = 100
+	for when, after := range map[string]time.Duration{"before the change": -time.Second, "after the change": time.Second} {
+		changed := 20 * time.Second
+		own, peer := observed(t, ready("old", 12)), observed(t, ready("old", 12))
+		began := func() {
+			for i := range streams {
+				version, _ := own.Pick(start.Add(changed+after), "s", name(i))
+				own.Began(start.Add(changed+after), name(i), version)
+			}
+		}
+		if after < 0 {
+			began()
+			if s := own.Statement(start.Add(changed+after), 5); len(s.Broken) > 0 {
+				t.Errorf("%s: %d streams are stated while nothing changes", when, len(s.Broken))
+			}
+		}
+		for _, c := range []*Table{own, peer} {
+			observe(c, changed, both(6, 6))
+		}
+		if after > 0 {
+			began()
+		}
+		now := start.Add(changed + 1500*time.Millisecond)
+		for own.HasUnstated() {
+			for _, b := range own.Statement(now, 5).Broken {
+				peer.RecordBroken(now, b)
+			}
+		}
+		for i := range streams {
+			want, _ := own.Resolve(now, "s", name(i), 2*time.Second, true)
+			if version, known := peer.Resolve(now, "s", name(i), 2*time.Second, true); !known || version != want {
+				t.Errorf("%s: stream %d began at %s, a peer knows %q, %v", when, i, want, version, known)
+			}
+		}
+		if s := own.Statement(now, 5); len(s.Broken) > 0 {
+			t.Errorf("%s: %d streams are stated again", when, len(s.Broken))
+		}
+	}
+}
+
 // Guards against a guess where nothing is recorded: at a gateway that could not read what was
 // designated, that may have missed a change, or that does not know how old a stream can be.
 func TestUnknownVersionIsNotGuessed(t *testing.T) {
