Pass on late in a stop only what ends before it

What a request may still need was not held against what is left.

Once the load balancer has had the time to notice the stop, a request that no endpoint has received is passed on only if its deadline comes before the connections are closed.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -138,6 +138,9 @@
 	// gracePeriod is the time from SIGTERM to SIGKILL in nanoseconds; Reload changes
 	// it.
 	gracePeriod atomic.Int64
+	// stopsAt is when the connections that remain are closed; nil until the load balancer has
+	// had the time to notice a stop.
+	stopsAt atomic.Pointer[time.Time]
 	// duties are the duties that this gateway may take; nil for none.
 	duties *duties
 }
@@ -165,6 +168,7 @@
 			Observer:      g,
 			PickService:   g.dispatcher.pickService,
 			ConnClosed:    connClosed,
+			StopsAt:       g.connectionsCloseAt,
 			MaxBodyMemory: int64(float64(o.Settings.MemoryMB) * bodyMemoryFraction * 1e6),
 		})),
 		MaxHeaderBytes: maxHeaderBytes,
@@ -327,9 +331,19 @@
 	return append(services, g.duties.services()...)
 }
 
+// connectionsCloseAt returns when a stop closes the connections that remain; zero if none is
+// in progress, or only since a moment.
+func (g *Gateway) connectionsCloseAt() time.Time {
+	if at := g.stopsAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // drain gives up the duties, fails the readiness checks, accepts requests until the load balancer has
 // taken the gateway out of rotation, finishes the requests in progress and returns
-// before the platform kills the process.
+// before the platform kills the process. Later requests, on connections from before, are
+// refused unless their time ends before.
 func (g *Gateway) drain() {
 	began := time.Now()
 	g.draining.Store(true)
@@ -338,8 +352,9 @@
 	g.callerServer.SetKeepAlivesEnabled(false)
 	grace := time.Duration(g.gracePeriod.Load())
 	time.Sleep(min(lameDuckPeriod, grace/3))
-	left := grace - killMargin - time.Since(began)
-	ctx, cancel := context.WithTimeout(context.Background(), left)
+	stopsAt := began.Add(grace - killMargin)
+	g.stopsAt.Store(&stopsAt)
+	ctx, cancel := context.WithDeadline(context.Background(), stopsAt)
 	defer cancel()
 	if err := g.callerServer.Shutdown(ctx); err != nil {
 		g.log.Warn().Err(err).Msg("requests were still open at the end of the drain; their connections are closed")
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -70,6 +70,10 @@
 
 // attempt makes one attempt and reports whether another must follow.
 func (x *exchange) attempt(ctx context.Context, service string) bool {
+	if x.stopsTooSoon() {
+		x.handleRefusal(&Refusal{Reason: Leaving})
+		return false
+	}
 	isRetry := len(x.record.Attempts) > 0
 	request := AdmissionRequest{
 		ID:          x.fields.ID,
@@ -124,6 +128,16 @@
 	return x.decideNext(ctx, end)
 }
 
+// stopsTooSoon reports whether the process may end before a request that no endpoint has
+// received yet: its caller would get no answer, and could not send it again if that is unsafe.
+func (x *exchange) stopsTooSoon() bool {
+	if x.options.StopsAt == nil || x.state.SentAttempts > 0 {
+		return false
+	}
+	stopsAt := x.options.StopsAt()
+	return !stopsAt.IsZero() && x.deadline.Add(stopMargin).After(stopsAt)
+}
+
 // admit asks the Placer for an attempt, and again after each pause that it asks for, while the
 // deadline allows that.
 func (x *exchange) admit(ctx context.Context, request AdmissionRequest) (PlacedAttempt, *Refusal) {
--- a/gateway/relay/failure.go
+++ b/gateway/relay/failure.go
@@ -22,6 +22,7 @@
 	"body_memory":               resultcode.RouterSaturated,
 	Condemned:                   resultcode.RequestCondemned,
 	CrashSuspect:                resultcode.TimeTooShort,
+	Leaving:                     resultcode.Leaving,
 	VersionUnknown:              resultcode.VersionUnknown,
 	"no_endpoint":               resultcode.NoEndpoint,
 	"endpoint_limit":            resultcode.NoEndpoint,
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -31,6 +31,9 @@
 	// maxUnsentAttempts bounds, for one request, the attempts at endpoints that
 	// could not be reached.
 	maxUnsentAttempts = 3
+	// stopMargin is the time that the last answer takes to its caller before the process closes
+	// the connections.
+	stopMargin = 50 * time.Millisecond
 	// minTimeForAttempt is the remaining time below which another attempt cannot
 	// succeed.
 	minTimeForAttempt = 20 * time.Millisecond
@@ -153,6 +156,8 @@
 const (
 	// Condemned requests crash endpoints.
 	Condemned = "condemned"
+	// Leaving requests came so late while the process stops that it might end before they do.
+	Leaving = "leaving"
 	// CrashSuspect requests stood in crashes of endpoints lately, and must wait longer than
 	// their time allows.
 	CrashSuspect = "crash_suspect"
@@ -195,6 +200,9 @@
 	// that may be resumed is named by the caller's attempt that brought its first event, and
 	// always gets the same one; stream is empty for other requests.
 	PickService func(r *routing.Route, stream string) string
+	// StopsAt returns when the process closes the connections that remain; zero as long as new
+	// requests may take all their time. Nil means never.
+	StopsAt func() time.Time
 	// ConnClosed reports whether the connection of a request was closed before its
 	// handler began; nil means never.
 	ConnClosed func(context.Context) bool
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/pistachiowind/pistachiowind/gateway/peers/wire"
 )
@@ -105,6 +106,67 @@
 	<-ended
 }
 
+// Guards against requests that are passed on late in a planned stop and cut at its end, among
+// them ones that must not be repeated: their headers came before the stop, the rest of their
+// bodies at many moments of it. Each gets its answer, or is refused and never passed on.
+func TestRequestsThatCompleteLateInAStopAreNotCut(t *testing.T) {
+	const (
+		grace, working, requests = 3 * time.Second, 1200 * time.Millisecond, 24
+	)
+	var mu sync.Mutex
+	passedOn := make(map[string]bool)
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		mu.Lock()
+		passedOn[strings.TrimPrefix(r.URL.Path, "/x/")] = true
+		mu.Unlock()
+		time.Sleep(working)
+		fmt.Fprint(w, "done "+r.URL.Path)
+	}))
+	defer endpoint.Close()
+	g, finish := start(t, Settings{}, endpoint.Listener.Addr().String(), false)
+	awaitReadiness(t, g, http.StatusOK)
+	var callers []*caller
+	for i := range requests {
+		c := dial(t, g)
+		if err := c.send(fmt.Sprint(i), bodyBytes/2); err != nil {
+			t.Fatal(err)
+		}
+		callers = append(callers, c)
+	}
+	// The gateway must have begun to read all headers before the stop closes new connections.
+	time.Sleep(100 * time.Millisecond)
+	var wait sync.WaitGroup
+	answered, refused := 0, 0
+	for i, c := range callers {
+		wait.Go(func() {
+			time.Sleep(time.Duration(i) * (grace - 500*time.Millisecond) / requests)
+			if _, err := io.WriteString(c, strings.Repeat("b", bodyBytes/2)); err != nil {
+				t.Errorf("request %d was cut before it was complete: %v", i, err)
+				return
+			}
+			resp, err := http.ReadResponse(c.reader, nil)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err != nil:
+				t.Errorf("request %d got no answer (passed on: %v)", i, passedOn[fmt.Sprint(i)])
+			case resp.StatusCode == http.StatusOK:
+				answered++
+			case resp.StatusCode == http.StatusServiceUnavailable && !passedOn[fmt.Sprint(i)]:
+				refused++
+			default:
+				t.Errorf("request %d got %d (passed on: %v)", i, resp.StatusCode, passedOn[fmt.Sprint(i)])
+			}
+		})
+	}
+	finish()
+	wait.Wait()
+	if answered < requests/4 || refused < requests/4 {
+		t.Errorf("%d answered, %d refused", answered, refused)
+	}
+}
+
 // Guards against taking the endpoints of a peer that was cut off from the store, and a
 // withdrawn key that the peer with the most recent endpoints has not dropped yet.
 func TestNewestStateJoinsConfigurationAndEndpoints(t *testing.T) {
