--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -65,7 +65,8 @@
 	// storeVersionsAt is when a change of designated versions is to be written; zero if none
 	// is.
 	storeVersionsAt time.Time
-	contact         contact
+	// contact is when this gateway last heard what its peers know of the site.
+	contact contact
 	// alivePeers are the addresses of the peers with a recent statement. isolated is set while
 	// this gateway has lost most of its peers.
 	alivePeers []string
