Do not take a change of the versions that is read late for one to come

Designations in statements from before a standstill are left out; of several times that are told of one change, the earliest holds; and a change that others state counts as possible for a second before its time. TestChangeThatIsReadLateCounts fails without either of the last two.

--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -44,10 +44,13 @@
 	return gap
 }
 
+// distrusts reports whether a statement that is received now may be from before a standstill.
+func (c *contact) distrusts(now time.Time) bool { return now.Before(c.distrustUntil) }
+
 // heard records a statement of a peer. After a longer silence, only a complete one shows what
 // the gateway has missed: peers state a change again for about as long.
 func (c *contact) heard(now time.Time, complete bool) {
-	if now.Before(c.distrustUntil) || c.silentFor(now) > versions.BlindAfter && !complete {
+	if c.distrusts(now) || c.silentFor(now) > versions.BlindAfter && !complete {
 		return
 	}
 	c.heardAt = now
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -280,6 +280,10 @@
 	for _, b := range s.BrokenStreams {
 		d.versions.RecordBroken(now, versions.BrokenStream{ID: b.Id, Version: b.Version})
 	}
+	if d.contact.distrusts(now) {
+		// The times of an old statement are too late by the standstill.
+		return
+	}
 	for _, w := range s.Designations {
 		x := versions.Designations{Service: w.Service, Sequence: w.Sequence, MaxDeadline: statedMS(w.DeadlineMs), Stored: w.Stored}
 		for _, span := range w.Spans {
--- a/gateway/versions/outbox.go
+++ b/gateway/versions/outbox.go
@@ -179,12 +179,13 @@
 	case d.Sequence < s.sequence:
 		return Change{}, false
 	case d.Sequence == s.sequence && slices.Equal(stated.Shares, before):
+		s.beginsBy(stated.From)
 		if d.Stored && d.MaxDeadline >= s.maxDeadline {
 			s.unstored = false
 		}
 		return Change{}, false
 	case d.Sequence == s.sequence:
-		s.addSibling(span{stated.Shares, stated.From})
+		s.addSibling(span{stated.Shares, stated.From, maxReadDelay})
 	default:
 		s.replace(d)
 	}
@@ -196,6 +197,14 @@
 	return Change{Service: d.Service, Shares: s.latest(), Sequence: s.sequence, ByPeer: true}, true
 }
 
+// beginsBy corrects the beginning of the current span: of several that were stated, the earliest
+// was read with the least delay.
+func (s *service) beginsBy(from time.Time) {
+	if last := &s.spans[len(s.spans)-1]; from.Before(last.from) && !from.IsZero() {
+		last.from = from
+	}
+}
+
 // replace takes over designations with a higher sequence. One that this gateway made without
 // hearing of them is kept among them, as it may have begun streams with it.
 func (s *service) replace(d Designations) {
@@ -206,7 +215,7 @@
 	}
 	s.spans = nil
 	for _, x := range d.Spans[max(len(d.Spans)-maxSpans+1, 0):] {
-		s.spans = append(s.spans, span{x.Shares, x.From})
+		s.spans = append(s.spans, span{x.Shares, x.From, maxReadDelay})
 	}
 	s.sequence, s.unstored = d.Sequence, !d.Stored
 	if lost {
--- a/gateway/versions/versions.go
+++ b/gateway/versions/versions.go
@@ -38,6 +38,8 @@
 	// BlindAfter is the time without a statement of a peer or a call of the store after
 	// which a gateway may have missed a change.
 	BlindAfter = 1200 * time.Millisecond
+	// maxReadDelay is the longest delay with which statements and answers of the store are read.
+	maxReadDelay = time.Second
 	// ageMargin is added to the age of a stream that follows from its deadline.
 	ageMargin = 500 * time.Millisecond
 	// maxDrift is how far the share of a version may be from that of its endpoints, and
@@ -108,6 +110,9 @@
 type span struct {
 	shares shares
 	from   time.Time
+	// lateBy is how much earlier it may begin: a statement, or an answer of the store, that is
+	// read late tells the beginning too late.
+	lateBy time.Duration
 }
 
 // service holds the designations of a service.
@@ -192,7 +197,7 @@
 
 // designate begins a span at a time.
 func (s *service) designate(from time.Time, next shares) {
-	s.spans = append(s.spans, span{next, from})
+	s.spans = append(s.spans, span{shares: next, from: from})
 	s.spans = s.spans[max(len(s.spans)-maxSpans, 0):]
 	s.sequence++
 	s.unstored, s.stated = true, 0
@@ -348,7 +353,7 @@
 		return "", false
 	}
 	for i, d := range s.spans {
-		if i+1 < len(s.spans) && s.spans[i+1].from.Add(overlap).Before(since) || d.from.After(now) {
+		if i+1 < len(s.spans) && s.spans[i+1].from.Add(overlap).Before(since) || d.from.Add(-d.lateBy).After(now) {
 			continue
 		}
 		picked := d.shares.pick(attempt)
--- a/gateway/versions/versions_test.go
+++ b/gateway/versions/versions_test.go
@@ -238,6 +238,43 @@
 	}
 }
 
+// Guards against streams that are joined because a gateway read the statement of a change late,
+// after a standstill or at a busy machine, and takes the change for one that is still to come;
+// and against one that keeps the wrong time although it is told the right one.
+func TestChangeThatIsReadLateCounts(t *testing.T) {
+	const announced, delay = 300 * time.Millisecond, 900 * time.Millisecond
+	own, peer := observed(t, ready("old", 12)), observed(t, ready("old", 12))
+	change, _ := own.Observe(start, "s", both(6, 6))
+	own.Adopt(start, announced, change)
+	statement := own.Statement(start, 2).Designations
+	read := func(at time.Duration) {
+		for _, d := range statement {
+			late := d
+			late.Spans = nil
+			for _, x := range d.Spans {
+				if !x.From.IsZero() {
+					x.From = x.From.Add(at)
+				}
+				late.Spans = append(late.Spans, x)
+			}
+			peer.Record(late)
+		}
+	}
+	read(delay)
+	moved := 0
+	for (shares{{"new", 6}, {"old", 6}}).pick(name(moved)) != "new" {
+		moved++
+	}
+	now := start.Add(delay)
+	if version, known := peer.Resolve(now, "s", name(moved), 3500*time.Millisecond, true); known {
+		t.Errorf("a stream that began at the new version is taken for one of %s", version)
+	}
+	read(0)
+	if version, _ := peer.Pick(now, "s", name(moved)); version != "new" {
+		t.Errorf("a new stream begins at %s after the time of the change was told again", version)
+	}
+}
+
 // Guards against what gateways designated without hearing of each other: streams of both
 // designations are uncertain everywhere, and all agree on new ones.
 func TestDesignationsOfTwoGatewaysAreMerged(t *testing.T) {
