Log by which entry an endpoint was chosen and how a version was found

Cause: the line of a request did not tell an outdated entry of the directory from an outdated designation or a wrong memory, so the hypotheses of the incident with restarted endpoints looked alike. Change: attempts have born and conn_ms, taken-up streams taken_up_version and version_source. No decision changes.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -342,7 +342,7 @@
 }
 
 func (d *dispatcher) putEndpoint(now time.Time, e registry.Entry) {
-	description := placement.Endpoint{ID: e.ID, Service: e.Service, Address: e.Address, Zone: e.Zone, Version: e.Version, Slots: e.Slots}
+	description := placement.Endpoint{ID: e.ID, Service: e.Service, Address: e.Address, Zone: e.Zone, Version: e.Version, Born: e.Born, Slots: e.Slots}
 	if d.table != nil {
 		if s := d.table.Service(e.Service); s != nil && s.Engine != nil {
 			description.MemoryTokens = s.Engine.MemoryTokens
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -47,7 +47,8 @@
 		event = event.Int64("paused_ms", ms(r.Paused))
 	}
 	if r.LastEventID != "" {
-		event = event.Str("resumes", r.Resumes).Str("last_event", r.LastEventID)
+		event = event.Str("resumes", r.Resumes).Str("last_event", r.LastEventID).
+			Str("taken_up_version", r.TakenUpVersion).Str("version_source", string(r.VersionSource))
 	}
 	if r.Events > 0 {
 		event = event.Int("events", r.Events).Int64("max_pause_ms", ms(r.MaxPause))
@@ -81,6 +82,8 @@
 			attempt := zerolog.Dict().
 				Str("endpoint", a.Endpoint).
 				Str("version", a.Version).
+				Int64("born", a.Born).
+				Int64("conn_ms", ms(a.ConnAge)).
 				Str("result", a.Result).
 				Int64("expected_ms", ms(a.Expected)).
 				Int64("took_ms", ms(a.Duration)).
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -76,6 +76,8 @@
 	ID, Service, Address, Zone string
 	// Version is the version of the endpoint's software; empty if unknown.
 	Version string
+	// Born is the start of the endpoint's process in Unix milliseconds; 0 if unknown.
+	Born int64
 	// Slots is the number of requests that run at the same time.
 	Slots int
 	// MemoryTokens is the size of the engine's KV cache in tokens; 0 for plain services.
--- a/gateway/relay/attempt.go
+++ b/gateway/relay/attempt.go
@@ -100,6 +100,7 @@
 	x.record.Attempts = append(x.record.Attempts, AttemptRecord{
 		Endpoint:       choice.Endpoint.ID,
 		Version:        choice.Endpoint.Version,
+		Born:           choice.Endpoint.Born,
 		Expected:       choice.Expected,
 		UncachedTokens: choice.Uncached,
 		FetchedTokens:  choice.Fetched,
--- a/gateway/relay/record.go
+++ b/gateway/relay/record.go
@@ -8,6 +8,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
 	"github.com/pistachiowind/pistachiowind/gateway/upstream"
+	"github.com/pistachiowind/pistachiowind/gateway/versions"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 )
 
@@ -46,6 +47,10 @@
 	// Resumes is the id of the caller's attempt that brought the first event of a stream that
 	// it takes up, and LastEventID the last event that it has; empty for a new stream.
 	Resumes, LastEventID string
+	// TakenUpVersion is the version at which such a stream may go on, and VersionSource how it
+	// was found; empty if it was not.
+	TakenUpVersion string
+	VersionSource  versions.Source
 	// Fingerprint is the hash by which a request that crashes endpoints is recognised, and
 	// Parts are the segments of its prompt.
 	Fingerprint crashes.Fingerprint
@@ -68,8 +73,13 @@
 	// OtherZone is the availability zone of the endpoint if the request left its own one;
 	// empty otherwise.
 	OtherZone string
-	// Version is the version of the endpoint's software.
+	// Version is the version of the endpoint's software, and Born the start of its process in
+	// Unix milliseconds, both as the directory showed them when it was chosen.
 	Version string
+	Born    int64
+	// ConnAge is how long the connection was open as the request was sent; valid with a
+	// valid head of a response.
+	ConnAge time.Duration
 	// Expected is the estimated time to the first event or to the plain response.
 	Expected time.Duration
 	// UncachedTokens is the estimated number of prompt tokens that the endpoint has to
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
 	"github.com/pistachiowind/pistachiowind/gateway/upstream"
+	"github.com/pistachiowind/pistachiowind/gateway/versions"
 )
 
 const (
@@ -75,8 +76,9 @@
 	FirstAttempt(service, account string)
 	// ResolveStream returns the version at which a stream began; false if that is not
 	// known. The stream is named by the caller's attempt that brought its first event,
-	// empty if the caller does not name it; timeLeft is the time until its deadline.
-	ResolveStream(service, stream string, timeLeft time.Duration) (version string, known bool)
+	// empty if the caller does not name it; timeLeft is the time until its deadline. The
+	// source, for the log, is how the version was found.
+	ResolveStream(service, stream string, timeLeft time.Duration) (version string, source versions.Source, known bool)
 	// StreamBegan reports the version of the endpoint that brought the first event of a
 	// stream that may be resumed, or went on with it.
 	StreamBegan(stream, version string)
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -21,6 +21,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
 	"github.com/pistachiowind/pistachiowind/gateway/upstream"
+	"github.com/pistachiowind/pistachiowind/gateway/versions"
 )
 
 // testProtocol is a Protocol with short header names.
@@ -219,9 +220,11 @@
 
 func (p *fakePlacer) FirstAttempt(string, string) {}
 
-func (p *fakePlacer) ResolveStream(string, string, time.Duration) (string, bool) { return "", true }
-func (p *fakePlacer) StreamBegan(string, string)                                 {}
-func (p *fakePlacer) StreamBroke(string)                                         {}
+func (p *fakePlacer) ResolveStream(string, string, time.Duration) (string, versions.Source, bool) {
+	return "", versions.SourceName, true
+}
+func (p *fakePlacer) StreamBegan(string, string) {}
+func (p *fakePlacer) StreamBroke(string)         {}
 
 func (p *fakePlacer) AllowRetry(string, string) bool {
 	p.mu.Lock()
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return x.roundTripFailed(ctx, placed, err)
 	}
-	x.currentAttempt().Framing = response.Framing
+	x.currentAttempt().Framing, x.currentAttempt().ConnAge = response.Framing, response.ConnAge
 	fields := x.options.Protocol.DecodeResponse(response.StatusCode, response.Header)
 	if fields.NotRun || response.StatusCode == http.StatusMisdirectedRequest {
 		return x.rejected(placed, response)
--- a/gateway/relay/version.go
+++ b/gateway/relay/version.go
@@ -41,8 +41,9 @@
 		if x.fields.HasDeadline {
 			left = x.fields.TimeLeft - time.Since(x.arrived)
 		}
-		if version, known := x.options.Placer.ResolveStream(service, x.streamName(), left); known {
+		if version, source, known := x.options.Placer.ResolveStream(service, x.streamName(), left); known {
 			x.continues = &version
+			x.record.TakenUpVersion, x.record.VersionSource = version, source
 			return true
 		}
 		if ctx.Err() != nil || time.Now().After(until) {
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -53,7 +53,7 @@
 // ResolveStream implements relay.Placer. A gateway that hears of nothing for a moment does not
 // know whether the stream began with a change that it has missed. What it knows of the
 // endpoints says nothing about that: it may have missed them as well.
-func (d *dispatcher) ResolveStream(service, stream string, timeLeft time.Duration) (string, bool) {
+func (d *dispatcher) ResolveStream(service, stream string, timeLeft time.Duration) (string, versions.Source, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -63,7 +63,7 @@
 	if !known && !current {
 		d.wantRows()
 	}
-	return version, known
+	return version, d.versions.SourceOf(now, stream), known
 }
 
 // observeRunning records that this process runs. If it stood still, it may have missed
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -135,6 +135,7 @@
 	bounded *boundedReader
 	// hadRequest states that an earlier request was sent on the connection.
 	hadRequest bool
+	openedAt   time.Time
 	address    string
 	reader     *bufio.Reader
 	// idleSince and usableUntil are set while the connection is in the pool.
@@ -149,6 +150,8 @@
 	Framing Framing
 	// Skipped is the number of responses to other requests that came before.
 	Skipped int
+	// ConnAge is how long the connection was open as the request was sent.
+	ConnAge time.Duration
 	pool    *Pool
 	conn    *conn
 	// stop cancels the closing of conn at the end of the context. It returns false if
@@ -173,7 +176,7 @@
 		c.Close()
 		return nil, &Failure{NotSent, err}
 	}
-	resp := &Response{pool: p, conn: c, written: make(chan struct{})}
+	resp := &Response{pool: p, conn: c, ConnAge: time.Since(c.openedAt), written: make(chan struct{})}
 	resp.stop = context.AfterFunc(ctx, func() { c.Close() })
 	p.write(resp, r)
 	if err := resp.readHead(r); err != nil {
@@ -313,7 +316,7 @@
 
 func newConn(raw net.Conn, address string) *conn {
 	bounded := &boundedReader{Conn: connend.TellReset(raw)}
-	return &conn{Conn: raw, bounded: bounded, address: address, reader: bufio.NewReaderSize(bounded, readBufferBytes)}
+	return &conn{Conn: raw, bounded: bounded, address: address, openedAt: time.Now(), reader: bufio.NewReaderSize(bounded, readBufferBytes)}
 }
 
 // usable reports whether an idle connection is open and has no bytes to read.
--- a/gateway/versions/outbox.go
+++ b/gateway/versions/outbox.go
@@ -157,7 +157,7 @@
 
 // RecordBroken records a broken stream of a peer.
 func (t *Table) RecordBroken(now time.Time, b BrokenStream) {
-	t.streams.Add(b.ID, stream{b.Version, now})
+	t.streams.Add(b.ID, stream{b.Version, now, SourcePeer})
 }
 
 // RecordComplete records that the designations that a peer or the store stated are all
--- a/gateway/versions/versions.go
+++ b/gateway/versions/versions.go
@@ -148,8 +148,22 @@
 type stream struct {
 	version string
 	at      time.Time
+	source  Source
 }
 
+// Source is how the version of a stream is known.
+type Source string
+
+// Sources of the version of a stream.
+const (
+	// SourceOwn streams had events through this gateway.
+	SourceOwn Source = "own"
+	// SourcePeer streams were stated by the gateway that they had events through.
+	SourcePeer Source = "peer"
+	// SourceName is the version that follows from the name of a stream.
+	SourceName Source = "name"
+)
+
 // Table holds the designated versions of the services and the versions of streams.
 type Table struct {
 	services map[string]*service
@@ -317,7 +331,7 @@
 	if attempt == "" {
 		return
 	}
-	t.streams.Add(streamID(attempt), stream{version, now})
+	t.streams.Add(streamID(attempt), stream{version, now, SourceOwn})
 	t.begun.Add(streamID(attempt), &begunStream{name: attempt, version: version, at: now})
 	t.urgent = t.urgent || t.mayState(now)
 }
@@ -330,12 +344,26 @@
 	}
 }
 
+// remembered returns what is known of a stream besides its name.
+func (t *Table) remembered(now time.Time, attempt string) (stream, bool) {
+	known, ok := t.streams.Get(streamID(attempt))
+	return known, ok && attempt != "" && now.Sub(known.at) < streamTTL
+}
+
+// SourceOf returns how the version of a stream is known, if Resolve returns one.
+func (t *Table) SourceOf(now time.Time, attempt string) Source {
+	if known, ok := t.remembered(now, attempt); ok {
+		return known.source
+	}
+	return SourceName
+}
+
 // Resolve returns the version at which a stream began: the one that is remembered, or the
 // one that follows from its name if that is the same for all the time in which it can have
 // begun. TimeLeft is the time until the deadline of its caller; current is false if changes
 // may have been missed. It returns false if several versions are possible.
 func (t *Table) Resolve(now time.Time, name, attempt string, timeLeft time.Duration, current bool) (string, bool) {
-	if known, ok := t.streams.Get(streamID(attempt)); ok && attempt != "" && now.Sub(known.at) < streamTTL {
+	if known, ok := t.remembered(now, attempt); ok {
 		return known.version, true
 	}
 	s := t.services[name]
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -324,7 +324,7 @@
 		site.run(20 * time.Second)
 		d := site.gateways[0].gateway.dispatcher
 		ask := func() (resolved, begins, reads bool) {
-			_, resolved = d.ResolveStream("s", "a", 4*time.Second)
+			_, _, resolved = d.ResolveStream("s", "a", 4*time.Second)
 			_, refusal := d.Admit(&placement.Work{Service: "s", Streaming: true, Target: time.Second}, relay.AdmissionRequest{ID: "b", Resumable: true, TimeLeft: time.Second})
 			return resolved, refusal == nil, d.isSilent(time.Now())
 		}
@@ -357,7 +357,7 @@
 			site.run(5 * time.Second)
 			d := site.gateways[0].gateway.dispatcher
 			resolves := func() bool {
-				_, known := d.ResolveStream("s", "a", 4*time.Second)
+				_, _, known := d.ResolveStream("s", "a", 4*time.Second)
 				return known
 			}
 			begins := func() bool {
--- a/gateway/versionsite_test.go
+++ b/gateway/versionsite_test.go
@@ -350,7 +350,7 @@
 		s.place(t)
 		return
 	}
-	version, known := t.process.dispatcher.ResolveStream("s", t.name(), s.left(t))
+	version, _, known := t.process.dispatcher.ResolveStream("s", t.name(), s.left(t))
 	switch {
 	case known:
 		t.continues = &version
