--- a/soak/release_test.go
+++ b/soak/release_test.go
@@ -68,17 +68,24 @@
 }
 
 func newReleaseSite(t *testing.T, binary string, run int) *releaseSite {
+	s := newStoreAndGateways(t, binary, 4, run)
+	for range 6 {
+		s.add("old")
+	}
+	return s
+}
+
+// newStoreAndGateways returns a site without endpoints. Sites with different numbers of run can
+// exist at the same time.
+func newStoreAndGateways(t *testing.T, binary string, gateways, run int) *releaseSite {
 	s := &releaseSite{site: &site{t: t, dir: t.TempDir(), binary: binary}}
 	s.table = standin.NewTable(standin.TableOptions{})
 	server := httptest.NewServer(s.table)
 	t.Cleanup(func() { s.table.Close(); server.CloseClientConnections() })
 	s.url = server.URL
-	for range 6 {
-		s.add("old")
-	}
 	s.writeConfig(s.url)
 	var hosts, peers []string
-	for i := range 4 {
+	for i := range gateways {
 		hosts = append(hosts, fmt.Sprintf("127.%d.%d.%d", os.Getpid()%250+1, 251+run%4, 10*(run/4)+i+1))
 		peers = append(peers, fmt.Sprintf("%s:%d", hosts[i], peersPort))
 	}
@@ -93,6 +100,22 @@
 	return s
 }
 
+// awaitService waits until each gateway has served a stream.
+func (s *releaseSite) awaitService() {
+	for _, g := range s.gateways {
+		for n := 0; ; n++ {
+			warm := &longStream{}
+			if warm.read(g, fmt.Sprintf("warm-%s-%d", filepath.Base(g.settings), n), "", func() {}); warm.events() == longEvents {
+				break
+			}
+			if n == 50 {
+				s.t.Fatal("a gateway does not serve")
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
 // add starts an endpoint and registers it.
 func (s *releaseSite) add(version string) {
 	e := &versionedEndpoint{id: fmt.Sprintf("i-%d", s.endpoints), version: version}
@@ -224,18 +247,7 @@
 }
 
 func playRelease(t *testing.T, s *releaseSite, trouble releaseTrouble, settle time.Duration) {
-	for _, g := range s.gateways {
-		for n := 0; ; n++ {
-			warm := &longStream{}
-			if warm.read(g, fmt.Sprintf("warm-%s-%d", filepath.Base(g.settings), n), "", func() {}); warm.events() == longEvents {
-				break
-			}
-			if n == 50 {
-				t.Fatal("a gateway does not serve")
-			}
-			time.Sleep(100 * time.Millisecond)
-		}
-	}
+	s.awaitService()
 	trouble.begin(s)
 	time.Sleep(beforeRelease)
 	for range 6 {
