Send a stream that may be resumed only to the process of its version

Cause: the version of a stream was that of the directory's entry as the endpoint was chosen. From the start of a process until its entry is known the entry is true of a process that has ended, and id and address are right. Other gateways derive the version from the name of the stream, so a later correction is lost with the gateway that began it. Change: a connection leads to one process. The gateway asks the endpoint once on each connection, before the first resumable stream on it, for the start of its process, and sends the stream only if the directory shows that process with the version at which the stream was placed. Otherwise nothing is sent, and the registry takes the endpoint for one that started again and is unlisted until the directory shows it.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -49,6 +49,8 @@
 	limits   *ratelimit.Table
 	returns  returnTimes
 	versions *versions.Table
+	// processes tells which endpoints state the start of their process.
+	processes processStatements
 	// usage counts requests for a duty; nil without it.
 	usage *usageState
 	// resumable holds the services with streams that may be resumed, and the longest timeout
@@ -126,6 +128,7 @@
 		limits:            limits,
 		returns:           make(returnTimes),
 		versions:          versions.New(),
+		processes:         newProcessStatements(),
 		contact:           contact{hasPeers: len(otherPeers(s)) > 0},
 		usage:             newUsageState(s.Duties, time.Now()),
 		wakeKeeper:        make(chan struct{}, 1),
@@ -342,7 +345,7 @@
 }
 
 func (d *dispatcher) putEndpoint(now time.Time, e registry.Entry) {
-	description := placement.Endpoint{ID: e.ID, Service: e.Service, Address: e.Address, Zone: e.Zone, Version: e.Version, Born: e.Born, Slots: e.Slots}
+	description := placement.Endpoint{ID: e.ID, Service: e.Service, Address: e.Address, Zone: e.Zone, Version: e.Version, VersionOutdated: e.Unlisted, Born: e.Born, Slots: e.Slots}
 	if d.table != nil {
 		if s := d.table.Service(e.Service); s != nil && s.Engine != nil {
 			description.MemoryTokens = s.Engine.MemoryTokens
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -432,6 +432,6 @@
 func (g *Gateway) logEndpointChanges(changes []registry.Change) {
 	for _, c := range changes {
 		g.log.Info().Str("endpoint", c.Entry.ID).Str("service", c.Entry.Service).Str("address", c.Entry.Address).
-			Int64("born", c.Entry.Born).Str("version", c.Entry.Version).Str("state", c.State).Bool("leaving", c.Entry.Leaving).Msg("endpoint changed")
+			Int64("born", c.Entry.Born).Str("version", c.Entry.Version).Str("state", c.State).Bool("leaving", c.Entry.Leaving).Bool("unlisted", c.Entry.Unlisted).Msg("endpoint changed")
 	}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
+	"github.com/pistachiowind/pistachiowind/gateway/upstream"
 )
 
 // plainProtocol accepts all answers as signed and adds no headers, which suffices for
@@ -27,6 +28,12 @@
 	return relay.RequestFields{ID: h.Get("Id")}
 }
 func (plainProtocol) SetRequestHeaders(http.Header, relay.OutgoingFields) {}
+func (plainProtocol) ProcessQuery(string) (string, http.Header)           { return "/report", nil }
+
+func (plainProtocol) DecodeProcess(int, http.Header, []byte) upstream.Process {
+	return upstream.Process{State: upstream.ProcessSilent}
+}
+
 func (plainProtocol) DecodeResponse(_ int, h http.Header) relay.ResponseFields {
 	return relay.ResponseFields{Signed: true}
 }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -93,6 +93,9 @@
 				Float64("tight", a.Load.Tight).
 				Int("prefill", a.Load.Prefill).
 				Int64("load_age_ms", ms(a.LoadAge))
+			if a.Process != 0 {
+				attempt = attempt.Int64("process", a.Process)
+			}
 			if a.OtherZone != "" {
 				attempt = attempt.Str("other_zone", a.OtherZone)
 			}
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -61,7 +61,9 @@
 }
 
 // fits reports whether the version of an endpoint's software is allowed.
-func (w *Work) fits(e *endpoint) bool { return !w.OnlyVersion || e.Version == w.Version }
+func (w *Work) fits(e *endpoint) bool {
+	return !w.OnlyVersion || e.Version == w.Version && !e.VersionOutdated
+}
 
 // SharedParts returns the parts that other requests may share: all but the last.
 func (w *Work) SharedParts() []Part {
@@ -76,6 +78,8 @@
 	ID, Service, Address, Zone string
 	// Version is the version of the endpoint's software; empty if unknown.
 	Version string
+	// VersionOutdated states that Version is that of a process that has ended.
+	VersionOutdated bool
 	// Born is the start of the endpoint's process in Unix milliseconds; 0 if unknown.
 	Born int64
 	// Slots is the number of requests that run at the same time.
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -36,6 +36,9 @@
 	Born int64
 	// Version is the version of the endpoint's software; empty if unknown.
 	Version string
+	// Unlisted states that the endpoint itself stated Born, and the directory shows another
+	// process. Version and the other fields are then those of that process.
+	Unlisted bool `json:",omitempty"`
 }
 
 // Incarnation identifies one run of an endpoint, from its start to its end. An endpoint
@@ -95,6 +98,9 @@
 // record is an entry with the state of its removal.
 type record struct {
 	entry Entry
+	// listed is the start of the process that the directory shows. It differs from that of
+	// entry while an endpoint that started again has not registered yet.
+	listed int64
 	// removeAt is when a lapsed entry is dropped; zero for entries in the directory.
 	removeAt time.Time
 }
@@ -148,8 +154,27 @@
 	if rec == nil || rec.entry.Born != i.Born || rec.entry.Leaving {
 		return Change{}, false
 	}
+	delete(r.deferred, i.ID)
+	rec.entry.Leaving, rec.entry.Draining = true, true
+	return Change{Entry: rec.entry, State: StateDraining}, true
+}
+
+// Observe records the start of its process, in Unix milliseconds, that an endpoint stated. An
+// endpoint that started again under its id, and whose entry still shows the process before, is
+// unlisted until the directory shows another process than that. Observe returns false if this
+// changes no entry.
+func (r *Registry) Observe(id string, born int64) (Change, bool) {
+	rec := r.records[id]
+	if rec == nil || rec.entry.Born == born {
+		return Change{}, false
+	}
 	e := rec.entry
-	return r.Put(e)
+	e.Born, e.Unlisted, e.Leaving = born, born != rec.listed, false
+	if d, ok := r.departures.Peek(e.Incarnation()); ok && d.leaving {
+		e.Leaving, e.Draining = true, true
+	}
+	rec.entry = e
+	return Change{Entry: e, State: StateRestarted}, true
 }
 
 // Put adds or replaces an entry; it returns false if nothing changed. The entry of an
@@ -157,11 +182,19 @@
 func (r *Registry) Put(e Entry) (Change, bool) {
 	delete(r.deferred, e.ID)
 	old := r.records[e.ID]
+	listed := e.Born
+	switch {
+	case e.Unlisted:
+		// A peer does not tell which process the directory shows.
+		listed = 0
+	case old != nil && old.entry.Unlisted && old.listed == e.Born:
+		e.Born, e.Unlisted = old.entry.Born, true
+	}
 	if d, ok := r.departures.Peek(e.Incarnation()); ok && d.leaving {
 		e.Leaving = true
 	}
 	e.Draining = e.Draining || e.Leaving
-	r.records[e.ID] = &record{entry: e}
+	r.records[e.ID] = &record{entry: e, listed: listed}
 	state := StateReady
 	if e.Draining {
 		state = StateDraining
@@ -213,7 +246,9 @@
 		if r.outdated(now, e) {
 			r.deferred[e.ID] = deferredEntry{entry: e, until: now.Add(departureTTL)}
 			if rec := r.records[e.ID]; rec != nil && rec.entry.Born == e.Born {
-				current = append(current, rec.entry)
+				known := rec.entry
+				known.Unlisted = false
+				current = append(current, known)
 			}
 			continue
 		}
@@ -287,6 +322,15 @@
 	return rec.entry.Incarnation(), true
 }
 
+// Entry returns the entry of an endpoint; false for an unknown one.
+func (r *Registry) Entry(id string) (Entry, bool) {
+	rec := r.records[id]
+	if rec == nil {
+		return Entry{}, false
+	}
+	return rec.entry, true
+}
+
 // IncarnationAt returns the incarnation of the endpoint at an address, leaving out the
 // endpoint with the id except; false if there is none.
 func (r *Registry) IncarnationAt(address, except string) (Incarnation, bool) {
--- a/gateway/registry/registry_test.go
+++ b/gateway/registry/registry_test.go
@@ -208,3 +208,66 @@
 	expect(t, r.Expire(start.Add(ReregistrationGrace)))
 	expect(t, r.Expire(start.Add(1500*time.Millisecond+ReregistrationGrace)), "a gone")
 }
+
+// Guards against an endpoint that started again and is taken for the process that the directory
+// still shows, and against what is known of the new one being dropped as the directory shows it.
+func TestEndpointThatStartedAgainIsUnlistedUntilTheDirectoryShowsIt(t *testing.T) {
+	r := New()
+	old, restarted := entry("a", 1), entry("a", 2)
+	old.Version, restarted.Version = "v1", "v2"
+	r.Put(old)
+	observe := func(born int64, want ...string) {
+		t.Helper()
+		c, changed := r.Observe("a", born)
+		if changed != (len(want) > 0) || changed && states([]Change{c})[0] != want[0] {
+			t.Fatalf("change %v %v, want %v", c, changed, want)
+		}
+	}
+	put := func(e Entry, unlisted bool, want ...string) {
+		t.Helper()
+		var changes []Change
+		if c, changed := r.Put(e); changed {
+			changes = append(changes, c)
+		}
+		expect(t, changes, want...)
+		if got, _ := r.Entry("a"); got.Unlisted != unlisted {
+			t.Fatalf("entry %+v, want unlisted %v", got, unlisted)
+		}
+	}
+	observe(1)
+	observe(2, "a restarted")
+	observe(2)
+	put(old, true)
+	put(restarted, false, "a ready")
+	// The old process's last write is performed late.
+	put(old, false, "a restarted")
+	observe(2, "a restarted")
+	put(restarted, false, "a ready")
+	// A faulty statement is corrected by the next one.
+	observe(5, "a restarted")
+	observe(2, "a restarted")
+	put(restarted, false)
+	if got, _ := r.Entry("a"); got != restarted {
+		t.Errorf("entry %+v, want %+v", got, restarted)
+	}
+}
+
+// Guards against an unlisted endpoint whose leaving, or whose entry at a peer, makes it count as
+// listed with the version of the process before.
+func TestUnlistedEndpointStaysUnlisted(t *testing.T) {
+	r := New()
+	r.Put(entry("a", 1))
+	r.Observe("a", 2)
+	r.MarkLeaving(start, Incarnation{ID: "a", Born: 2})
+	left, _ := r.Entry("a")
+	if !left.Unlisted || !left.Draining {
+		t.Errorf("entry %+v, want an unlisted one that is draining", left)
+	}
+	peer := New()
+	peer.Put(left)
+	if got, _ := peer.Entry("a"); !got.Unlisted || got.Born != 2 {
+		t.Errorf("entry %+v at a peer, want an unlisted one", got)
+	}
+	c, _ := peer.Put(entry("a", 2))
+	expect(t, []Change{c}, "a ready")
+}
--- a/gateway/relay/protocol.go
+++ b/gateway/relay/protocol.go
@@ -7,6 +7,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/ratelimit"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
+	"github.com/pistachiowind/pistachiowind/gateway/upstream"
 )
 
 // RequestFields holds what the headers of a caller's request state.
@@ -82,6 +83,10 @@
 	SetRequestHeaders(http.Header, OutgoingFields)
 	// DecodeResponse decodes the status and the headers of an endpoint's response.
 	DecodeResponse(status int, h http.Header) ResponseFields
+	// ProcessQuery returns the target and the headers of the GET request that asks an endpoint
+	// for its process, and DecodeProcess what an answer to it states.
+	ProcessQuery(endpointID string) (target string, h http.Header)
+	DecodeProcess(status int, h http.Header, body []byte) upstream.Process
 }
 
 // hopByHopHeaders apply to one connection only. Content-Length, Expect and Host are
--- a/gateway/relay/record.go
+++ b/gateway/relay/record.go
@@ -77,6 +77,9 @@
 	// Unix milliseconds, both as the directory showed them when it was chosen.
 	Version string
 	Born    int64
+	// Process is the start of the endpoint's process as it stated it on the connection, in Unix
+	// milliseconds; zero if it was not asked or did not state it.
+	Process int64
 	// ConnAge is how long the connection was open as the request was sent; valid with a
 	// valid head of a response.
 	ConnAge time.Duration
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -118,6 +118,11 @@
 	// AttemptTimeout returns the time after which an idempotent plain request is tried at
 	// another endpoint.
 	AttemptTimeout() time.Duration
+	// AsksProcess reports whether the endpoint is to be asked for its process before a stream
+	// that may be resumed is sent to it. AcceptProcess reports whether the stream may be sent
+	// to the process that answers: it is of the version at which the attempt was placed.
+	AsksProcess() bool
+	AcceptProcess(upstream.Process) bool
 	// HandleNotice handles what the endpoint states about itself. It is called for each
 	// response that has such a notice, also for a late one to another request.
 	HandleNotice(Notice)
@@ -149,6 +154,9 @@
 	// ResultReplaced means that the endpoint is gone: another one responds at its
 	// address.
 	ResultReplaced
+	// ResultOtherProcess means that another process of the endpoint than the expected one
+	// responds, so that the request was not sent.
+	ResultOtherProcess
 	// ResultUnsent means that the caller closed the connection, or time ran out, before the
 	// request was sent. It says nothing about the endpoint.
 	ResultUnsent
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -45,6 +45,12 @@
 	}
 }
 
+func (testProtocol) ProcessQuery(string) (string, http.Header) { return "/report", nil }
+
+func (testProtocol) DecodeProcess(int, http.Header, []byte) upstream.Process {
+	return upstream.Process{State: upstream.ProcessSilent}
+}
+
 func (testProtocol) DecodeResponse(_ int, h http.Header) ResponseFields {
 	return ResponseFields{
 		ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "",
@@ -238,6 +244,10 @@
 	target string
 }
 
+func (*fakeAttempt) AsksProcess() bool { return false }
+
+func (*fakeAttempt) AcceptProcess(upstream.Process) bool { return true }
+
 func (t *fakeAttempt) Choice() placement.Choice {
 	return placement.Choice{Endpoint: placement.Endpoint{ID: "e", Address: t.target}}
 }
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -33,7 +33,8 @@
 	if err != nil {
 		return x.roundTripFailed(ctx, placed, err)
 	}
-	x.currentAttempt().Framing, x.currentAttempt().ConnAge = response.Framing, response.ConnAge
+	last := x.currentAttempt()
+	last.Framing, last.ConnAge, last.Process = response.Framing, response.ConnAge, response.Process.Born
 	fields := x.options.Protocol.DecodeResponse(response.StatusCode, response.Header)
 	if fields.NotRun || response.StatusCode == http.StatusMisdirectedRequest {
 		return x.rejected(placed, response)
@@ -115,12 +116,37 @@
 			return correlation
 		},
 	}
+	if x.route.Resumable && placed.AsksProcess() {
+		req.Identification = x.identification(placed)
+	}
 	if !x.state.Repeatable {
 		req.MaxIdleTime = maxIdleNonRepeatable
 	}
 	return req
 }
 
+// identification returns the question for the endpoint's process, without which the version of
+// a stream would be that of an entry which may be outdated.
+func (x *exchange) identification(placed PlacedAttempt) *upstream.Identification {
+	target, header := x.options.Protocol.ProcessQuery(placed.Choice().Endpoint.ID)
+	return &upstream.Identification{
+		Target: target,
+		Header: header,
+		Decode: func(status int, h http.Header, body []byte) upstream.Process {
+			notice := x.options.Protocol.DecodeResponse(status, h).Notice
+			process := x.options.Protocol.DecodeProcess(status, h, body)
+			if process.State != upstream.ProcessStated {
+				placed.HandleNotice(notice)
+			}
+			return process
+		},
+		Accept: func(p upstream.Process) bool {
+			x.currentAttempt().Process = p.Born
+			return placed.AcceptProcess(p)
+		},
+	}
+}
+
 // correlate returns which request a response belongs to. Responses that state that
 // a request was not run may lack the id.
 func (x *exchange) correlate(fields ResponseFields) upstream.Correlation {
@@ -142,6 +168,12 @@
 		switch failure.Stage {
 		case upstream.NotSent:
 			end.kind, end.resultName, result = outcome.NotSent, "unreachable", ResultUnreachable
+			switch {
+			case errors.Is(err, upstream.ErrOtherProcess):
+				end.resultName, result = "other_process", ResultOtherProcess
+			case errors.Is(err, upstream.ErrOtherEndpoint):
+				end.resultName, result = "other_endpoint", ResultReplaced
+			}
 		case upstream.InvalidResponse:
 			end.resultName = "answer_spoiled"
 			if upstream.IsHeadLimitError(err) {
--- /dev/null
+++ b/gateway/upstream/identify.go
@@ -0,0 +1,170 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	// identifyTimeout bounds the question for an endpoint's process. It is as long as that for
+	// a connection: in that time another endpoint can be tried.
+	identifyTimeout = 400 * time.Millisecond
+	// maxIdentifyBytes bounds the answer. A report of an engine takes some hundred bytes.
+	maxIdentifyBytes = 64 << 10
+	// maxIdentifyTries bounds the connections that are opened for one request because the
+	// endpoint closes them with its answer.
+	maxIdentifyTries = 2
+)
+
+var (
+	// ErrOtherProcess is the cause of a *Failure if the request may not be sent to the process
+	// behind the address.
+	ErrOtherProcess = errors.New("the process at the endpoint's address is not the expected one")
+	// ErrOtherEndpoint is the cause of a *Failure if another endpoint has the address.
+	ErrOtherEndpoint = errors.New("another endpoint responds at the address")
+	errNoStatement   = errors.New("the endpoint did not state its process")
+	// errClosesAfterAnswer fails a request to an endpoint that states its process and then
+	// closes the connection, time and again.
+	errClosesAfterAnswer = errors.New("the endpoint closes each connection on which it states its process")
+)
+
+// ProcessState is what is known of the process behind a connection.
+type ProcessState int
+
+const (
+	// ProcessNotAsked means that the endpoint was not asked on this connection.
+	ProcessNotAsked ProcessState = iota
+	// ProcessStated means that the endpoint stated the start of its process.
+	ProcessStated
+	// ProcessSilent means that the endpoint answers and does not state it.
+	ProcessSilent
+	// ProcessNoAnswer means that there was no usable answer.
+	ProcessNoAnswer
+	// ProcessOfOther means that another endpoint has the address.
+	ProcessOfOther
+)
+
+// Process is the process behind a connection, as the endpoint states it. A connection leads to
+// the same process from its beginning to its end.
+type Process struct {
+	State ProcessState
+	// Born is the start of the process in Unix milliseconds; valid if it is stated.
+	Born int64
+	// Asked is set if the endpoint was asked for this request, and not for an earlier one.
+	Asked bool
+}
+
+// Identification lets a request be sent only on a connection to an accepted process.
+type Identification struct {
+	// Target and Header are those of the GET request that asks for the process.
+	Target string
+	Header http.Header
+	// Decode returns what an answer states. The body is empty unless it is JSON.
+	Decode func(status int, h http.Header, body []byte) Process
+	// Accept reports whether the request may be sent to the process.
+	Accept func(Process) bool
+}
+
+// identified returns a connection to a process that the request accepts, c or a new one. It
+// closes c if it does not return it.
+func (p *Pool) identified(ctx context.Context, c *conn, q *Identification) (*conn, error) {
+	for range maxIdentifyTries + 1 {
+		usable := true
+		if c.process.State == ProcessNotAsked {
+			usable = c.ask(ctx, q)
+		}
+		process := c.process
+		c.process.Asked = false
+		accepted := q.Accept(process)
+		if accepted && usable {
+			return c, nil
+		}
+		if !accepted && process.Asked {
+			p.release(c, usable)
+			return nil, process.rejection()
+		}
+		c.Close()
+		var err error
+		if c, err = p.open(ctx, c.address); err != nil {
+			return nil, err
+		}
+		if accepted && process.State != ProcessStated {
+			// The endpoint would say no more on this connection.
+			c.process = Process{State: process.State}
+		}
+	}
+	c.Close()
+	return nil, errClosesAfterAnswer
+}
+
+// rejection returns why a request is not sent to the process.
+func (p Process) rejection() error {
+	switch p.State {
+	case ProcessStated:
+		return ErrOtherProcess
+	case ProcessOfOther:
+		return ErrOtherEndpoint
+	}
+	return errNoStatement
+}
+
+// release puts a connection without a request into the pool, or closes it.
+func (p *Pool) release(c *conn, usable bool) {
+	if !usable {
+		c.Close()
+		return
+	}
+	p.put(c, nil)
+}
+
+// ask asks the endpoint for the process behind the connection and reports whether the
+// connection can be used for a request after that.
+func (c *conn) ask(ctx context.Context, q *Identification) bool {
+	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	c.hadRequest = true
+	response, body, err := c.exchange(q)
+	if err != nil {
+		c.process = Process{State: ProcessNoAnswer, Asked: true}
+		return false
+	}
+	c.process = q.Decode(response.StatusCode, response.Header, body)
+	c.process.Asked = true
+	return stop() && isJSON(response.Header) && !response.Close && framingOf(response) != FramedByClose && c.reader.Buffered() == 0
+}
+
+// exchange sends the question and returns the answer with its body if it is JSON.
+func (c *conn) exchange(q *Identification) (*http.Response, []byte, error) {
+	head := encodeHead(&Request{Method: http.MethodGet, Target: q.Target, Host: c.address, Header: q.Header})
+	if c.guard != nil {
+		c.guard.BeforeWrite()
+	}
+	if _, err := c.Conn.Write(head); err != nil {
+		return nil, nil, err
+	}
+	c.bounded.setLimit(maxHeadBytes)
+	response, err := c.readResponse(&http.Request{Method: http.MethodGet})
+	if err != nil {
+		return nil, nil, err
+	}
+	c.bounded.clearLimit()
+	if !isJSON(response.Header) {
+		return response, nil, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxIdentifyBytes+1))
+	if err == nil && len(body) > maxIdentifyBytes {
+		err = fmt.Errorf("statement of the endpoint's process exceeds %d bytes", maxIdentifyBytes)
+	}
+	return response, body, err
+}
+
+func isJSON(h http.Header) bool {
+	return strings.HasPrefix(h.Get("Content-Type"), "application/json")
+}
--- /dev/null
+++ b/gateway/upstream/identify_test.go
@@ -0,0 +1,152 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// askingRequest returns a request that is sent only to a process that began at born, or to
+// one that states nothing.
+func askingRequest(id string, born int64) *Request {
+	r := getRequest(id)
+	r.Identification = &Identification{
+		Target: "/report",
+		Decode: func(status int, h http.Header, body []byte) Process {
+			var p Process
+			if n, err := fmt.Sscanf(string(body), `{"born":%d}`, &p.Born); n == 1 && err == nil {
+				p.State = ProcessStated
+				return p
+			}
+			return Process{State: ProcessSilent}
+		},
+		Accept: func(p Process) bool { return p.State != ProcessStated || p.Born == born },
+	}
+	return r
+}
+
+// process serves a connection as a process that began at born and counts in asked how often it
+// was asked, and in served the requests that it got.
+func process(born int64, asked, served *[]string) func(net.Conn, *bufio.Reader) {
+	return func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			if req.URL.Path == "/report" {
+				*asked = append(*asked, fmt.Sprint(born))
+				text := fmt.Sprintf(`{"born":%d}`, born)
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+				continue
+			}
+			*served = append(*served, fmt.Sprint(born))
+			io.WriteString(c, response(req.Header.Get("Id"), "body"))
+		}
+	}
+}
+
+// Guards against a stream that is sent to an endpoint which started again under its id, before
+// the directory tells so, and against asking the same process again.
+func TestRequestIsSentOnlyToTheAcceptedProcess(t *testing.T) {
+	var asked, served []string
+	address := scriptedServer(t, process(7, &asked, &served))
+	p := NewPool(Options{})
+	for range 2 {
+		resp, err := p.RoundTrip(context.Background(), address, askingRequest("a", 7))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.Process.Born != 7 {
+			t.Errorf("process %+v, want one that began at 7", resp.Process)
+		}
+		resp.Discard()
+	}
+	if len(asked) != 1 || len(served) != 2 {
+		t.Errorf("asked %v, served %v; want 1 and 2", asked, served)
+	}
+}
+
+// Guards against a request that reaches another process than the accepted one, on a new
+// connection or on a kept one whose process has been replaced in the directory since.
+func TestRequestIsNotSentToAnotherProcess(t *testing.T) {
+	var asked, served []string
+	address := scriptedServer(t, process(7, &asked, &served), process(8, &asked, &served))
+	p := NewPool(Options{})
+	_, err := p.RoundTrip(context.Background(), address, askingRequest("a", 8))
+	if stageOf(t, err) != NotSent || !errors.Is(err, ErrOtherProcess) || len(served) > 0 {
+		t.Fatalf("error %v, served %v; want ErrOtherProcess and none", err, served)
+	}
+	// The connection to the process that began at 7 is kept, and open to no other request.
+	resp, err := p.RoundTrip(context.Background(), address, askingRequest("b", 8))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Discard()
+	if strings.Join(served, " ") != "8" {
+		t.Errorf("served %v, want the process that began at 8", served)
+	}
+}
+
+// Guards against endpoints that state no process and are not served, among them one that takes
+// the question for a request and streams without end, and one that closes after its answer.
+func TestEndpointThatStatesNoProcessIsServed(t *testing.T) {
+	for name, answer := range map[string]string{
+		"not found":         "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+		"other text":        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"closes":            "HTTP/1.1 404 Not Found\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+		"stream":            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + strings.Repeat("data: x\n\n", 1000),
+		"endless statement": "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n" + strings.Repeat(" ", 2*maxIdentifyBytes),
+		"no answer":         "\x00",
+	} {
+		t.Run(name, func(t *testing.T) {
+			served := 0
+			converse := func(c net.Conn, r *bufio.Reader) {
+				for {
+					req, err := readRequest(r)
+					if err != nil {
+						return
+					}
+					if req.URL.Path == "/report" {
+						io.WriteString(c, answer)
+						continue
+					}
+					served++
+					io.WriteString(c, response("a", "body"))
+				}
+			}
+			address := scriptedServer(t, converse, converse)
+			resp, err := NewPool(Options{}).RoundTrip(context.Background(), address, askingRequest("a", 7))
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Discard()
+			if served != 1 {
+				t.Errorf("served %d requests, want 1", served)
+			}
+		})
+	}
+}
+
+// Guards against an endpoint that closes each connection after it has stated its process, and
+// against trying that without end.
+func TestEndpointThatClosesAfterItsStatementFails(t *testing.T) {
+	asked := make(chan struct{}, 2*maxIdentifyTries)
+	converse := func(c net.Conn, r *bufio.Reader) {
+		if _, err := readRequest(r); err == nil {
+			asked <- struct{}{}
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: 10\r\n\r\n{\"born\":7}")
+		}
+	}
+	address := scriptedServer(t, converse, converse, converse, converse)
+	_, err := NewPool(Options{}).RoundTrip(context.Background(), address, askingRequest("a", 7))
+	if stageOf(t, err) != NotSent || len(asked) > maxIdentifyTries+1 {
+		t.Errorf("error %v after %d questions; want NotSent after at most %d", err, len(asked), maxIdentifyTries+1)
+	}
+}
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -76,26 +77,39 @@
 	return p
 }
 
-// take removes and returns the connection that became idle last and was idle for
-// less than maxIdle (zero means any time), or returns nil. It closes those that
-// are too old.
-func (p *Pool) take(address string, maxIdle time.Duration) *conn {
+// take removes and returns a connection that was idle for less than maxIdle (zero means any
+// time), or closes all and returns nil if there is none. Of those whose process is stated, or
+// is not, it prefers the one that became idle last, so that connections to known processes are
+// left to the requests that need them.
+func (p *Pool) take(address string, maxIdle time.Duration, stated bool) *conn {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	for len(list) > 0 {
-		c := list[len(list)-1]
-		list = list[:len(list)-1]
-		p.idle[address] = list
+	found := -1
+	for i, c := range slices.Backward(list) {
 		fresh := maxIdle <= 0 || now.Sub(c.idleSince) < maxIdle
-		if fresh && now.Before(c.usableUntil) {
-			return c
+		if !fresh || !now.Before(c.usableUntil) {
+			continue
 		}
-		c.Close()
+		preferred := (c.process.State == ProcessStated) == stated
+		if found < 0 || preferred {
+			found = i
+		}
+		if preferred {
+			break
+		}
+	}
+	if found < 0 {
+		for _, c := range list {
+			c.Close()
+		}
+		delete(p.idle, address)
+		return nil
 	}
-	delete(p.idle, address)
-	return nil
+	c := list[found]
+	p.idle[address] = slices.Delete(list, found, found+1)
+	return c
 }
 
 // put adds a connection after a response with the given header, or closes it if
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -121,6 +121,8 @@
 	// headers. It is called for each final response that is read. If it is nil, every
 	// response is taken as this request's.
 	Correlate func(status int, h http.Header) Correlation
+	// Identification restricts the processes to which the request may be sent; nil for any.
+	Identification *Identification
 	// MaxIdleTime is the time after which an idle connection is not used for this
 	// request; zero means the pool's limit.
 	MaxIdleTime time.Duration
@@ -136,8 +138,10 @@
 	// hadRequest states that an earlier request was sent on the connection.
 	hadRequest bool
 	openedAt   time.Time
-	address    string
-	reader     *bufio.Reader
+	// process is the endpoint's process behind the connection, as far as it is known.
+	process Process
+	address string
+	reader  *bufio.Reader
 	// idleSince and usableUntil are set while the connection is in the pool.
 	idleSince   time.Time
 	usableUntil time.Time
@@ -152,6 +156,8 @@
 	Skipped int
 	// ConnAge is how long the connection was open as the request was sent.
 	ConnAge time.Duration
+	// Process is the endpoint's process behind the connection, as far as it is known.
+	Process Process
 	pool    *Pool
 	conn    *conn
 	// stop cancels the closing of conn at the end of the context. It returns false if
@@ -168,7 +174,10 @@
 // ctx closes the connection, which also ends the work at the endpoint. The error
 // is a *Failure.
 func (p *Pool) RoundTrip(ctx context.Context, address string, r *Request) (*Response, error) {
-	c, err := p.connect(ctx, address, r.MaxIdleTime)
+	c, err := p.connect(ctx, address, r)
+	if err == nil && r.Identification != nil {
+		c, err = p.identified(ctx, c, r.Identification)
+	}
 	if err != nil {
 		return nil, &Failure{NotSent, err}
 	}
@@ -176,7 +185,7 @@
 		c.Close()
 		return nil, &Failure{NotSent, err}
 	}
-	resp := &Response{pool: p, conn: c, ConnAge: time.Since(c.openedAt), written: make(chan struct{})}
+	resp := &Response{pool: p, conn: c, ConnAge: time.Since(c.openedAt), Process: c.process, written: make(chan struct{})}
 	resp.stop = context.AfterFunc(ctx, func() { c.Close() })
 	p.write(resp, r)
 	if err := resp.readHead(r); err != nil {
@@ -286,17 +295,21 @@
 }
 
 // connect returns an idle connection or opens one.
-func (p *Pool) connect(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
+func (p *Pool) connect(ctx context.Context, address string, r *Request) (*conn, error) {
 	for {
-		c := p.take(address, maxIdle)
+		c := p.take(address, r.MaxIdleTime, r.Identification != nil)
 		if c == nil {
-			break
+			return p.open(ctx, address)
 		}
 		if c.usable() {
 			return c, nil
 		}
 		c.Close()
 	}
+}
+
+// open opens a connection.
+func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
 	began := time.Now()
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	p.options.OnDial(address, err)
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -224,7 +224,7 @@
 	one, two := net.Pipe()
 	defer two.Close()
 	p.put(&conn{Conn: one, address: "x", reader: bufio.NewReader(strings.NewReader(""))}, http.Header{"Keep-Alive": {"timeout=1"}})
-	if p.take("x", 0) != nil {
+	if p.take("x", 0, false) != nil {
 		t.Error("a connection that the endpoint is about to close was used")
 	}
 }
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -20,6 +20,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
+	"github.com/pistachiowind/pistachiowind/gateway/upstream"
 	"github.com/pistachiowind/pistachiowind/gateway/versions"
 )
 
@@ -36,6 +37,12 @@
 	}
 }
 
+func (streamProtocol) ProcessQuery(string) (string, http.Header) { return "/report", nil }
+
+func (streamProtocol) DecodeProcess(int, http.Header, []byte) upstream.Process {
+	return upstream.Process{State: upstream.ProcessSilent}
+}
+
 func (streamProtocol) DecodeResponse(_ int, h http.Header) relay.ResponseFields {
 	return relay.ResponseFields{ID: h.Get("Id"), Signed: true}
 }
