Let the soak replace endpoints in place, and read untyped statements

An endpoint that states its process without a Content-Type counted as silent. Change: a tenth fault ends an endpoint and starts it again under its id and address with the other version and a late entry; endpoints answer reports; each seed prints how many were replaced. The gateway reads any answer to its question but a stream of events.

--- a/gateway/upstream/identify.go
+++ b/gateway/upstream/identify.go
@@ -64,7 +64,7 @@
 	// Target and Header are those of the GET request that asks for the process.
 	Target string
 	Header http.Header
-	// Decode returns what an answer states. The body is empty unless it is JSON.
+	// Decode returns what an answer states. The body of a stream of events is not read.
 	Decode func(status int, h http.Header, body []byte) Process
 	// Accept reports whether the request may be sent to the process.
 	Accept func(Process) bool
@@ -137,10 +137,11 @@
 	}
 	c.process = q.Decode(response.StatusCode, response.Header, body)
 	c.process.Asked = true
-	return stop() && isJSON(response.Header) && !response.Close && framingOf(response) != FramedByClose && c.reader.Buffered() == 0
+	return stop() && !isStream(response.Header) && !response.Close && framingOf(response) != FramedByClose && c.reader.Buffered() == 0
 }
 
-// exchange sends the question and returns the answer with its body if it is JSON.
+// exchange sends the question and returns the answer with its body. An endpoint that takes the
+// question for a request may answer with a stream, which is not read.
 func (c *conn) exchange(q *Identification) (*http.Response, []byte, error) {
 	head := encodeHead(&Request{Method: http.MethodGet, Target: q.Target, Host: c.address, Header: q.Header})
 	if c.guard != nil {
@@ -155,7 +156,7 @@
 		return nil, nil, err
 	}
 	c.bounded.clearLimit()
-	if !isJSON(response.Header) {
+	if isStream(response.Header) {
 		return response, nil, nil
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxIdentifyBytes+1))
@@ -165,6 +166,6 @@
 	return response, body, err
 }
 
-func isJSON(h http.Header) bool {
-	return strings.HasPrefix(h.Get("Content-Type"), "application/json")
+func isStream(h http.Header) bool {
+	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
--- a/soak/endpoint_test.go
+++ b/soak/endpoint_test.go
@@ -46,19 +46,27 @@
 	proxy      *faultProxy
 	mu         sync.Mutex
 	rng        *rand.Rand
-	// version is the version of the endpoint's software, which each event of a stream names.
-	version string
+	// process is the run of the endpoint: it gets another one when it starts again.
+	process endpointProcess
 	// limit is the rate in requests a second that the endpoint names; zero for none.
 	limit    float64
 	arrivals []time.Time
-	// register writes the entry of the endpoint that started at a time.
-	register func(started time.Time)
+	// register writes the entry of a run of the endpoint.
+	register func(endpointProcess)
 	// deadlyArrivals are the arrivals of requests with deadlyPart, which crash the endpoint.
 	deadlyArrivals []time.Time
 }
 
+// endpointProcess is a run of an endpoint, from its start to its end.
+type endpointProcess struct {
+	// version is the version of the software, which each event of a stream names.
+	version string
+	// born is the start in Unix milliseconds.
+	born int64
+}
+
 func newEndpoint(id, version string, w *executionLog, seed uint64) (*endpoint, error) {
-	b := &endpoint{id: id, version: version, executions: w, rng: rand.New(rand.NewPCG(seed, 7))}
+	b := &endpoint{id: id, process: endpointProcess{version, time.Now().UnixMilli()}, executions: w, rng: rand.New(rand.NewPCG(seed, 7))}
 	b.server = httptest.NewServer(b)
 	var err error
 	b.proxy, err = newFaultProxy(b.server.Listener.Addr().String())
@@ -116,13 +124,45 @@
 	b.mu.Lock()
 	b.deadlyArrivals = append(b.deadlyArrivals, time.Now())
 	b.mu.Unlock()
+	b.end()
+	version := b.current().version
+	time.AfterFunc(crashDowntime, func() { b.register(b.begin(version)) })
+	panic(http.ErrAbortHandler)
+}
+
+// end ends all connections of the endpoint and refuses new ones.
+func (b *endpoint) end() {
 	b.proxy.refuse.Store(true)
 	b.proxy.forEachConn(func(c *proxiedConn) { closeWithReset(c.downstream); closeWithReset(c.upstream) })
-	time.AfterFunc(crashDowntime, func() {
-		b.proxy.refuse.Store(false)
-		b.register(time.Now())
-	})
-	panic(http.ErrAbortHandler)
+}
+
+// begin lets the endpoint accept connections as another process.
+func (b *endpoint) begin(version string) endpointProcess {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.process = endpointProcess{version, time.Now().UnixMilli()}
+	// Another fault may have let connections to the process before in.
+	b.end()
+	b.proxy.refuse.Store(false)
+	return b.process
+}
+
+// current returns the run of the endpoint.
+func (b *endpoint) current() endpointProcess {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.process
+}
+
+// replace ends the endpoint and starts it again under its id and address with another version.
+// Its entry comes later.
+func (b *endpoint) replace(down, entryAfter time.Duration) {
+	b.end()
+	time.Sleep(down)
+	other := (slices.Index(softwareVersions, b.current().version) + 1) % len(softwareVersions)
+	process := b.begin(softwareVersions[other])
+	time.Sleep(entryAfter)
+	b.register(process)
 }
 
 // deadlyTimes returns the arrivals of requests with deadlyPart.
@@ -151,6 +191,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	process := b.current()
+	if r.URL.Path == "/-/report" {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = fmt.Fprintf(w, `{"born":%d}`, process.born)
+		return
+	}
 	if b.chance(0.03) {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -170,7 +216,7 @@
 		w.Header().Set("Transfer-Encoding", "identity")
 	}
 	if r.URL.Path[:5] == "/ask/" || r.URL.Path[:5] == "/say/" {
-		b.serveStream(w, r, id, unframed)
+		b.serveStream(w, r, id, process.version, unframed)
 		return
 	}
 	_, _ = fmt.Fprintf(w, "answer to %s", id)
@@ -178,7 +224,7 @@
 
 // serveStream sends the events after Last-Event-Id and breaks the connection at random. An
 // unframed stream breaks inside an event, as callers could not notice it otherwise.
-func (b *endpoint) serveStream(w http.ResponseWriter, r *http.Request, id string, unframed bool) {
+func (b *endpoint) serveStream(w http.ResponseWriter, r *http.Request, id, version string, unframed bool) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	next := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
@@ -186,13 +232,13 @@
 	}
 	for ; next <= eventsPerStream; next++ {
 		if b.chance(0.01) {
-			if text := eventText(id, b.version, next); unframed {
+			if text := eventText(id, version, next); unframed {
 				_, _ = io.WriteString(w, text[:1+len(text)/2])
 				_ = http.NewResponseController(w).Flush()
 			}
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := io.WriteString(w, eventText(id, b.version, next)); err != nil {
+		if _, err := io.WriteString(w, eventText(id, version, next)); err != nil {
 			return
 		}
 		if http.NewResponseController(w).Flush() != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -79,6 +79,8 @@
 	// joined counts the streams with events of two versions over a caller's tries, takenUp
 	// those that were taken up and ran to their end.
 	joined, takenUp atomic.Int64
+	// replaced counts the endpoints that started again with another version.
+	replaced atomic.Int64
 }
 
 // gateway is a gateway process that can be restarted with the same settings.
@@ -164,14 +166,14 @@
 			t.Fatal(err)
 		}
 		s.endpoints = append(s.endpoints, b)
-		b.register = func(started time.Time) {
+		b.register = func(process endpointProcess) {
 			entry := fmt.Sprintf(`{"backend":%q,"address":%q,"zone":"z","version":%q,"capacity":64,"phase":"ready","born":%d}`,
-				service, b.proxy.address(), b.version, started.UnixMilli())
+				service, b.proxy.address(), process.version, process.born)
 			for try := 0; s.tryWriteRow(server.URL, "servers", b.id, entry) != nil && try < registerTries; try++ {
 				time.Sleep(registerInterval)
 			}
 		}
-		b.register(time.Now())
+		b.register(b.current())
 	}
 	s.writeConfig(server.URL)
 	hosts := make([]string, *gatewayCount)
@@ -263,7 +265,7 @@
 	}
 	pause := time.Duration(100+rng.IntN(900)) * time.Millisecond
 	direction := rng.IntN(3)
-	const faults = 9
+	const faults = 10
 	switch except + rng.IntN(faults-except) {
 	case 0:
 		s.reportError(g.restart(syscall.SIGKILL, pause/4))
@@ -294,6 +296,9 @@
 		}
 		time.Sleep(pause)
 		s.reportError(s.table.SetFaults(standin.TableFaults{}))
+	case 9:
+		b.replace(pause/10, pause*time.Duration(direction)/2)
+		s.replaced.Add(1)
 	}
 	p.clearFaults()
 }
@@ -573,7 +578,7 @@
 			for _, n := range s.executions.runsByID {
 				runs += n
 			}
-			t.Logf("%d runs at endpoints, %d streams taken up, %d of them joined from two versions", runs, s.takenUp.Load(), s.joined.Load())
+			t.Logf("%d runs at endpoints, %d endpoints replaced, %d streams taken up, %d of them joined from two versions", runs, s.replaced.Load(), s.takenUp.Load(), s.joined.Load())
 			if s.joined.Load() > joinedAllowed {
 				t.Errorf("%d streams hold events of two versions", s.joined.Load())
 			}
