Count what endpoints state of their processes

Cause: the price of the questions and endpoints that state no process were visible in request lines only.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
+	"github.com/pistachiowind/pistachiowind/gateway/upstream"
 	"github.com/pistachiowind/pistachiowind/gateway/versions"
 	"github.com/pistachiowind/pistachiowind/router/budget"
 	"github.com/pistachiowind/pistachiowind/router/health"
@@ -97,6 +98,8 @@
 	onTrial func(request string, v crashes.Verdict)
 	// onStandstill is called when the process has stood still for a while.
 	onStandstill func(time.Duration)
+	// onProcess is called with what each endpoint that was asked for its process states.
+	onProcess func(upstream.ProcessState)
 	// onSpill is called when a service begins or ends to send requests to other zones.
 	onSpill func(placement.SpillChange)
 }
@@ -142,6 +145,7 @@
 		onVersion:         func(versions.Change) {},
 		onTrial:           func(string, crashes.Verdict) {},
 		onStandstill:      func(time.Duration) {},
+		onProcess:         func(upstream.ProcessState) {},
 		onSpill:           func(placement.SpillChange) {},
 	}
 	d.setZoneSpill(s, rng)
--- a/gateway/processes.go
+++ b/gateway/processes.go
@@ -58,6 +58,7 @@
 	now := time.Now()
 	if p.Asked {
 		d.limits.Take(now, placement.Hash(a.choice.Endpoint.ID))
+		d.onProcess(p.State)
 	}
 	switch p.State {
 	case upstream.ProcessStated:
--- a/gateway/upstream/identify.go
+++ b/gateway/upstream/identify.go
@@ -49,6 +49,11 @@
 	ProcessOfOther
 )
 
+// String returns the outcome of the question as metrics name it.
+func (s ProcessState) String() string {
+	return [...]string{"not_asked", "stated", "silent", "no_answer", "other_endpoint"}[s]
+}
+
 // Process is the process behind a connection, as the endpoint states it. A connection leads to
 // the same process from its beginning to its end.
 type Process struct {
