Blame no process for attempts at the one before it

Cause: health and reachability are kept by the id of an endpoint, and results of attempts were recorded under the id of their choice. Connections to a machine that went silent are given up seconds later. If the next process was listed under the id meanwhile, it was ejected, left out, or stated to peers as unreachable, and streams that still waited at the process before counted as its waits.

Change: an attempt counts for health and reachability only while the process that it was sent to is the listed one.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -245,9 +245,7 @@
 		if a.started || !a.streaming {
 			continue
 		}
-		d.health.Record(now, health.Observation{
-			Endpoint: a.choice.Endpoint.ID, Kind: health.FirstTokenPending, Duration: a.relativeTime(now), Sent: a.sentAt,
-		})
+		a.observe(now, health.FirstTokenPending, a.relativeTime(now))
 	}
 	d.health.Each(now, d.fleet.SetHealth)
 	d.fleet.RefreshZones(now)
--- a/gateway/placedattempt.go
+++ b/gateway/placedattempt.go
@@ -63,6 +63,21 @@
 	return time.Duration(a.flight.ElapsedRatio(now) * float64(time.Second))
 }
 
+// isCurrent reports whether the attempt was sent to the process that now has the endpoint's
+// id. What becomes of an attempt says nothing about a later process: connections to a machine
+// that went silent are given up seconds later. The dispatcher's mutex is held.
+func (a *placedAttempt) isCurrent() bool {
+	i, known := a.dispatcher.registry.Incarnation(a.incarnation.ID)
+	return known && i == a.incarnation
+}
+
+// observe records an observation of the endpoint's health. The dispatcher's mutex is held.
+func (a *placedAttempt) observe(now time.Time, kind health.Kind, took time.Duration) {
+	if a.isCurrent() {
+		a.dispatcher.health.Record(now, health.Observation{Endpoint: a.incarnation.ID, Kind: kind, Duration: took, Sent: a.sentAt})
+	}
+}
+
 // Started implements relay.PlacedAttempt.
 func (a *placedAttempt) Started() {
 	if a.started {
@@ -72,10 +87,10 @@
 	defer a.dispatcher.mu.Unlock()
 	now := time.Now()
 	a.started, a.startedAt = true, now
-	a.dispatcher.reach.RecordResponse(now, placement.Hash(a.choice.Endpoint.ID))
-	a.dispatcher.health.Record(now, health.Observation{
-		Endpoint: a.choice.Endpoint.ID, Kind: health.FirstToken, Duration: a.relativeTime(now), Sent: a.sentAt,
-	})
+	if a.isCurrent() {
+		a.dispatcher.reach.RecordResponse(now, placement.Hash(a.incarnation.ID))
+	}
+	a.observe(now, health.FirstToken, a.relativeTime(now))
 	a.flight.Started(now)
 	a.dispatcher.countStarted(now, a)
 }
@@ -99,7 +114,9 @@
 	}
 	switch r {
 	case relay.ResultUnreachable, relay.ResultReplaced:
-		d.reach.RecordFailure(now, placement.Hash(a.choice.Endpoint.ID))
+		if a.isCurrent() {
+			d.reach.RecordFailure(now, placement.Hash(a.incarnation.ID))
+		}
 	case relay.ResultComplete:
 		d.onSuspects(d.crashes.RecordSuccess(a.suspects))
 	case relay.ResultBroken:
@@ -108,8 +125,7 @@
 	if a.trialOf != nil && (r == relay.ResultUnreachable || r == relay.ResultReplaced || r == relay.ResultRejected) {
 		d.crashes.CancelTrial(*a.trialOf)
 	}
-	kind, counts := kinds[r]
-	if counts {
-		d.health.Record(now, health.Observation{Endpoint: a.choice.Endpoint.ID, Kind: kind, Sent: a.sentAt})
+	if kind, counts := kinds[r]; counts {
+		a.observe(now, kind, 0)
 	}
 }
