Keep a pause with the process that asked for it

Cause: pauses are kept by the id of an endpoint. A process that starts again under its id and address answers requests before its entry is known. A pause that it asked for was dropped when the entry arrived, so that each gateway sent to it again before the end of the pause. The other way round, a response of the process before that came after the entry (from another address, after draining, or to a request sent before the end) paused the next process.

Change: gateway/processes.go. The time of the last sign that the listed process ended is kept: a connection that was not accepted, an attempt that broke, or a crash that a peer stated. When the entry of the next process arrives, a pause that was asked for later than the last sign holds on. Without a sign it holds on too: a full process that ends breaks its requests, so a pause without a later sign is more likely that of the next process. Nothing is kept if the address is another one or the process before was draining. No clocks of other machines are compared, and nothing is sent.

Ruled out: keeping all pauses (the process before would hold back the next one), dropping all, as before. That a process leaves is not carried over.

Seen to fail before: TestPauseIsKeptForTheProcessThatAskedForIt in the four cases of the next process, TestLateNoticeOfTheProcessBeforeIsNotApplied in the cases of the process before.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -304,14 +304,12 @@
 	for _, c := range changes {
 		switch c.State {
 		case registry.StateGone:
-			d.removeEndpoint(now, c.Entry.ID)
+			d.removeEndpoint(now, c.Entry)
 		case registry.StateDraining:
 			d.putEndpoint(now, c.Entry)
 			d.drainEndpoint(c.Entry)
 		case registry.StateRestarted:
-			d.removeEndpoint(now, c.Entry.ID)
-			d.limits.Forget(placement.Hash(c.Entry.ID))
-			d.putEndpoint(now, c.Entry)
+			d.restartEndpoint(now, c.Entry)
 			d.drainEndpoint(c.Entry)
 		case registry.StateReady:
 			d.putEndpoint(now, c.Entry)
@@ -332,11 +330,12 @@
 	}
 }
 
-func (d *dispatcher) removeEndpoint(now time.Time, id string) {
-	d.pauses.Leave(placement.Hash(id))
-	d.fleet.Remove(id)
-	d.health.Leave(now, id)
-	d.reach.Leave(placement.Hash(id))
+func (d *dispatcher) removeEndpoint(now time.Time, e registry.Entry) {
+	endpoint := placement.Hash(e.ID)
+	d.pauses.Leave(endpoint)
+	d.fleet.Remove(e.ID)
+	d.health.Leave(now, e.ID)
+	d.reach.Leave(endpoint)
 }
 
 func (d *dispatcher) putEndpoint(now time.Time, e registry.Entry) {
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -46,7 +46,7 @@
 		}
 	}
 	now := time.Now()
-	if n.Pause > 0 && d.pauses.SetPause(now, placement.Hash(i.ID), now.Add(n.Pause)) {
+	if n.Pause > 0 && d.mayBeOfListed(i, address, sentAt) && d.pauses.SetPause(now, placement.Hash(i.ID), now.Add(n.Pause)) {
 		d.onPause(i.ID, n.Pause)
 	}
 	d.observeLimit(now, sentAt, i, n)
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -93,6 +94,8 @@
 type endpoint struct {
 	Endpoint
 	hash uint64
+	// process is the ProcessHash.
+	process uint64
 	// position is the rank among the service's endpoints ordered by hash, from 0 to 1.
 	position float64
 	// draining endpoints get no new requests.
@@ -122,6 +125,17 @@
 // each other.
 func Hash(id string) uint64 { return xxhash.Sum64String(id) }
 
+// ProcessHash returns the hash of one process of an endpoint, by which gateways name it to
+// each other where what they say is not true of the next process with the same id. Born is
+// Endpoint.Born.
+func ProcessHash(id string, born int64) uint64 {
+	h := xxhash.New()
+	// Writes to a hash do not fail.
+	_, _ = h.WriteString(id)
+	_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, uint64(born)))
+	return h.Sum64()
+}
+
 // EndpointFilter reports whether a condition holds for an endpoint, given by the hash
 // of its id.
 type EndpointFilter func(now time.Time, endpoint uint64) bool
@@ -155,6 +169,7 @@
 	zone      string
 	endpoints map[string]*endpoint
 	byHash    map[uint64]*endpoint
+	byProcess map[uint64]*endpoint
 	services  map[string]*service
 	// statements holds the latest load statement of each peer.
 	statements map[string]statement
@@ -239,16 +254,17 @@
 		zone:       zone,
 		endpoints:  make(map[string]*endpoint),
 		byHash:     make(map[uint64]*endpoint),
+		byProcess:  make(map[uint64]*endpoint),
 		services:   make(map[string]*service),
 		statements: make(map[string]statement),
 	}
 }
 
-// Put adds an endpoint or replaces its description. The endpoint is neither draining
-// nor leaving afterwards.
+// Put adds an endpoint or replaces its description. Another process of the endpoint begins
+// without load and cached parts. The endpoint is neither draining nor leaving afterwards.
 func (f *Fleet) Put(e Endpoint) {
 	old := f.endpoints[e.ID]
-	if old != nil && old.Service == e.Service {
+	if old != nil && old.Service == e.Service && old.Born == e.Born {
 		old.Endpoint = e
 		old.draining, old.leaving = false, false
 		return
@@ -257,6 +273,7 @@
 	added := &endpoint{
 		Endpoint:  e,
 		hash:      Hash(e.ID),
+		process:   ProcessHash(e.ID, e.Born),
 		peerLoads: make(map[string]Load),
 		cache:     newPartCache(e.MemoryTokens),
 		slowness:  1,
@@ -264,6 +281,7 @@
 	}
 	f.endpoints[e.ID] = added
 	f.byHash[added.hash] = added
+	f.byProcess[added.process] = added
 	s := f.service(e.Service)
 	s.members = append(s.members, added)
 	s.sortMembers()
@@ -277,6 +295,29 @@
 	return ""
 }
 
+// ProcessName returns the id of the endpoint whose current process has the given ProcessHash;
+// empty for none.
+func (f *Fleet) ProcessName(process uint64) string {
+	if e := f.byProcess[process]; e != nil {
+		return e.ID
+	}
+	return ""
+}
+
+// Address returns the address of an endpoint; empty for an unknown one.
+func (f *Fleet) Address(id string) string {
+	if e := f.endpoints[id]; e != nil {
+		return e.Address
+	}
+	return ""
+}
+
+// IsDraining reports whether an endpoint is draining or leaving.
+func (f *Fleet) IsDraining(id string) bool {
+	e := f.endpoints[id]
+	return e != nil && e.draining
+}
+
 // ServiceOf returns the service of the endpoint with the given hash; empty for none.
 func (f *Fleet) ServiceOf(hash uint64) string {
 	if e := f.byHash[hash]; e != nil {
@@ -317,6 +358,7 @@
 	}
 	delete(f.endpoints, id)
 	delete(f.byHash, e.hash)
+	delete(f.byProcess, e.process)
 	s := f.services[e.Service]
 	s.members = slices.DeleteFunc(s.members, func(m *endpoint) bool { return m == e })
 	s.sortMembers()
--- /dev/null
+++ b/gateway/processes.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/registry"
+)
+
+// An endpoint may start again under its id and address. Until its entry is known, requests
+// reach the new process under the entry of the one before, and responses do not tell which of
+// the two made them. What is kept under the id is therefore handled by these rules when the
+// entry arrives:
+//   - Results of attempts, loads and cached parts under the entry before are not those of the
+//     new process.
+//   - A pause is kept, as the new process may have stated it, unless a sign that the
+//     process before ended came later than the response.
+//   - That an endpoint leaves counts only for the process that the request was sent to: a
+//     process announces it near its end, and it would hold for all of the next one.
+
+// recordProcessEnd records a sign that the listed process of an endpoint ended at a time. An
+// empty id is ignored. The mutex is held.
+func (d *dispatcher) recordProcessEnd(id string, at time.Time) {
+	if id != "" {
+		d.reach.RecordEnd(at, placement.Hash(id))
+	}
+}
+
+// restartEndpoint replaces the process of an endpoint. The mutex is held.
+func (d *dispatcher) restartEndpoint(now time.Time, e registry.Entry) {
+	endpoint, since := placement.Hash(e.ID), d.reachableSince(now, e)
+	d.health.Leave(now, e.ID)
+	d.reach.Restart(endpoint, since)
+	d.pauses.Restart(endpoint, since)
+	d.limits.Forget(endpoint)
+	d.fleet.Remove(e.ID)
+	d.putEndpoint(now, e)
+}
+
+// reachableSince returns the earliest time at which the process of an entry can have been
+// reached under the entry before, which is still known; zero if no sign tells it. None was
+// reached if the address is another one, or if the one before got no requests any more. The
+// mutex is held.
+func (d *dispatcher) reachableSince(now time.Time, e registry.Entry) time.Time {
+	if d.fleet.Address(e.ID) != e.Address || d.fleet.IsDraining(e.ID) {
+		return now
+	}
+	return d.reach.EndSeenAt(placement.Hash(e.ID))
+}
+
+// mayBeOfListed reports whether the listed process of an endpoint may have made a response
+// from an address to a request that was sent at a time to process i of the endpoint. The mutex
+// is held.
+func (d *dispatcher) mayBeOfListed(i registry.Incarnation, address string, sentAt time.Time) bool {
+	listed, known := d.registry.Incarnation(i.ID)
+	if !known || listed == i {
+		return true
+	}
+	return d.fleet.Address(i.ID) == address && sentAt.After(d.reach.ReachableSince(placement.Hash(i.ID)))
+}
--- a/gateway/reach/pauses.go
+++ b/gateway/reach/pauses.go
@@ -16,14 +16,17 @@
 // endpoint asked of this gateway always holds; one that it asked of a peer is a hint.
 // A Pauses is not safe for concurrent use; the time is a parameter.
 type Pauses struct {
-	// own and hints hold the end of each pause by the hash of the endpoint's id.
-	own   map[uint64]time.Time
+	// own holds the pauses, and hints the end of each hint, by the hash of the endpoint's id.
+	own   map[uint64]pause
 	hints map[uint64]time.Time
 }
 
+// pause is a pause that an endpoint asked of this gateway at a time.
+type pause struct{ askedAt, until time.Time }
+
 // NewPauses returns an empty Pauses.
 func NewPauses() *Pauses {
-	return &Pauses{own: make(map[uint64]time.Time), hints: make(map[uint64]time.Time)}
+	return &Pauses{own: make(map[uint64]pause), hints: make(map[uint64]time.Time)}
 }
 
 // SetPause records that an endpoint asked this gateway to send it nothing until a time, and
@@ -31,11 +34,11 @@
 // a new one beyond maxPauses is not recorded.
 func (p *Pauses) SetPause(now time.Time, endpoint uint64, until time.Time) bool {
 	p.expire(now)
-	begins := p.own[endpoint].IsZero()
-	if until.After(p.own[endpoint]) && (len(p.own) < maxPauses || !p.own[endpoint].IsZero()) {
-		p.own[endpoint] = until
+	current, paused := p.own[endpoint]
+	if until.After(current.until) && (len(p.own) < maxPauses || paused) {
+		p.own[endpoint] = pause{askedAt: now, until: until}
 	}
-	return begins
+	return !paused
 }
 
 // Len returns the number of endpoints that paused this gateway.
@@ -54,6 +57,16 @@
 	p.hints[endpoint] = now.Add(min(left, hintAge))
 }
 
+// Restart handles the next process of an endpoint, which can have been reached since a time
+// under the entry of the process before; zero if that is not known. A pause that was asked for
+// later may be its own and holds on.
+func (p *Pauses) Restart(endpoint uint64, since time.Time) {
+	delete(p.hints, endpoint)
+	if !p.own[endpoint].askedAt.After(since) {
+		delete(p.own, endpoint)
+	}
+}
+
 // Leave removes an endpoint.
 func (p *Pauses) Leave(endpoint uint64) {
 	delete(p.own, endpoint)
@@ -62,7 +75,7 @@
 
 // Paused reports whether the endpoint asked this gateway for a pause that has not ended.
 func (p *Pauses) Paused(now time.Time, endpoint uint64) bool {
-	return now.Before(p.own[endpoint])
+	return now.Before(p.own[endpoint].until)
 }
 
 // Hinted reports whether a peer's hint that the endpoint is full still counts.
@@ -74,11 +87,11 @@
 // which counts is true; zero if there is none.
 func (p *Pauses) UntilFirstEnd(now time.Time, counts func(endpoint uint64) bool) time.Duration {
 	earliest := time.Duration(0)
-	for endpoint, until := range p.own {
+	for endpoint, pause := range p.own {
 		if !counts(endpoint) {
 			continue
 		}
-		if left := until.Sub(now); left > 0 && (earliest == 0 || left < earliest) {
+		if left := pause.until.Sub(now); left > 0 && (earliest == 0 || left < earliest) {
 			earliest = left
 		}
 	}
@@ -88,15 +101,15 @@
 // ReportOwn calls report for each endpoint that paused this gateway, with the time left.
 func (p *Pauses) ReportOwn(now time.Time, report func(endpoint uint64, left time.Duration)) {
 	p.expire(now)
-	for endpoint, until := range p.own {
-		report(endpoint, until.Sub(now))
+	for endpoint, pause := range p.own {
+		report(endpoint, pause.until.Sub(now))
 	}
 }
 
 // expire drops pauses that have ended, and hints whose cooldown has ended.
 func (p *Pauses) expire(now time.Time) {
-	for endpoint, until := range p.own {
-		if !now.Before(until) {
+	for endpoint, pause := range p.own {
+		if !now.Before(pause.until) {
 			delete(p.own, endpoint)
 		}
 	}
--- a/gateway/reach/reach.go
+++ b/gateway/reach/reach.go
@@ -48,6 +48,12 @@
 	answeredAt time.Time
 	// byPeers is true if reports of peers, not an own failure, caused the current pause.
 	byPeers bool
+	// endSeenAt is the last time at which the endpoint's process seemed to end: a connection
+	// was not accepted, or an attempt broke; zero for none. A response does not clear it.
+	endSeenAt time.Time
+	// reachableSince is the earliest time at which the process can have been reached under the
+	// entry of the process before; zero if that is not known.
+	reachableSince time.Time
 	// lastReported is whether the endpoint was left out at the last call of Changes.
 	lastReported bool
 	// peerReports holds the time of the latest report of each peer.
@@ -73,6 +79,37 @@
 	}
 }
 
+// Restart begins the history of the next process of an endpoint, which can have been reached
+// since a time under the entry of the process before; zero if that is not known.
+func (t *Table) Restart(endpoint uint64, since time.Time) {
+	t.states[endpoint] = &endpointState{reachableSince: since}
+}
+
+// ReachableSince returns the time that Restart set; zero for none.
+func (t *Table) ReachableSince(endpoint uint64) time.Time {
+	if s := t.states[endpoint]; s != nil {
+		return s.reachableSince
+	}
+	return time.Time{}
+}
+
+// RecordEnd records a sign that the process of the endpoint ended at a time. It may be wrong:
+// connections are reset for other reasons as well.
+func (t *Table) RecordEnd(at time.Time, endpoint uint64) {
+	if s := t.states[endpoint]; s != nil && at.After(s.endSeenAt) {
+		s.endSeenAt = at
+	}
+}
+
+// EndSeenAt returns the time of the last sign that the process of the endpoint ended; zero for
+// none.
+func (t *Table) EndSeenAt(endpoint uint64) time.Time {
+	if s := t.states[endpoint]; s != nil {
+		return s.endSeenAt
+	}
+	return time.Time{}
+}
+
 // Leave removes an endpoint with its history.
 func (t *Table) Leave(endpoint uint64) { delete(t.states, endpoint) }
 
@@ -84,6 +121,7 @@
 		return
 	}
 	s.failedAt = now
+	t.RecordEnd(now, endpoint)
 	t.leaveOut(now, s, false)
 }
 
@@ -98,13 +136,13 @@
 }
 
 // RecordResponse records that the endpoint has answered this gateway, which ends its
-// pause and clears its history.
+// pause and clears the history of failures.
 func (t *Table) RecordResponse(now time.Time, endpoint uint64) {
 	s := t.states[endpoint]
 	if s == nil {
 		return
 	}
-	*s = endpointState{answeredAt: now, lastReported: s.lastReported}
+	*s = endpointState{answeredAt: now, endSeenAt: s.endSeenAt, reachableSince: s.reachableSince, lastReported: s.lastReported}
 }
 
 // AddPeerReport records a peer's report that an endpoint accepted no connection.
--- a/gateway/restarted_test.go
+++ b/gateway/restarted_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pistachiowind/pistachiowind/gateway/peers/wire"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
@@ -19,6 +20,8 @@
 type restarts struct {
 	*dispatcher
 	entries []registry.Entry
+	// running are attempts at endpoint a.
+	running []relay.PlacedAttempt
 }
 
 func newRestarts() *restarts {
@@ -138,3 +141,136 @@
 		}
 	})
 }
+
+// takeover is a way in which the next process of endpoint a takes over. Between what is seen
+// before and after, the endpoint states something in a response.
+type takeover struct {
+	name          string
+	before, after func(r *restarts, t *testing.T)
+	// address is the address of the next process; empty for the same one.
+	address string
+	// ofNext is set if the next process may have stated it.
+	ofNext bool
+}
+
+// breakAttempt lets an attempt break at the end of the process before.
+func breakAttempt(r *restarts, t *testing.T) {
+	r.send(t).Ended(relay.ResultBroken)
+	time.Sleep(time.Millisecond)
+}
+
+// refuseConnection lets an attempt find nobody at the address.
+func refuseConnection(r *restarts, t *testing.T) {
+	r.send(t).Ended(relay.ResultUnreachable)
+	time.Sleep(2 * time.Second)
+}
+
+// hearOfCrash applies the statement of a peer at which attempts broke.
+func hearOfCrash(r *restarts, _ *testing.T) {
+	crash := &wire.Crash{Endpoint: processHash(registry.Incarnation{ID: "a", Born: 1}), Requests: []uint64{1}}
+	r.applyStatement(time.Now(), &wire.Statement{Sender: "10.0.0.9:9", Crashes: []*wire.Crash{crash}})
+	time.Sleep(time.Millisecond)
+}
+
+// breakRunning lets a running attempt break.
+func breakRunning(r *restarts, _ *testing.T) { r.running[0].Ended(relay.ResultBroken) }
+
+// refuseRunning lets a running attempt find nobody at the address.
+func refuseRunning(r *restarts, _ *testing.T) { r.running[0].Ended(relay.ResultUnreachable) }
+
+// breakAndAnswer lets one running attempt break, and the next process answer another.
+func breakAndAnswer(r *restarts, t *testing.T) {
+	breakRunning(r, t)
+	time.Sleep(10 * time.Millisecond)
+	r.running[1].Started()
+}
+
+// remove removes the process before from the directory.
+func remove(r *restarts, _ *testing.T) {
+	all := r.entries
+	r.entries = all[1:]
+	r.list()
+	r.entries = all
+}
+
+// drain lists the process before as draining.
+func drain(r *restarts, _ *testing.T) {
+	r.entries[0].Draining = true
+	r.list()
+	r.entries[0].Draining = false
+}
+
+func nothing(*restarts, *testing.T) {}
+
+var takeovers = []takeover{
+	{name: "an attempt broke before", ofNext: true, before: breakAttempt, after: nothing},
+	{name: "a connection was refused before", ofNext: true, before: refuseConnection, after: nothing},
+	{name: "a peer saw a crash before", ofNext: true, before: hearOfCrash, after: nothing},
+	{name: "nothing was seen", ofNext: true, before: nothing, after: nothing},
+	{name: "an attempt broke after", before: nothing, after: breakRunning},
+	{name: "a connection was refused after", before: nothing, after: refuseRunning},
+	{name: "an attempt broke after and another was answered", before: nothing, after: breakAndAnswer},
+	{name: "a peer saw a crash after", before: nothing, after: hearOfCrash},
+	{name: "another address", before: nothing, after: nothing, address: "10.0.0.3:1"},
+	{name: "removed, another address", before: nothing, after: remove, address: "10.0.0.3:1"},
+	{name: "drained", before: nothing, after: drain},
+}
+
+// runTakeovers lets endpoint a state something before its next process is listed, and calls
+// check once it is.
+func runTakeovers(t *testing.T, state relay.Notice, check func(t *testing.T, r *restarts, ofNext bool)) {
+	for _, c := range takeovers {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRestarts()
+				c.before(r, t)
+				r.running = []relay.PlacedAttempt{r.send(t), r.send(t)}
+				attempt := r.send(t)
+				time.Sleep(10 * time.Millisecond)
+				attempt.HandleNotice(state)
+				attempt.Ended(relay.ResultRejected)
+				time.Sleep(10 * time.Millisecond)
+				c.after(r, t)
+				r.restart(c.address)
+				check(t, r, c.ofNext)
+			})
+		})
+	}
+}
+
+// Guards against requests to an endpoint that asked for none, once its entry arrives: the
+// process behind the entry stated its pause before the gateway knew it. Guards as well against
+// a pause of the process before that holds back the next one.
+func TestPauseIsKeptForTheProcessThatAskedForIt(t *testing.T) {
+	runTakeovers(t, relay.Notice{Pause: 30 * time.Second}, func(t *testing.T, r *restarts, ofNext bool) {
+		if paused := r.pauses.Paused(time.Now(), placement.Hash("a")); paused != ofNext {
+			t.Errorf("the new process is paused: %t, want %t", paused, ofNext)
+		}
+	})
+}
+
+// Guards against a response of the process before that reaches the gateway late, and holds
+// back the next process: the one before still serves at another address, was draining, or
+// answered a request that was sent before its end.
+func TestLateNoticeOfTheProcessBeforeIsNotApplied(t *testing.T) {
+	state := relay.Notice{Pause: 30 * time.Second}
+	for _, c := range takeovers {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRestarts()
+				c.before(r, t)
+				r.running = []relay.PlacedAttempt{r.send(t), r.send(t)}
+				late := r.send(t)
+				time.Sleep(10 * time.Millisecond)
+				c.after(r, t)
+				time.Sleep(10 * time.Millisecond)
+				r.restart(c.address)
+				r.send(t).Started()
+				late.HandleNotice(state)
+				if paused := r.pauses.Paused(time.Now(), placement.Hash("a")); paused != c.ofNext {
+					t.Errorf("the new process is paused: %t, want %t", paused, c.ofNext)
+				}
+			})
+		})
+	}
+}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -31,13 +31,7 @@
 }
 
 // processHash returns the hash of an endpoint process.
-func processHash(i registry.Incarnation) uint64 {
-	h := xxhash.New()
-	// Writes to a hash do not fail.
-	_, _ = h.WriteString(i.ID)
-	_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, uint64(i.Born)))
-	return h.Sum64()
-}
+func processHash(i registry.Incarnation) uint64 { return placement.ProcessHash(i.ID, i.Born) }
 
 // checkSuspects returns the verdict on a request. The mutex is held.
 func (d *dispatcher) checkSuspects(now time.Time, suspects []crashes.Suspect) crashes.Verdict {
@@ -72,6 +66,9 @@
 	if a.started && now.Sub(a.startedAt) >= beginTime {
 		suspects = suspects[:1]
 	}
+	if a.isCurrent() {
+		d.recordProcessEnd(a.incarnation.ID, now)
+	}
 	d.onSuspects(d.crashes.RecordLocal(crashes.Crash{Endpoint: processHash(a.incarnation), At: now, Suspects: suspects}))
 }
 
@@ -129,7 +126,9 @@
 		d.onSuspects(d.crashes.RecordCleared(crashes.Suspect{IsPart: c.Part, ID: c.Id}))
 	}
 	for _, c := range s.Crashes {
-		d.onSuspects(d.crashes.Record(decodeCrash(now, c)))
+		crash := decodeCrash(now, c)
+		d.recordProcessEnd(d.fleet.ProcessName(crash.Endpoint), crash.At)
+		d.onSuspects(d.crashes.Record(crash))
 	}
 	for _, c := range s.Standing {
 		d.onSuspects(d.crashes.RecordStanding(now, decodeCrash(now, c)))
