Keep a limit with the process that named it

Cause: limits are kept by the id of an endpoint and were dropped by all gateways when the entry of a new process arrived. The process names its limit in its responses from its start on, before its entry is known, so that the limit was forgotten as soon as it was learnt, everywhere at once. The other way round, a limit stayed in force when its endpoint was removed and another process came under its id, and a late response of the process before set it again.

Change: a limit follows the rule for pauses (gateway/processes.go): it holds on unless a sign that the process before ended came later than its last confirmation. The limit of an endpoint that is removed is kept for 30 s and counts only if the same process comes back.

Seen to fail before: TestLimitIsKeptForTheProcessThatNamedIt in four cases, TestLimitOfAnEndpointThatComesBack for another process, TestLateNoticeOfTheProcessBeforeIsNotApplied. A Table.Restart that does nothing and one that always forgets are both caught, which nothing did for Table.Forget.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -333,6 +333,7 @@
 func (d *dispatcher) removeEndpoint(now time.Time, e registry.Entry) {
 	endpoint := placement.Hash(e.ID)
 	d.pauses.Leave(endpoint)
+	d.limits.Leave(endpoint, processHash(e.Incarnation()))
 	d.fleet.Remove(e.ID)
 	d.health.Leave(now, e.ID)
 	d.reach.Leave(endpoint)
@@ -348,6 +349,7 @@
 		}
 	}
 	d.fleet.Put(description)
+	d.limits.Join(placement.Hash(e.ID), processHash(e.Incarnation()))
 	d.health.Join(now, e.ID, e.Service)
 	d.reach.Join(placement.Hash(e.ID))
 }
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -175,6 +175,11 @@
 			g.demand = steady(0)
 			g.site.after(3*time.Second, func() { g.stop(time.Hour) })
 		}, 1, 2)},
+	{name: "entries of endpoints that restarted arrive", endpoints: limitedPool(2, 1), gateways: repeated(30, 4), minUsed: limitTargetFaults, events: func(s *limitSite) {
+		for i := range 4 {
+			s.after(time.Duration(10+10*i)*time.Second, s.listRestarts)
+		}
+	}},
 	{name: "statements are lost", endpoints: limitedPool(2, 1), gateways: repeated(6, 4), minUsed: limitTargetFaults, events: func(s *limitSite) {
 		for _, g := range s.gateways {
 			g.lost = 0.2
--- a/gateway/limitsite_test.go
+++ b/gateway/limitsite_test.go
@@ -57,16 +57,29 @@
 type limitSite struct {
 	*simSite
 	endpoints []*limitedEndpoint
+	entries   []registry.Entry
 	gateways  []*limitGateway
 }
 
+// listRestarts lists a later process for each endpoint, at the same address. The gateways read
+// the directory at once.
+func (s *limitSite) listRestarts() {
+	for i := range s.entries {
+		s.entries[i].Born++
+	}
+	for _, g := range s.gateways {
+		if !g.down {
+			g.readDirectory()
+		}
+	}
+}
+
 func newLimitSite(seed uint64, endpoints ...*limitedEndpoint) *limitSite {
 	s := &limitSite{endpoints: endpoints}
-	var entries []registry.Entry
 	for _, e := range endpoints {
-		entries = append(entries, registry.Entry{ID: e.id, Service: "s", Address: e.id, Zone: "z", Slots: 64, Born: 1})
+		s.entries = append(s.entries, registry.Entry{ID: e.id, Service: "s", Address: e.id, Zone: "z", Slots: 64, Born: 1})
 	}
-	s.simSite = newSimSite(seed, func() []registry.Entry { return entries })
+	s.simSite = newSimSite(seed, func() []registry.Entry { return s.entries })
 	s.serve = func(g *simGateway) {
 		i := slices.IndexFunc(s.gateways, func(l *limitGateway) bool { return l.simGateway == g })
 		s.gateways[i].serve()
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -46,10 +46,9 @@
 		}
 	}
 	now := time.Now()
-	if n.Pause > 0 && d.mayBeOfListed(i, address, sentAt) && d.pauses.SetPause(now, placement.Hash(i.ID), now.Add(n.Pause)) {
-		d.onPause(i.ID, n.Pause)
+	if d.mayBeOfListed(i, address, sentAt) {
+		d.applyWishes(now, sentAt, i, n)
 	}
-	d.observeLimit(now, sentAt, i, n)
 	if !n.Leaving {
 		return nil
 	}
@@ -61,6 +60,14 @@
 	return changes
 }
 
+// applyWishes records the pause and the limit in a notice of endpoint i. The mutex is held.
+func (d *dispatcher) applyWishes(now, sentAt time.Time, i registry.Incarnation, n relay.Notice) {
+	if n.Pause > 0 && d.pauses.SetPause(now, placement.Hash(i.ID), now.Add(n.Pause)) {
+		d.onPause(i.ID, n.Pause)
+	}
+	d.observeLimit(now, sentAt, i, n)
+}
+
 // markLeaving stops assigning work to a leaving endpoint. A later process with the same
 // id is not affected. The mutex is held.
 func (d *dispatcher) markLeaving(now time.Time, i registry.Incarnation) []registry.Change {
--- a/gateway/processes.go
+++ b/gateway/processes.go
@@ -13,7 +13,7 @@
 // entry arrives:
 //   - Results of attempts, loads and cached parts under the entry before are not those of the
 //     new process.
-//   - A pause is kept, as the new process may have stated it, unless a sign that the
+//   - A pause or a limit is kept, as the new process may have stated it, unless a sign that the
 //     process before ended came later than the response.
 //   - That an endpoint leaves counts only for the process that the request was sent to: a
 //     process announces it near its end, and it would hold for all of the next one.
@@ -32,7 +32,7 @@
 	d.health.Leave(now, e.ID)
 	d.reach.Restart(endpoint, since)
 	d.pauses.Restart(endpoint, since)
-	d.limits.Forget(endpoint)
+	d.limits.Restart(endpoint, since)
 	d.fleet.Remove(e.ID)
 	d.putEndpoint(now, e)
 }
--- a/gateway/ratelimit/table.go
+++ b/gateway/ratelimit/table.go
@@ -29,6 +29,9 @@
 	// liftedStatedFor is how long peers are told that a limit was lifted: a few statements
 	// of the largest site.
 	liftedStatedFor = 15 * time.Second
+	// leftKeptFor is how long the limit of a removed endpoint is kept: as long as the registry
+	// remembers its departure.
+	leftKeptFor = 30 * time.Second
 )
 
 // Table holds the limits of the endpoints, by the hash of their ids, and this gateway's
@@ -55,7 +58,10 @@
 	perSecond float64
 	lifted    bool
 	// at is the latest time at which the limit, or its end, is known to have been in force.
-	at       time.Time
+	at time.Time
+	// left is the process that had the endpoint's id when it was removed; zero while the
+	// endpoint is known.
+	left     uint64
 	wanted   demand
 	statedAt time.Time
 	own      *recentWeights
@@ -136,8 +142,35 @@
 	delete(t.endpoints, oldest.id)
 }
 
-// Forget removes an endpoint that has restarted.
-func (t *Table) Forget(id uint64) { delete(t.endpoints, id) }
+// Restart handles the next process of an endpoint, which can have been reached since a time
+// under the entry of the process before; zero if that is not known. A limit that was in force
+// later may be its own and holds on.
+func (t *Table) Restart(id uint64, since time.Time) {
+	if e := t.endpoints[id]; e != nil && !e.at.After(since) {
+		delete(t.endpoints, id)
+	}
+}
+
+// Leave handles the removal of an endpoint whose process has the given hash. Its limit is kept
+// for a while in case the process comes back.
+func (t *Table) Leave(id, process uint64) {
+	if e := t.endpoints[id]; e != nil {
+		e.left = process
+	}
+}
+
+// Join handles an endpoint whose process has the given hash. It forgets the limit of another
+// process that left.
+func (t *Table) Join(id, process uint64) {
+	e := t.endpoints[id]
+	switch {
+	case e == nil:
+	case e.left != 0 && e.left != process:
+		delete(t.endpoints, id)
+	default:
+		e.left = 0
+	}
+}
 
 // Want counts a request that would be sent to an endpoint if it had no limit.
 func (t *Table) Want(now time.Time, id uint64) {
@@ -167,7 +200,7 @@
 // then those that were stated longest ago.
 func (t *Table) Statement(now time.Time, interval time.Duration, n int) (site time.Duration, entries []Entry) {
 	t.interval = interval
-	t.dropLifted(now)
+	t.dropEnded(now)
 	t.dropSilentPeers(now)
 	due := make([]*endpoint, 0, len(t.endpoints))
 	for _, e := range t.endpoints {
@@ -189,10 +222,12 @@
 	return t.clock.since(now), entries
 }
 
-// dropLifted drops the endpoints whose peers had time to hear that the limit was lifted.
-func (t *Table) dropLifted(now time.Time) {
+// dropEnded drops the endpoints whose peers had time to hear that the limit was lifted, and
+// those that were removed long ago.
+func (t *Table) dropEnded(now time.Time) {
 	for id, e := range t.endpoints {
-		if e.lifted && now.Sub(e.at) >= liftedStatedFor {
+		age := now.Sub(e.at)
+		if e.lifted && age >= liftedStatedFor || e.left != 0 && age >= leftKeptFor {
 			delete(t.endpoints, id)
 		}
 	}
--- a/gateway/restarted_test.go
+++ b/gateway/restarted_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/pistachiowind/pistachiowind/gateway/peers/wire"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/ratelimit"
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
 )
@@ -249,11 +250,23 @@
 	})
 }
 
+// Guards against a limit that is exceeded once the entry of the endpoint arrives, as the
+// process behind it stated the limit before the gateway knew it. Guards as well against a limit
+// of the process before that holds back the next one.
+func TestLimitIsKeptForTheProcessThatNamedIt(t *testing.T) {
+	state := relay.Notice{ToThisRequest: true, Limit: ratelimit.Report{State: ratelimit.Limited, PerSecond: 1}}
+	runTakeovers(t, state, func(t *testing.T, r *restarts, ofNext bool) {
+		if limited, _ := r.limits.Check(time.Now(), placement.Hash("a")); limited != ofNext {
+			t.Errorf("the new process is limited: %t, want %t", limited, ofNext)
+		}
+	})
+}
+
 // Guards against a response of the process before that reaches the gateway late, and holds
 // back the next process: the one before still serves at another address, was draining, or
 // answered a request that was sent before its end.
 func TestLateNoticeOfTheProcessBeforeIsNotApplied(t *testing.T) {
-	state := relay.Notice{Pause: 30 * time.Second}
+	state := relay.Notice{ToThisRequest: true, Pause: 30 * time.Second, Limit: ratelimit.Report{State: ratelimit.Limited, PerSecond: 1}}
 	for _, c := range takeovers {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -267,8 +280,29 @@
 				r.restart(c.address)
 				r.send(t).Started()
 				late.HandleNotice(state)
-				if paused := r.pauses.Paused(time.Now(), placement.Hash("a")); paused != c.ofNext {
-					t.Errorf("the new process is paused: %t, want %t", paused, c.ofNext)
+				paused := r.pauses.Paused(time.Now(), placement.Hash("a"))
+				if limited, _ := r.limits.Check(time.Now(), placement.Hash("a")); paused != c.ofNext || limited != c.ofNext {
+					t.Errorf("the new process is paused %t and limited %t, want %t", paused, limited, c.ofNext)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a limit that stays in force when its endpoint is removed and another process
+// comes under its id, and against one that is lost when the same process comes back.
+func TestLimitOfAnEndpointThatComesBack(t *testing.T) {
+	for name, born := range map[string]int64{"the same process": 1, "another process": 2} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRestarts()
+				r.send(t).HandleNotice(relay.Notice{ToThisRequest: true, Limit: ratelimit.Report{State: ratelimit.Limited, PerSecond: 1}})
+				remove(r, t)
+				time.Sleep(time.Second)
+				r.entries[0].Born = born
+				r.list()
+				if limited, _ := r.limits.Check(time.Now(), placement.Hash("a")); limited != (born == 1) {
+					t.Errorf("the endpoint is limited: %t", limited)
 				}
 			})
 		})
