Test that a list of cached parts counts against a limit

Nothing noticed a gateway that asked a limited engine for its list without using its allowance. The test lets a gateway ask ten times a second for 10 s at a limit of one a second.

--- a/gateway/cachedparts_test.go
+++ b/gateway/cachedparts_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
+	"github.com/pistachiowind/pistachiowind/gateway/ratelimit"
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
@@ -64,6 +66,32 @@
 	}
 }
 
+// countingLister counts the lists that it is asked for.
+type countingLister struct{ asked int }
+
+func (l *countingLister) List(context.Context, string) ([]placement.Part, relay.Notice, error) {
+	l.asked++
+	return nil, relay.Notice{ToThisRequest: true, Limit: ratelimit.Report{State: ratelimit.Limited, PerSecond: 1}}, nil
+}
+
+// Guards against requests for the list of cached parts that come on top of the limit of an
+// engine: each counts as a request, and an engine without allowance is not asked.
+func TestListOfCachedPartsCountsAgainstTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lister := &countingLister{}
+		g := restartedGateway(t, lister)
+		entry := registry.Entry{ID: "a", Service: "pool", Address: "a", Zone: "z", Slots: 64}
+		// The first list, at most two saved slots and one a second are allowed.
+		for range 100 {
+			g.loadPartsOf(t.Context(), entry)
+			time.Sleep(100 * time.Millisecond)
+		}
+		if lister.asked < 8 || lister.asked > 14 {
+			t.Errorf("the engine was asked for %d lists in 10 s, want about one a second", lister.asked)
+		}
+	})
+}
+
 // Guards against each of many gateways asking each engine for its list: gateways get
 // the parts of the other engines from a peer.
 func TestPeerTellsCachedParts(t *testing.T) {
