State cached parts with the process that has them

Cause: gateways state for three statement intervals which parts of prompts they sent where, by the hash of the endpoint's id, and give a starting gateway all that they believe to be cached. When an endpoint had started again, those statements, and a late list of the engine before, made its parts count as cached at the new process, which holds none: requests with these parts were sent there as if they could begin at once, and other engines were told to fetch from it.

Change: the statements name the process, by the hash of id and start time that crashes are stated with. Receivers ignore a process that is not the listed one. The message keeps its form; gateways of the code before and of this one ignore each other's placements while both run.

Seen to fail before: TestPartsOfTheProcessBeforeAreNotCached, for a peer that does not know the new process yet and for one that does.

--- a/gateway/cachedparts.go
+++ b/gateway/cachedparts.go
@@ -117,9 +117,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var placements []*wire.Placement
-	d.fleet.CachedParts(func(endpoint uint64, p placement.Part) {
+	d.fleet.CachedParts(func(process uint64, p placement.Part) {
 		if len(placements) < maxPartsSent {
-			placements = append(placements, &wire.Placement{Endpoint: endpoint, Part: p.ID, Tokens: uint32(p.Tokens)})
+			placements = append(placements, &wire.Placement{Endpoint: process, Part: p.ID, Tokens: uint32(p.Tokens)})
 		}
 	})
 	return placements
@@ -161,16 +161,16 @@
 		g.log.Warn().Str("endpoint", e.ID).Err(err).Msg("could not list the cached parts of an engine")
 		return
 	}
-	g.dispatcher.addEngineParts(e.ID, parts)
+	g.dispatcher.addEngineParts(e.Incarnation(), parts)
 	g.log.Info().Str("endpoint", e.ID).Int("parts", len(parts)).Msg("cached parts known")
 }
 
-// addEngineParts adds parts that an engine has listed.
-func (d *dispatcher) addEngineParts(id string, parts []placement.Part) {
+// addEngineParts adds parts that a process of an engine has listed.
+func (d *dispatcher) addEngineParts(i registry.Incarnation, parts []placement.Part) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	for _, p := range parts {
-		d.fleet.PeerPlacement(now, placement.Hash(id), p)
+		d.fleet.PeerPlacement(now, processHash(i), p)
 	}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -267,7 +267,7 @@
 	latest = latest[max(len(latest)-maxPlacements, 0):]
 	var placements []*wire.Placement
 	for _, p := range latest {
-		placements = append(placements, &wire.Placement{Endpoint: p.Endpoint, Part: p.Part.ID, Tokens: uint32(p.Part.Tokens)})
+		placements = append(placements, &wire.Placement{Endpoint: p.Process, Part: p.Part.ID, Tokens: uint32(p.Part.Tokens)})
 	}
 	var pressures []*wire.Pressure
 	d.gate.ReportOwn(now, func(k admission.RequestClass, r admission.Pressure) {
--- a/gateway/oddpeers_test.go
+++ b/gateway/oddpeers_test.go
@@ -29,7 +29,7 @@
 	return &wire.Statement{
 		Sender: "10.1.0.1:7", Incarnation: 5, Sequence: 1, Peers: []string{"10.1.0.2:7"},
 		Loads:      []*wire.Load{{Endpoint: served, Running: 1, Tight: 1, Prefill: 100, Memory: 200}},
-		Placements: []*wire.Placement{{Endpoint: served, Part: 9, Tokens: 100}},
+		Placements: []*wire.Placement{{Endpoint: placement.ProcessHash("e", 0), Part: 9, Tokens: 100}},
 		Pressures: []*wire.Pressure{{Service: "s", Kind: "r", Rank: 1, RouteRank: 1, Size: 100, Offered: 3, Late: 1,
 			AdmittedAgo: 10, RefusedAgo: 20}},
 		Speeds:        []*wire.Speed{{Service: "s", Rate: 30, Weight: 5}},
@@ -218,7 +218,7 @@
 			}
 		}
 	}
-	parts := &wire.CachedPartsResponse{Placements: []*wire.Placement{{Endpoint: placement.Hash("e"), Part: 9, Tokens: 100}}}
+	parts := &wire.CachedPartsResponse{Placements: []*wire.Placement{{Endpoint: placement.ProcessHash("e", 0), Part: 9, Tokens: 100}}}
 	for variant, encoded := range oddvalue.Message(parts) {
 		var response wire.CachedPartsResponse
 		if proto.Unmarshal(encoded, &response) != nil {
--- a/gateway/placement/cache.go
+++ b/gateway/placement/cache.go
@@ -56,9 +56,9 @@
 
 // Placement records that a shared part was sent to an endpoint.
 type Placement struct {
-	// Endpoint is the hash of the endpoint's id.
-	Endpoint uint64
-	Part     Part
+	// Process is the ProcessHash of the endpoint.
+	Process uint64
+	Part    Part
 	// At is when the part was sent.
 	At time.Time
 }
@@ -89,21 +89,22 @@
 	return nil
 }
 
-// PeerPlacement records that a peer has sent a shared part to an endpoint.
-func (f *Fleet) PeerPlacement(now time.Time, endpoint uint64, p Part) {
-	if e := f.byHash[endpoint]; e != nil {
+// PeerPlacement records that a peer has sent a shared part to the process of an endpoint with
+// the given ProcessHash. One that is not the current process is ignored.
+func (f *Fleet) PeerPlacement(now time.Time, process uint64, p Part) {
+	if e := f.byProcess[process]; e != nil {
 		load, _ := e.totalLoad(now)
 		e.cache.touch(p, now.Add(peerReadTime), load.Memory)
 	}
 }
 
 // CachedParts calls report for each shared part that an endpoint is expected to have
-// in its KV cache.
-func (f *Fleet) CachedParts(report func(endpoint uint64, p Part)) {
+// in its KV cache, with the ProcessHash of the endpoint.
+func (f *Fleet) CachedParts(report func(process uint64, p Part)) {
 	for _, e := range f.endpoints {
 		for _, id := range e.cache.parts.Keys() {
 			if part, ok := e.cache.parts.Peek(id); ok {
-				report(e.hash, Part{ID: id, Tokens: part.tokens})
+				report(e.process, Part{ID: id, Tokens: part.tokens})
 			}
 		}
 	}
--- a/gateway/placement/flight.go
+++ b/gateway/placement/flight.go
@@ -58,7 +58,7 @@
 		s.strict.sent(flight.load.Tight)
 		for _, p := range w.SharedParts() {
 			if e.cache.touch(p, now.Add(c.Expected), c.Load.Memory) {
-				f.recordPlacement(Placement{Endpoint: e.hash, Part: p, At: now})
+				f.recordPlacement(Placement{Process: e.process, Part: p, At: now})
 			}
 		}
 	}
--- a/gateway/placement/zones_test.go
+++ b/gateway/placement/zones_test.go
@@ -127,7 +127,7 @@
 		w := planWork(100)
 		w.BodyBytes = 4096
 		for _, p := range w.SharedParts() {
-			f.PeerPlacement(start, Hash("engine-1-0"), p)
+			f.PeerPlacement(start, ProcessHash("engine-1-0", 0), p)
 		}
 		if c := choose(t, f, start.Add(time.Second), w); c.LeavesZone != (price == 0) {
 			t.Errorf("price %v: the request went to %s", price, c.Endpoint.ID)
--- a/gateway/restarted_test.go
+++ b/gateway/restarted_test.go
@@ -11,6 +11,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/ratelimit"
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
+	"github.com/pistachiowind/pistachiowind/gateway/routing"
 )
 
 // restartTarget is the target of the requests to endpoints that restart.
@@ -27,6 +28,9 @@
 
 func newRestarts() *restarts {
 	r := &restarts{dispatcher: newDispatcher(Settings{AvailabilityZone: "z"}, rand.New(rand.NewPCG(1, 2)))}
+	r.adopt(routing.Compile(routing.Config{Version: 1, Services: []routing.Service{
+		{Name: "s", Engine: &routing.Engine{Slots: 64, MemoryTokens: 600_000, TokensPerEvent: 4}},
+	}}))
 	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
 		r.entries = append(r.entries, registry.Entry{ID: id, Service: "s", Address: "10.0.0." + id + ":1", Zone: "z", Slots: 64, Born: 1})
 	}
@@ -308,3 +312,60 @@
 		})
 	}
 }
+
+// statementOf returns a statement of r as a peer.
+func (r *restarts) statementOf(address string) *wire.Statement {
+	s := r.statement(time.Now(), time.Now().Add(-time.Second))
+	s.Sender = address
+	return s
+}
+
+// sharedWork returns a long prompt with a part that others share.
+func sharedWork() *placement.Work {
+	return &placement.Work{
+		Service: "s", Streaming: true, PromptTokens: 9000, OutputTokens: 100, Target: restartTarget,
+		Parts: []placement.Part{{ID: 7, Tokens: 8000}, {ID: 8, Tokens: 1000}},
+	}
+}
+
+// cachedAt returns the endpoints that a gateway takes to have cached parts.
+func (r *restarts) cachedAt() map[string]bool {
+	at := make(map[string]bool)
+	for _, p := range r.partsToSend() {
+		at[r.fleet.ProcessName(p.Endpoint)] = true
+	}
+	return at
+}
+
+// Guards against parts that count as cached at a new process because a peer, which does not
+// know it yet, states what it sent to the process before: requests would be expected to begin
+// at once there, and other engines would fetch the parts from it.
+func TestPartsOfTheProcessBeforeAreNotCached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, peer := newRestarts(), newRestarts()
+		work := sharedWork()
+		work.Excluded = []string{"b", "c", "d", "e", "f"}
+		if _, refusal := peer.Admit(work, relay.AdmissionRequest{Route: "r", TimeLeft: 10 * time.Second}); refusal != nil {
+			t.Fatal("the request is refused")
+		}
+		listed := []placement.Part{{ID: 9, Tokens: 5000}}
+		before := peer.entries[0]
+		r.applyStatement(time.Now(), peer.statementOf("10.0.0.9:9"))
+		r.addEngineParts(before.Incarnation(), listed)
+		if !r.cachedAt()["a"] || len(r.partsToSend()) != 2 {
+			t.Fatal("the parts of the first process are not known")
+		}
+		r.restart("")
+		r.applyStatement(time.Now(), peer.statementOf("10.0.0.9:9"))
+		r.addEngineParts(before.Incarnation(), listed)
+		r.addPeerParts(peer.partsToSend())
+		if r.cachedAt()["a"] {
+			t.Error("parts of the process before count as cached at the new one")
+		}
+		peer.restart("")
+		r.applyStatement(time.Now(), peer.statementOf("10.0.0.9:9"))
+		if r.cachedAt()["a"] {
+			t.Error("a peer that knows the new process states parts of the one before as its own")
+		}
+	})
+}
