State unreachable and full endpoints with their process

Cause: gateways state the endpoints that accepted no connection of theirs, or asked them for a pause, by the hash of the id. Peers that did not know a new process yet, or had met only the one before, so kept requests away from it: two reports leave it out for half a second to 1.5 s, a hint for up to a second.

Change: both name the process, as placements do; receivers ignore one that is not the listed one. As before, reports only let others be preferred.

Seen to fail before: TestPeersReportsOfTheProcessBeforeAreIgnored, both cases in which the receiver knows the new process.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -293,14 +293,24 @@
 			speeds = append(speeds, &wire.Speed{Service: service, Rate: float32(s.Rate), Weight: float32(s.Weight)})
 		}
 	})
-	unreachable := d.reach.FailuresToReport(now)
 	return &wire.Statement{
 		Leaving: d.leavingToSend(now), Pauses: d.pausesToSend(now),
 		Loads: loads, Placements: placements, Pressures: pressures, Speeds: speeds,
-		Unreachable: unreachable[:min(len(unreachable), maxUnreachable)],
+		Unreachable: d.unreachableToSend(now),
 	}
 }
 
+// unreachableToSend returns the processes of endpoints that accepted no connection of this
+// gateway. The mutex is held.
+func (d *dispatcher) unreachableToSend(now time.Time) []uint64 {
+	failed := d.reach.FailuresToReport(now)
+	failed = failed[:min(len(failed), maxUnreachable)]
+	for i, endpoint := range failed {
+		failed[i] = d.fleet.Process(endpoint)
+	}
+	return failed
+}
+
 // leavingToSend returns the endpoints that announced their leaving within
 // leavingStatedFor. The mutex is held.
 func (d *dispatcher) leavingToSend(now time.Time) []*wire.Leaving {
@@ -319,7 +329,7 @@
 	var pauses []*wire.Pause
 	d.pauses.ReportOwn(now, func(endpoint uint64, left time.Duration) {
 		if len(pauses) < maxPauses {
-			pauses = append(pauses, &wire.Pause{Endpoint: endpoint, LeftMs: uint32(left.Milliseconds())})
+			pauses = append(pauses, &wire.Pause{Endpoint: d.fleet.Process(endpoint), LeftMs: uint32(left.Milliseconds())})
 		}
 	})
 	return pauses
@@ -349,8 +359,10 @@
 	d.applyCrashes(now, s)
 	d.applyVersions(now, s)
 	d.applyUsage(now, s)
-	for _, endpoint := range s.Unreachable {
-		d.reach.AddPeerReport(now, s.Sender, endpoint)
+	for _, process := range s.Unreachable {
+		if id := d.fleet.ProcessName(process); id != "" {
+			d.reach.AddPeerReport(now, s.Sender, placement.Hash(id))
+		}
 	}
 	for _, v := range s.Speeds {
 		d.fleet.PeerSpeed(now, s.Sender, v.Service, placement.Speed{Rate: float64(v.Rate), Weight: float64(v.Weight)})
@@ -360,7 +372,9 @@
 	}
 	d.applyLimits(now, s)
 	for _, p := range s.Pauses {
-		d.pauses.AddHint(now, p.Endpoint, time.Duration(p.LeftMs)*time.Millisecond)
+		if id := d.fleet.ProcessName(p.Endpoint); id != "" {
+			d.pauses.AddHint(now, placement.Hash(id), time.Duration(p.LeftMs)*time.Millisecond)
+		}
 	}
 	var changes []registry.Change
 	for _, l := range s.Leaving {
--- a/gateway/oddpeers_test.go
+++ b/gateway/oddpeers_test.go
@@ -26,15 +26,16 @@
 // soundStatement has every field that a gateway states, about the endpoint e and others.
 func soundStatement() *wire.Statement {
 	served, other := placement.Hash("e"), placement.Hash("other")
+	process, otherProcess := placement.ProcessHash("e", 0), placement.ProcessHash("other", 1)
 	return &wire.Statement{
 		Sender: "10.1.0.1:7", Incarnation: 5, Sequence: 1, Peers: []string{"10.1.0.2:7"},
 		Loads:      []*wire.Load{{Endpoint: served, Running: 1, Tight: 1, Prefill: 100, Memory: 200}},
-		Placements: []*wire.Placement{{Endpoint: placement.ProcessHash("e", 0), Part: 9, Tokens: 100}},
+		Placements: []*wire.Placement{{Endpoint: process, Part: 9, Tokens: 100}},
 		Pressures: []*wire.Pressure{{Service: "s", Kind: "r", Rank: 1, RouteRank: 1, Size: 100, Offered: 3, Late: 1,
 			AdmittedAgo: 10, RefusedAgo: 20}},
 		Speeds:        []*wire.Speed{{Service: "s", Rate: 30, Weight: 5}},
-		StoreAnswered: 1, Unreachable: []uint64{other}, Leaving: []*wire.Leaving{{Endpoint: "other", Born: 1}},
-		Pauses: []*wire.Pause{{Endpoint: other, LeftMs: 100}}, StoreEra: 1, ConfigVersion: 1, SiteMs: 1000,
+		StoreAnswered: 1, Unreachable: []uint64{otherProcess}, Leaving: []*wire.Leaving{{Endpoint: "other", Born: 1}},
+		Pauses: []*wire.Pause{{Endpoint: otherProcess, LeftMs: 100}}, StoreEra: 1, ConfigVersion: 1, SiteMs: 1000,
 		Limits:          []*wire.Limit{{Endpoint: other, Born: 1, PerSecond: 5, AtMs: 900, Wanted: 3}},
 		Crashes:         []*wire.Crash{{Endpoint: other, AgoMs: 10, Requests: []uint64{1}, Parts: []uint64{2}}},
 		Standing:        []*wire.Crash{{Endpoint: other, AgoMs: 10, Requests: []uint64{1}, Parts: []uint64{2}}},
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -295,6 +295,14 @@
 	return ""
 }
 
+// Process returns the ProcessHash of the endpoint with the given hash; zero for none.
+func (f *Fleet) Process(hash uint64) uint64 {
+	if e := f.byHash[hash]; e != nil {
+		return e.process
+	}
+	return 0
+}
+
 // ProcessName returns the id of the endpoint whose current process has the given ProcessHash;
 // empty for none.
 func (f *Fleet) ProcessName(process uint64) string {
--- a/gateway/restarted_test.go
+++ b/gateway/restarted_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -369,3 +370,34 @@
 		}
 	})
 }
+
+// Guards against a new process that gets no requests because two peers that do not know it yet
+// state that the process before accepts no connection or is full.
+func TestPeersReportsOfTheProcessBeforeAreIgnored(t *testing.T) {
+	for name, sayBefore := range map[string]func(t *testing.T, peer *restarts){
+		"unreachable": func(t *testing.T, peer *restarts) { peer.send(t).Ended(relay.ResultUnreachable) },
+		"full": func(t *testing.T, peer *restarts) {
+			peer.send(t).HandleNotice(relay.Notice{Pause: time.Second})
+		},
+	} {
+		for _, restarted := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, restarted %t", name, restarted), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					r := newRestarts()
+					if restarted {
+						r.restart("")
+					}
+					for _, address := range []string{"10.0.0.8:9", "10.0.0.9:9"} {
+						peer := newRestarts()
+						sayBefore(t, peer)
+						r.applyStatement(time.Now(), peer.statementOf(address))
+					}
+					now, endpoint := time.Now(), placement.Hash("a")
+					if avoided := r.reach.LeftOut(now, endpoint) || r.pauses.Hinted(now, endpoint); avoided == restarted {
+						t.Errorf("the endpoint is avoided: %t", avoided)
+					}
+				})
+			})
+		}
+	}
+}
