Count requests sent before the entry as load of the process

Cause: requests that reach a new process under the entry of the one before were counted at the latter. When the entry arrived, the new process counted as empty with nothing cached while they still ran there, so that it got as many again.

Change: when the entry arrives at the same address, the running requests that were sent after the last sign that the process before ended move to the new process with their load and their parts. Without a sign nothing moves, as they may wait at a machine that went silent.

--- a/gateway/placement/flight.go
+++ b/gateway/placement/flight.go
@@ -56,16 +56,41 @@
 		f.unstatedPromptTokens += c.Uncached
 		flight.load.Tight = w.strictness(s.strictestPauseMS)
 		s.strict.sent(flight.load.Tight)
-		for _, p := range w.SharedParts() {
-			if e.cache.touch(p, now.Add(c.Expected), c.Load.Memory) {
-				f.recordPlacement(Placement{Process: e.process, Part: p, At: now})
-			}
-		}
+		f.place(now, e, w, now.Add(c.Expected), c.Load.Memory)
 	}
 	e.ownLoad.add(flight.load, 1)
 	return flight
 }
 
+// place records that the shared parts of a request are in the cache of its endpoint from a time
+// on; inUse is the number of tokens that other requests hold.
+func (f *Fleet) place(now time.Time, e *endpoint, w *Work, readAt time.Time, inUse int) {
+	for _, p := range w.SharedParts() {
+		if e.cache.touch(p, readAt, inUse) {
+			f.recordPlacement(Placement{Process: e.process, Part: p, At: now})
+		}
+	}
+}
+
+// Move moves a request that has not ended to the current process of its endpoint: it was sent
+// to that process under the entry of the one before.
+func (f *Fleet) Move(now time.Time, fl *Flight) {
+	if fl.ended || f.endpoints[fl.endpoint.ID] == nil {
+		return
+	}
+	e := f.endpoints[fl.endpoint.ID]
+	fl.endpoint.ownLoad.add(fl.load, -1)
+	fl.endpoint = e
+	if fl.work.Streaming {
+		readAt := fl.sentAt.Add(fl.expected)
+		if fl.started {
+			readAt = now
+		}
+		f.place(now, e, fl.work, readAt, e.ownLoad.Memory)
+	}
+	e.ownLoad.add(fl.load, 1)
+}
+
 // Started records the first event, or the head of a plain response. Only the first call
 // counts.
 func (fl *Flight) Started(now time.Time) {
--- a/gateway/processes.go
+++ b/gateway/processes.go
@@ -11,8 +11,10 @@
 // reach the new process under the entry of the one before, and responses do not tell which of
 // the two made them. What is kept under the id is therefore handled by these rules when the
 // entry arrives:
-//   - Results of attempts, loads and cached parts under the entry before are not those of the
-//     new process.
+//   - Results of attempts and cached parts under the entry before are not those of the new
+//     process.
+//   - Running requests that were sent later than the last sign that the process before ended
+//     are load of the new process. Without a sign they may wait at a machine that went silent.
 //   - A pause or a limit is kept, as the new process may have stated it, unless a sign that the
 //     process before ended came later than the response.
 //   - That an endpoint leaves counts only for the process that the request was sent to: a
@@ -35,6 +37,19 @@
 	d.limits.Restart(endpoint, since)
 	d.fleet.Remove(e.ID)
 	d.putEndpoint(now, e)
+	if !since.IsZero() {
+		d.moveRunning(now, e.ID, since)
+	}
+}
+
+// moveRunning counts the running requests that were sent to an endpoint after a time as load of
+// its current process. The mutex is held.
+func (d *dispatcher) moveRunning(now time.Time, id string, since time.Time) {
+	for a := range d.inFlight {
+		if a.incarnation.ID == id && a.sentAt.After(since) {
+			d.fleet.Move(now, a.flight)
+		}
+	}
 }
 
 // reachableSince returns the earliest time at which the process of an entry can have been
--- a/gateway/restarted_test.go
+++ b/gateway/restarted_test.go
@@ -401,3 +401,63 @@
 		}
 	}
 }
+
+// loadStated returns the requests at endpoint a that a gateway states to its peers.
+func (r *restarts) loadStated() int {
+	for _, l := range r.statementOf("").Loads {
+		if l.Endpoint == placement.Hash("a") {
+			return int(l.Running)
+		}
+	}
+	return 0
+}
+
+// Guards against a new process that gets a second load on top of the requests that run there
+// since before its entry was known, and is expected to read their parts once more; and against
+// requests of the process before that count as its load.
+func TestRequestsSentBeforeTheEntryCountAsLoad(t *testing.T) {
+	type play struct {
+		name, address string
+		// noSign is set if nothing broke at the end of the process before.
+		noSign bool
+		want   int
+	}
+	for _, c := range []play{{name: "same address", want: 20}, {name: "another address", address: "10.0.0.3:1"}, {name: "no sign", noSign: true}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRestarts()
+				broken := r.send(t)
+				for range 10 {
+					r.send(t)
+				}
+				time.Sleep(time.Second)
+				if !c.noSign {
+					broken.Ended(relay.ResultBroken)
+				}
+				time.Sleep(200 * time.Millisecond)
+				var running []relay.PlacedAttempt
+				for range 19 {
+					running = append(running, r.send(t))
+				}
+				work := sharedWork()
+				work.Excluded = []string{"b", "c", "d", "e", "f"}
+				last, _ := r.Admit(work, relay.AdmissionRequest{Route: "r", TimeLeft: 10 * time.Second})
+				running = append(running, last)
+				r.restart(c.address)
+				if got := r.loadStated(); got != c.want {
+					t.Errorf("%d requests count as load of the new process, want %d", got, c.want)
+				}
+				if cached := r.cachedAt()["a"]; cached != (c.want > 0) {
+					t.Errorf("the part of a request that runs there counts as cached: %t", cached)
+				}
+				for _, attempt := range running {
+					attempt.Started()
+					attempt.Ended(relay.ResultComplete)
+				}
+				if got := r.loadStated(); got != 0 {
+					t.Errorf("%d requests count as load after their end", got)
+				}
+			})
+		})
+	}
+}
