Count the crashes of processes that are not listed yet

Cause: crashes are counted by process, as one crash breaks many attempts at many gateways. The process was that of the entry. While entries are late, a request that crashed an endpoint, the process that followed it and the next one counted as one crash, so that it was not condemned and went on crashing them.

Change: a refused connection (ECONNREFUSED) proves that the process that listened has ended. Attempts that are sent after one are counted at another process until the entry arrives. A connection that times out proves nothing. An endpoint that states that it is the listed process is taken for that.

Measured: TestRepeatedRequestStopsWhereEntriesAreLate, 18 plays of 1, 2 and 4 endpoints that are down for 200 ms with entries 1.5, 6 and 30 s late. TestCrashIsThatOfTheProcessThatRanTheRequest: a time-out that counts and an answer that does not were broken on purpose and caught.

--- a/gateway/crashrepeat_test.go
+++ b/gateway/crashrepeat_test.go
@@ -139,6 +139,36 @@
 	}
 }
 
+// Guards against a request that crashes endpoints again and again because they start again in
+// place before their entries are known: the crashes of the processes that are not listed yet
+// then count as those of the processes before.
+func TestRepeatedRequestStopsWhereEntriesAreLate(t *testing.T) {
+	for _, endpoints := range []int{1, 2, 4} {
+		for _, delay := range []time.Duration{1500 * time.Millisecond, 6 * time.Second, 30 * time.Second} {
+			for _, every := range []time.Duration{400 * time.Millisecond, 2 * time.Second} {
+				t.Run(fmt.Sprintf("%d endpoints, entries %v late, asked every %v", endpoints, delay, every), func(t *testing.T) {
+					t.Parallel()
+					synctest.Test(t, func(t *testing.T) {
+						const asks = 10
+						site := newCrashSite(uint64(endpoints), endpoints, 3)
+						site.soundPerS, site.rarePerS = 5, 0
+						site.deadlyPerS = func(time.Duration) float64 { return 0 }
+						site.downtime, site.entryDelay = 200*time.Millisecond, delay
+						caller := &repeater{site: site, fingerprint: 7, deadly: true, begins: 50 * time.Millisecond, attempts: 1, tries: 2, pause: 100 * time.Millisecond}
+						for n := range asks {
+							site.after(4*time.Second+time.Duration(n)*every, caller.ask)
+						}
+						site.run(5*time.Second + asks*every)
+						if late := caller.late(); late > repeatExtra {
+							t.Errorf("%d tries reached endpoints later than %v after the third crash; %d crashes in all", late, deadlyNotice, len(site.crashedAt))
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
 // Guards against refusing an innocent request, or serving it late, because it stood in crashes
 // of endpoints that failed together: callers repeat at once, so that their requests follow the
 // failure from one endpoint to the next.
--- a/gateway/crashsite_test.go
+++ b/gateway/crashsite_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -73,9 +74,11 @@
 
 // crashEndpoint is an endpoint that crashes as it begins an answer to a deadly request.
 type crashEndpoint struct {
-	id      string
-	born    int64
-	down    bool
+	id   string
+	born int64
+	down bool
+	// listed is the start of the process in the directory.
+	listed  int64
 	running []*crashRequest
 }
 
@@ -107,6 +110,9 @@
 	store     *memoryRows
 	added     func(*crashGateway)
 	crashedAt []time.Duration
+	// downtime is how long an endpoint is down after a crash, and entryDelay the time from its
+	// start until its entry is in the directory.
+	downtime, entryDelay time.Duration
 	// deadlySent holds when the counted deadly requests that reached endpoints were sent.
 	deadlySent []time.Duration
 	// sound counts the sound requests by second of arrival and part.
@@ -114,9 +120,9 @@
 }
 
 func newCrashSite(seed uint64, endpoints, gateways int) *crashSite {
-	s := &crashSite{store: newMemoryRows(), sound: make(map[int]map[uint64]*soundCount), soundPerS: 60 / float64(gateways), rarePerS: 2 / float64(gateways)}
+	s := &crashSite{store: newMemoryRows(), downtime: crashDowntime, sound: make(map[int]map[uint64]*soundCount), soundPerS: 60 / float64(gateways), rarePerS: 2 / float64(gateways)}
 	for i := range endpoints {
-		s.endpoints = append(s.endpoints, &crashEndpoint{id: fmt.Sprintf("e%d", i), born: 1})
+		s.endpoints = append(s.endpoints, &crashEndpoint{id: fmt.Sprintf("e%d", i), born: 1, listed: 1})
 	}
 	s.simSite = newSimSite(seed, s.entries)
 	byGateway := make(map[*simGateway]*crashGateway)
@@ -146,7 +152,7 @@
 func (s *crashSite) entries() []registry.Entry {
 	var entries []registry.Entry
 	for _, e := range s.endpoints {
-		entries = append(entries, registry.Entry{ID: e.id, Service: "s", Address: e.id, Zone: "z", Slots: 64, Born: e.born})
+		entries = append(entries, registry.Entry{ID: e.id, Service: "s", Address: e.id, Zone: "z", Slots: 64, Born: e.listed})
 	}
 	return entries
 }
@@ -240,6 +246,7 @@
 func (s *crashSite) arrive(e *crashEndpoint, r *crashRequest) {
 	if e.down {
 		r.gateway.whenRunning(r.process, func() {
+			r.process.dispatcher.connectionFailed(e.id, syscall.ECONNREFUSED)
 			r.attempt.Ended(relay.ResultUnreachable)
 			r.end(nil)
 		})
@@ -297,16 +304,27 @@
 		})
 	}
 	e.running, e.down = nil, true
-	s.after(crashDowntime, func() {
+	s.after(s.downtime, func() {
 		e.down = false
 		e.born++
-		s.after(directoryDelay, func() {
-			for _, g := range s.gateways {
-				if !g.down {
-					g.readDirectory()
-				}
+		born := e.born
+		if s.entryDelay == 0 {
+			s.list(e, born)
+			return
+		}
+		s.after(s.entryDelay, func() { s.list(e, born) })
+	})
+}
+
+// list lists a process of an endpoint, of which the gateways hear a moment later.
+func (s *crashSite) list(e *crashEndpoint, born int64) {
+	e.listed = born
+	s.after(directoryDelay, func() {
+		for _, g := range s.gateways {
+			if !g.down {
+				g.readDirectory()
 			}
-		})
+		}
 	})
 }
 
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -199,6 +199,7 @@
 	}
 	// Every endpoint of the fleet has an entry in the registry.
 	a.incarnation, _ = d.registry.Incarnation(choice.Endpoint.ID)
+	a.refusals = d.reach.Refusals(placement.Hash(choice.Endpoint.ID))
 	d.limits.Take(now, placement.Hash(choice.Endpoint.ID))
 	d.health.Sent(now, choice.Endpoint.ID)
 	d.inFlight[a] = struct{}{}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -153,8 +153,9 @@
 	g.dispatcher.onSpill, g.dispatcher.onStandstill = g.logSpill, g.stoodStill
 	g.gracePeriod.Store(int64(o.Settings.GracePeriod()))
 	g.storeStatus = follow.NewStoreStatus(rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())))
-	g.pool = upstream.NewPool(upstream.Options{OnDial: func(_ string, err error) {
+	g.pool = upstream.NewPool(upstream.Options{OnDial: func(address string, err error) {
 		o.Metrics.Connections.Add(1, telemetry.OKLabels(err == nil))
+		g.dispatcher.connectionFailed(address, err)
 	}, OnConnected: g.dispatcher.onConnected()})
 	g.samplePeers = func(int) []string { return nil }
 	g.registerMetrics()
--- a/gateway/placedattempt.go
+++ b/gateway/placedattempt.go
@@ -30,11 +30,13 @@
 	choice  placement.Choice
 	// incarnation identifies the endpoint process that the request was sent to.
 	incarnation registry.Incarnation
-	flight      *placement.Flight
-	sentAt      time.Time
-	streaming   bool
-	started     bool
-	startedAt   time.Time
+	// refusals is reach.Table.Refusals as the request was sent.
+	refusals  int
+	flight    *placement.Flight
+	sentAt    time.Time
+	streaming bool
+	started   bool
+	startedAt time.Time
 	// account is the client account whose usage counts, usageWindow the usage window of
 	// sentAt, and counted is set once the attempt has been counted.
 	account     string
--- a/gateway/processes.go
+++ b/gateway/processes.go
@@ -89,5 +89,10 @@
 		a.incarnation = registry.Incarnation{ID: id, Born: p.Born}
 	}
 	e, known := d.registry.Entry(id)
-	return known && e.Born == p.Born && !e.Unlisted && e.Version == a.choice.Endpoint.Version, changes
+	accepted := known && e.Born == p.Born && !e.Unlisted && e.Version == a.choice.Endpoint.Version
+	if accepted {
+		// The request goes to the listed process, whatever the gateway saw end.
+		a.refusals = 0
+	}
+	return accepted, changes
 }
--- a/gateway/reach/reach.go
+++ b/gateway/reach/reach.go
@@ -54,6 +54,8 @@
 	// reachableSince is the earliest time at which the process can have been reached under the
 	// entry of the process before; zero if that is not known.
 	reachableSince time.Time
+	// refusals is the number of refused connections since the process was listed.
+	refusals int
 	// lastReported is whether the endpoint was left out at the last call of Changes.
 	lastReported bool
 	// peerReports holds the time of the latest report of each peer.
@@ -101,6 +103,24 @@
 	}
 }
 
+// RecordRefusal records that the machine of the endpoint refused a connection: nobody listens
+// at the address, so that the process that did has ended.
+func (t *Table) RecordRefusal(now time.Time, endpoint uint64) {
+	if s := t.states[endpoint]; s != nil {
+		t.RecordEnd(now, endpoint)
+		s.refusals++
+	}
+}
+
+// Refusals returns the number of refused connections since the process of the endpoint was
+// listed. Requests between which it rises go to different processes.
+func (t *Table) Refusals(endpoint uint64) int {
+	if s := t.states[endpoint]; s != nil {
+		return s.refusals
+	}
+	return 0
+}
+
 // EndSeenAt returns the time of the last sign that the process of the endpoint ended; zero for
 // none.
 func (t *Table) EndSeenAt(endpoint uint64) time.Time {
@@ -142,7 +162,7 @@
 	if s == nil {
 		return
 	}
-	*s = endpointState{answeredAt: now, endSeenAt: s.endSeenAt, reachableSince: s.reachableSince, lastReported: s.lastReported}
+	*s = endpointState{answeredAt: now, endSeenAt: s.endSeenAt, reachableSince: s.reachableSince, refusals: s.refusals, lastReported: s.lastReported}
 }
 
 // AddPeerReport records a peer's report that an endpoint accepted no connection.
--- a/gateway/restarts.go
+++ b/gateway/restarts.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"errors"
+	"syscall"
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
@@ -28,6 +30,22 @@
 	}
 }
 
+// connectionFailed records that a connection to an address failed. Only a refusal tells that
+// the process there has ended: a connection also times out if packets are lost.
+func (d *dispatcher) connectionFailed(address string, err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	d.registry.Entries(func(e registry.Entry) {
+		if e.Address == address {
+			d.reach.RecordRefusal(now, placement.Hash(e.ID))
+		}
+	})
+}
+
 // restartEndpoint replaces the process of an endpoint. The mutex is held.
 func (d *dispatcher) restartEndpoint(now time.Time, e registry.Entry) {
 	endpoint, since := placement.Hash(e.ID), d.reachableSince(now, e)
--- a/gateway/restarts_test.go
+++ b/gateway/restarts_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/pistachiowind/pistachiowind/gateway/registry"
 	"github.com/pistachiowind/pistachiowind/gateway/relay"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
+	"github.com/pistachiowind/pistachiowind/gateway/upstream"
 )
 
 // restartTarget is the target of the requests to endpoints that restart.
@@ -461,3 +464,49 @@
 		})
 	}
 }
+
+// Guards against crashes of a process that is not listed yet that count as those of the process
+// before, and against one process that counts as several: after a connection that timed out or
+// was refused twice, or if the endpoint states that it is the listed one.
+func TestCrashIsThatOfTheProcessThatRanTheRequest(t *testing.T) {
+	timeout := context.DeadlineExceeded
+	listed := upstream.Process{State: upstream.ProcessStated, Born: 1, Asked: true}
+	for name, c := range map[string]struct {
+		failures []error
+		state    bool
+		other    bool
+	}{
+		"refused":                  {failures: []error{syscall.ECONNREFUSED}, other: true},
+		"timed out":                {failures: []error{timeout}},
+		"refused, is the same one": {failures: []error{syscall.ECONNREFUSED}, state: true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRestarts()
+			first := r.sendPlaced(t)
+			first.Ended(relay.ResultBroken)
+			for _, err := range append(c.failures, c.failures...) {
+				r.connectionFailed(r.entries[0].Address, err)
+			}
+			second, third := r.sendPlaced(t), r.sendPlaced(t)
+			if c.state && !second.AcceptProcess(listed) {
+				t.Fatalf("%s: the listed process is not accepted", name)
+			}
+			if other := second.process() != first.process(); other != c.other {
+				t.Errorf("%s: the second request is at another process: %t, want %t", name, other, c.other)
+			}
+			if !c.state && third.process() != second.process() {
+				t.Errorf("%s: two requests to one process are at different ones", name)
+			}
+		})
+	}
+}
+
+// sendPlaced sends a stream to endpoint a.
+func (r *restarts) sendPlaced(t *testing.T) *placedAttempt {
+	t.Helper()
+	attempt, ok := r.send(t).(*placedAttempt)
+	if !ok {
+		t.Fatal("the dispatcher's attempt is of another type")
+	}
+	return attempt
+}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -33,6 +33,20 @@
 // processHash returns the hash of an endpoint process.
 func processHash(i registry.Incarnation) uint64 { return placement.ProcessHash(i.ID, i.Born) }
 
+// process returns the hash of the process that the attempt was sent to. One that came after the
+// listed process, and is not listed itself, is told apart by the refused connections before it.
+func (a *placedAttempt) process() uint64 {
+	listed := processHash(a.incarnation)
+	if a.refusals == 0 {
+		return listed
+	}
+	h := xxhash.New()
+	// Writes to a hash do not fail.
+	_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, listed))
+	_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, uint64(a.refusals)))
+	return h.Sum64()
+}
+
 // checkSuspects returns the verdict on a request. The mutex is held.
 func (d *dispatcher) checkSuspects(now time.Time, suspects []crashes.Suspect) crashes.Verdict {
 	return d.crashes.Check(now, suspects, len(d.alivePeers)+1, d.triesSuspect)
@@ -69,7 +83,7 @@
 	if a.isCurrent() {
 		d.recordProcessEnd(a.incarnation.ID, now)
 	}
-	d.onSuspects(d.crashes.RecordLocal(crashes.Crash{Endpoint: processHash(a.incarnation), At: now, Suspects: suspects}))
+	d.onSuspects(d.crashes.RecordLocal(crashes.Crash{Endpoint: a.process(), At: now, Suspects: suspects}))
 }
 
 // addCrashes adds the crashes and the suspects to a statement.
