--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -203,6 +203,7 @@
 	}
 	// Every endpoint of the fleet has an entry in the registry.
 	a.incarnation, _ = d.registry.Incarnation(choice.Endpoint.ID)
+	a.refusals = d.reach.Refusals(placement.Hash(choice.Endpoint.ID))
 	d.limits.Take(now, placement.Hash(choice.Endpoint.ID))
 	d.health.Sent(now, choice.Endpoint.ID)
 	d.inFlight[a] = struct{}{}
@@ -252,9 +253,7 @@
 		if a.started || !a.streaming {
 			continue
 		}
-		d.health.Record(now, health.Observation{
-			Endpoint: a.choice.Endpoint.ID, Kind: health.FirstTokenPending, Duration: a.relativeTime(now), Sent: a.sentAt,
-		})
+		a.observe(now, health.FirstTokenPending, a.relativeTime(now))
 	}
 	d.health.Each(now, d.fleet.SetHealth)
 	d.fleet.RefreshZones(now)
@@ -313,14 +312,12 @@
 	for _, c := range changes {
 		switch c.State {
 		case registry.StateGone:
-			d.removeEndpoint(now, c.Entry.ID)
+			d.removeEndpoint(now, c.Entry)
 		case registry.StateDraining:
 			d.putEndpoint(now, c.Entry)
 			d.drainEndpoint(c.Entry)
 		case registry.StateRestarted:
-			d.removeEndpoint(now, c.Entry.ID)
-			d.limits.Forget(placement.Hash(c.Entry.ID))
-			d.putEndpoint(now, c.Entry)
+			d.restartEndpoint(now, c.Entry)
 			d.drainEndpoint(c.Entry)
 		case registry.StateReady:
 			d.putEndpoint(now, c.Entry)
@@ -341,11 +338,13 @@
 	}
 }
 
-func (d *dispatcher) removeEndpoint(now time.Time, id string) {
-	d.pauses.Leave(placement.Hash(id))
-	d.fleet.Remove(id)
-	d.health.Leave(now, id)
-	d.reach.Leave(placement.Hash(id))
+func (d *dispatcher) removeEndpoint(now time.Time, e registry.Entry) {
+	endpoint := placement.Hash(e.ID)
+	d.pauses.Leave(endpoint)
+	d.limits.Leave(endpoint, processHash(e.Incarnation()))
+	d.fleet.Remove(e.ID)
+	d.health.Leave(now, e.ID)
+	d.reach.Leave(endpoint)
 }
 
 func (d *dispatcher) putEndpoint(now time.Time, e registry.Entry) {
@@ -358,6 +357,7 @@
 		}
 	}
 	d.fleet.Put(description)
+	d.limits.Join(placement.Hash(e.ID), processHash(e.Incarnation()))
 	d.health.Join(now, e.ID, e.Service)
 	d.reach.Join(placement.Hash(e.ID))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -154,8 +154,9 @@
 	g.dispatcher.onProcess = func(s upstream.ProcessState) { o.Metrics.Processes.Add(1, telemetry.ResultLabels{Outcome: s.String()}) }
 	g.gracePeriod.Store(int64(o.Settings.GracePeriod()))
 	g.storeStatus = follow.NewStoreStatus(rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())))
-	g.pool = upstream.NewPool(upstream.Options{OnDial: func(_ string, err error) {
+	g.pool = upstream.NewPool(upstream.Options{OnDial: func(address string, err error) {
 		o.Metrics.Connections.Add(1, telemetry.OKLabels(err == nil))
+		g.dispatcher.connectionFailed(address, err)
 	}, OnConnected: g.dispatcher.onConnected()})
 	g.samplePeers = func(int) []string { return nil }
 	g.registerMetrics()
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -31,11 +31,19 @@
 }
 
 // processHash returns the hash of an endpoint process.
-func processHash(i registry.Incarnation) uint64 {
+func processHash(i registry.Incarnation) uint64 { return placement.ProcessHash(i.ID, i.Born) }
+
+// process returns the hash of the process that the attempt was sent to. One that came after the
+// listed process, and is not listed itself, is told apart by the refused connections before it.
+func (a *placedAttempt) process() uint64 {
+	listed := processHash(a.incarnation)
+	if a.refusals == 0 {
+		return listed
+	}
 	h := xxhash.New()
 	// Writes to a hash do not fail.
-	_, _ = h.WriteString(i.ID)
-	_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, uint64(i.Born)))
+	_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, listed))
+	_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, uint64(a.refusals)))
 	return h.Sum64()
 }
 
@@ -72,7 +80,10 @@
 	if a.started && now.Sub(a.startedAt) >= beginTime {
 		suspects = suspects[:1]
 	}
-	d.onSuspects(d.crashes.RecordLocal(crashes.Crash{Endpoint: processHash(a.incarnation), At: now, Suspects: suspects}))
+	if a.isCurrent() {
+		d.recordProcessEnd(a.incarnation.ID, now)
+	}
+	d.onSuspects(d.crashes.RecordLocal(crashes.Crash{Endpoint: a.process(), At: now, Suspects: suspects}))
 }
 
 // addCrashes adds the crashes and the suspects to a statement.
@@ -129,7 +140,9 @@
 		d.onSuspects(d.crashes.RecordCleared(crashes.Suspect{IsPart: c.Part, ID: c.Id}))
 	}
 	for _, c := range s.Crashes {
-		d.onSuspects(d.crashes.Record(decodeCrash(now, c)))
+		crash := decodeCrash(now, c)
+		d.recordProcessEnd(d.fleet.ProcessName(crash.Endpoint), crash.At)
+		d.onSuspects(d.crashes.Record(crash))
 	}
 	for _, c := range s.Standing {
 		d.onSuspects(d.crashes.RecordStanding(now, decodeCrash(now, c)))
