Bound the heads of answers to clients of platform services

Cause: clients of the table, the objects and the VM list that name no http.Client, which are those of router and agent, used http.DefaultTransport, which reads heads of 10 MB, and accepts compressed bodies. docs/bounds.md states 16 KiB. Change: such clients share a transport with that bound.

--- a/storage/call.go
+++ b/storage/call.go
@@ -23,13 +23,28 @@
 // the end.
 var ErrTooLarge = errors.New("storage: answer too large")
 
+// MaxResponseHeaderBytes bounds the headers of a response, interim responses included. The
+// services send only a few lines. The default of net/http is 10 MB.
+const MaxResponseHeaderBytes = 16 << 10
+
+// defaultTransport is the transport of clients whose Options name no other.
+var defaultTransport = newDefaultTransport()
+
+func newDefaultTransport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxResponseHeaderBytes = MaxResponseHeaderBytes
+	t.DisableCompression = true
+	return t
+}
+
 // Options configures a client of one platform service.
 type Options struct {
 	// URL is the base URL of the service, without a trailing slash.
 	URL string
-	// Client sends the requests; nil means a new http.Client with the default
-	// transport. Redirects are not followed, whatever its CheckRedirect says,
-	// because a redirected write could be sent twice.
+	// Client sends the requests; nil means a new http.Client with a transport that all
+	// such clients share, like http.DefaultTransport but with MaxResponseHeaderBytes.
+	// Redirects are not followed, whatever its CheckRedirect says, because a redirected
+	// write could be sent twice.
 	Client *http.Client
 	// Timeout bounds one request including its response; zero means
 	// DefaultCallTimeout.
@@ -54,6 +69,9 @@
 	if o.Client != nil {
 		c.httpClient = *o.Client
 	}
+	if c.httpClient.Transport == nil {
+		c.httpClient.Transport = defaultTransport
+	}
 	c.httpClient.CheckRedirect = func(*http.Request, []*http.Request) error {
 		return http.ErrUseLastResponse
 	}
