Test endless answers of peers and endless requests at a gateway

Cause: the report of endless bytes had not been examined between gateways and at the listeners. The three listeners other than the callers' one share one constructor; the client of a peer accepts no compression.

--- a/endless/endless.go
+++ b/endless/endless.go
@@ -1,4 +1,5 @@
-// Package endless serves HTTP answers without end, for tests of the bounds on what is read.
+// Package endless sends HTTP answers and requests without end, for tests of the bounds on what
+// is read.
 package endless
 
 import (
@@ -142,19 +143,19 @@
 	}
 }
 
-// send writes the answer until the client closes the connection, and otherwise returns what
+// send writes the answer until the peer closes the connection, and otherwise returns what
 // ended it.
 func send(c net.Conn, a Answer) string {
 	_, err := io.WriteString(c, a.Beginning)
 	block := strings.Repeat(a.Piece, 1+blockBytes/len(a.Piece))
 	for sent := 0; err == nil; sent += len(block) {
 		if sent >= MaxBytes {
-			return "the client read on"
+			return "the peer read on"
 		}
 		_, err = io.WriteString(c, block)
 	}
 	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
-		return "the client neither read nor closed the connection"
+		return "the peer neither read nor closed the connection"
 	}
 	return ""
 }
@@ -227,3 +228,38 @@
 	}()
 	return client, nil
 }
+
+// Requests returns requests to a path that do not end, by what does not end in them.
+func Requests(path string) map[string]Answer {
+	post := "POST " + path + " HTTP/1.1\r\nHost: site.example\r\nContent-Type: application/protobuf\r\n"
+	chunked := post + "Transfer-Encoding: chunked\r\n\r\n"
+	return map[string]Answer{
+		"request line":           {"GET " + path + "?", "x"},
+		"header line":            {post + "X: ", "x"},
+		"header lines":           {post, "X: x\r\n"},
+		"folded header line":     {post + "X: x\r\n", " x\r\n"},
+		"bytes before a request": {"", "\x00"},
+		"body of a huge length":  {post + "Content-Length: 1000000000000\r\n\r\n", "x"},
+		"chunks":                 {chunked, "10000\r\n" + strings.Repeat("x", 0x10000) + "\r\n"},
+		"one chunk":              {chunked + "ffffffffff\r\n", "x"},
+		"chunk size":             {chunked, "0"},
+		"chunk extension":        {chunked + "1;", "x"},
+		"trailer":                {chunked + "0\r\n", "X: x\r\n"},
+	}
+}
+
+// Request sends a request without end to the server at an address. The test fails unless the
+// server closes the connection.
+func Request(t testing.TB, address string, a Answer) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(maxTime))
+	if failure := send(c, a); failure != "" {
+		t.Error(failure)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -255,12 +255,7 @@
 	supervisor := suture.New("gateway", suture.Spec{EventHook: func(e suture.Event) {
 		g.log.Warn().Str("event", e.String()).Msg("supervised service ended")
 	}})
-	readyServer := &http.Server{
-		Handler:           g.readyHandler(),
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       headerTimeout,
-		MaxHeaderBytes:    maxControlHeaderBytes,
-	}
+	readyServer := newControlServer(g.readyHandler())
 	defer readyServer.Close()
 	for _, s := range g.services() {
 		supervisor.Add(s)
@@ -284,6 +279,16 @@
 	return nil
 }
 
+// newControlServer returns a server for a listener other than the callers' one.
+func newControlServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       headerTimeout,
+		MaxHeaderBytes:    maxControlHeaderBytes,
+	}
+}
+
 // services returns the supervised services that run beside the listeners for callers
 // and readiness. Each has its own random source, as *rand.Rand is not safe for
 // concurrent use.
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -112,13 +112,8 @@
 func (g *Gateway) serveMetrics(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", g.options.MetricsHandler)
-	server := &http.Server{
-		Addr:              g.options.Settings.Listen.Metrics,
-		Handler:           mux,
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       headerTimeout,
-		MaxHeaderBytes:    maxControlHeaderBytes,
-	}
+	server := newControlServer(mux)
+	server.Addr = g.options.Settings.Listen.Metrics
 	stop := context.AfterFunc(ctx, func() {
 		// The error is ignored: the listener ends with the process anyway.
 		_ = server.Close()
--- a/gateway/sitestate.go
+++ b/gateway/sitestate.go
@@ -73,12 +73,7 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{
-		Handler:           http.MaxBytesHandler(wire.NewPeerServer(peerServer{g}), maxPeerRequestBytes),
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       headerTimeout,
-		MaxHeaderBytes:    maxControlHeaderBytes,
-	}
+	server := newControlServer(http.MaxBytesHandler(wire.NewPeerServer(peerServer{g}), maxPeerRequestBytes))
 	stop := context.AfterFunc(ctx, func() {
 		// The error is ignored: the listener ends with the process anyway.
 		_ = server.Close()
@@ -155,11 +150,16 @@
 
 // peerClient returns a client of the gateway at an address. Each call opens a
 // connection.
-func peerClient(address string) wire.Peer {
-	return wire.NewPeerProtobufClient("http://"+address, &http.Client{Transport: httpbound.Transport{
-		RoundTripper: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxControlHeaderBytes},
-		Limit:        maxSiteStateBytes,
-	}})
+func peerClient(address string) wire.Peer { return peerClientOver(newPeerTransport(), address) }
+
+// newPeerTransport returns the transport of a client of a peer.
+func newPeerTransport() *http.Transport {
+	return &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxControlHeaderBytes}
+}
+
+func peerClientOver(transport *http.Transport, address string) wire.Peer {
+	bounded := httpbound.Transport{RoundTripper: transport, Limit: maxSiteStateBytes}
+	return wire.NewPeerProtobufClient("http://"+address, &http.Client{Transport: bounded})
 }
 
 // askPeer fetches the site state of a peer; nil if the call fails.
