Bound the text of a stream that a router keeps to continue it

Cause: the router kept the whole text of a streamed chat, so that another engine could continue it. An engine that generates without end filled the memory of the router until the caller left or the profile's deadline. Change: at most 512 KiB are kept (rpc.MaxTextSoFarBytes), which fit into a Run message beside the largest body. A stream with a longer text is passed on, but not continued: it ends with stream_interrupted when its attempt is lost.

--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -87,8 +87,11 @@
 	attempts        map[uint64]*attempt
 	triedEndpoints  []string
 	// text is the text sent to the caller, needed to continue the stream at another
-	// endpoint.
+	// endpoint. It is nil once textTooLong is set.
 	text []byte
+	// textTooLong is set when the text exceeded rpc.MaxTextSoFarBytes, after which the
+	// stream cannot be continued.
+	textTooLong bool
 	// textTokens counts the chunks that text consists of.
 	textTokens uint32
 	// textModel is the model with the version that wrote the text: what another version
--- a/router/dispatch/dispatch_test.go
+++ b/router/dispatch/dispatch_test.go
@@ -133,6 +133,18 @@
 }
 
 func dispatchObserved(t *testing.T, agent *httptest.Server, observer dispatch.Observer) (*textSink, *oneEndpoint, *resultcode.Error) {
+	sink := &textSink{}
+	fleet, err := dispatchWith(t, agent, observer, sink)
+	return sink, fleet, err
+}
+
+func dispatchTo(t *testing.T, agent *httptest.Server, sink dispatch.Sink) *resultcode.Error {
+	_, err := dispatchWith(t, agent, nil, sink)
+	return err
+}
+
+// dispatchWith dispatches a chat to a fleet with the agent as its single endpoint.
+func dispatchWith(t *testing.T, agent *httptest.Server, observer dispatch.Observer, sink dispatch.Sink) (*oneEndpoint, *resultcode.Error) {
 	fleet := &oneEndpoint{address: strings.TrimPrefix(agent.URL, "http://")}
 	d := dispatch.New(dispatch.Options{
 		Router: "r", Client: dispatch.NewClient(dispatch.NewTransport()),
@@ -141,12 +153,11 @@
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
-	sink := &textSink{}
 	err := d.Dispatch(ctx, &dispatch.Request{
 		ID: "1", Account: &catalog.ClientAccount{Name: "a"}, Profile: &catalog.Profile{Name: "p", Idempotent: true},
 		Received: time.Now(), CatalogVersion: 1, Chat: &rpc.ChatWork{Model: "m", Body: []byte(`{}`)},
 	}, sink)
-	return sink, fleet, err
+	return fleet, err
 }
 
 // Guards against failing a request whose only endpoint has a newer catalog than the
--- a/router/dispatch/frames.go
+++ b/router/dispatch/frames.go
@@ -120,7 +120,7 @@
 		Kind:    recovery.Chunk,
 		Attempt: att.ticket,
 		Index:   chunk.GetIndex(),
-		Opaque:  chunk.GetOpaque(),
+		Opaque:  chunk.GetOpaque() || !f.fitsText(chunk),
 	})
 	if action.Kind != recovery.Forward {
 		f.req.Trace.WastedTokens++
@@ -184,17 +184,33 @@
 	if err := f.sendHead(att); err != nil {
 		return err
 	}
-	if chunk.GetText() != "" {
-		if len(f.text) == 0 {
-			f.textModel = att.target.Model
-		}
-		f.text = append(f.text, chunk.GetText()...)
-		f.textTokens++
-	}
+	f.addText(att, chunk)
 	f.finished = f.finished || chunk.GetFinished()
 	return f.sink.Chunk(chunk)
 }
 
+// fitsText reports whether the text with the chunk can still be continued at another
+// endpoint.
+func (f *inFlightRequest) fitsText(chunk *rpc.Chunk) bool {
+	return !f.textTooLong && len(f.text)+len(chunk.GetText()) <= rpc.MaxTextSoFarBytes
+}
+
+// addText adds the text of a forwarded chunk to the text so far.
+func (f *inFlightRequest) addText(att *attempt, chunk *rpc.Chunk) {
+	if !f.fitsText(chunk) {
+		f.text, f.textTooLong = nil, true
+		return
+	}
+	if chunk.GetText() == "" {
+		return
+	}
+	if len(f.text) == 0 {
+		f.textModel = att.target.Model
+	}
+	f.text = append(f.text, chunk.GetText()...)
+	f.textTokens++
+}
+
 func (f *inFlightRequest) sendHead(att *attempt) error {
 	if f.headSent || att.head == nil {
 		return nil
@@ -267,7 +283,7 @@
 // again.
 func (f *inFlightRequest) discardAnswer() {
 	f.req.Trace.WastedTokens += f.req.Trace.Tokens
-	f.text, f.textTokens = nil, 0
+	f.text, f.textTokens, f.textTooLong = nil, 0, false
 	f.finished = false
 	f.sink.Restart()
 }
--- a/rpc/frame.go
+++ b/rpc/frame.go
@@ -18,6 +18,11 @@
 	// largest request body of a caller (4 MiB) and the fields around it.
 	MaxFrameBytes = 5 << 20
 
+	// MaxTextSoFarBytes limits the text with which a stream is continued at another engine,
+	// or after a preemption. A Run message with it and the largest body fits into a frame. A
+	// longer text is not kept, since an engine may generate without end.
+	MaxTextSoFarBytes = 512 << 10
+
 	// MaxUnaryBytes limits the request and response bodies of a unary call. The
 	// largest one holds a catalog, which is smaller than the largest request body of a
 	// caller.
