Bound the text of a stream that an agent keeps for a preemption

Cause: the agent kept the whole text of a chat, so that the engine could continue it after a preemption. An engine that generates without end filled the memory of the agent until the router gave up the attempt or its deadline. Change: at most rpc.MaxTextSoFarBytes are kept. A stream with a longer text is not preempted; one whose chunk arrives while it is being preempted ends with an error instead of continuing with a part of the text.

--- a/agent/worker/run.go
+++ b/agent/worker/run.go
@@ -19,9 +19,12 @@
 // progress is what an attempt has emitted in all its runs, and the times of the
 // current run's output.
 type progress struct {
-	// nextIndex is the index of the next chunk, text the text so far.
+	// nextIndex is the index of the next chunk, text the text so far. The text is nil once
+	// textTooLong is set.
 	nextIndex uint32
 	text      []byte
+	// textTooLong is set when the text exceeded rpc.MaxTextSoFarBytes.
+	textTooLong bool
 	// tokens counts the chunks with text.
 	tokens uint32
 	// hasOutput is set when the current run has produced output.
@@ -38,6 +41,10 @@
 func (p *progress) add(c *rpc.Chunk) {
 	p.nextIndex = c.GetIndex() + 1
 	p.finished = p.finished || c.GetFinished()
+	if !p.fitsText(c) {
+		p.text, p.textTooLong = nil, true
+		return
+	}
 	if c.GetText() == "" {
 		return
 	}
@@ -45,6 +52,11 @@
 	p.tokens++
 }
 
+// fitsText reports whether another run could continue the text with the chunk.
+func (p *progress) fitsText(c *rpc.Chunk) bool {
+	return !p.textTooLong && len(p.text)+len(c.GetText()) <= rpc.MaxTextSoFarBytes
+}
+
 // startReady starts queued attempts while the limiter allows it and no suspect of a
 // crash is on probation.
 func (w *Worker) startReady(now time.Time) {
@@ -127,7 +139,8 @@
 	w.queue.Done(j.item, used)
 	err = withCause(err, cause)
 	w.limiter.Ended(now, j.req, used, err)
-	if err != nil && errors.Is(cause, errPreempted) {
+	// A chunk that another run cannot continue may have arrived since the preemption.
+	if err != nil && errors.Is(cause, errPreempted) && j.preemptible() {
 		w.requeue(now, j, used)
 	} else {
 		w.finish(now, j, err)
@@ -255,7 +268,7 @@
 		return
 	}
 	p := &j.progress
-	if c.GetOpaque() || c.GetFinished() {
+	if c.GetOpaque() || c.GetFinished() || !p.fitsText(c) {
 		j.notResumable.Store(true)
 	}
 	if !c.HasToken() {
--- a/agent/worker/worker_test.go
+++ b/agent/worker/worker_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -247,3 +249,39 @@
 		}
 	})
 }
+
+// longTextBackend is a pacedBackend whose first chunk has so much text that another run could
+// not continue it.
+type longTextBackend struct{ pacedBackend }
+
+func (b *longTextBackend) Run(ctx context.Context, req *rpc.RunRequest, emit endpoint.Emit) *resultcode.Error {
+	return b.pacedBackend.Run(ctx, req, func(f *rpc.Frame) error {
+		if c := f.GetChunk(); c != nil && c.GetIndex() == 0 && req.GetTier() > 0 {
+			c.Text = strings.Repeat("x", rpc.MaxTextSoFarBytes+1)
+		}
+		return emit(f)
+	})
+}
+
+// Guards against a preempted stream that continues without the text that was too long to be
+// kept: it must run to its end instead.
+func TestStreamWithALongTextIsNotPreempted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &longTextBackend{pacedBackend{tokens: 50}}
+		w := newWorker(t, b, 1)
+		var reads sync.WaitGroup
+		for ticket, tier := range []uint32{2, 0} {
+			a := submit(t, w, request(uint64(ticket), tier))
+			reads.Go(func() {
+				if got, refused := read(t, a); len(got) != 50 || refused != nil {
+					t.Errorf("tier %d: %d chunks, %v", tier, len(got), refused)
+				}
+			})
+			time.Sleep(time.Second + time.Millisecond)
+		}
+		reads.Wait()
+		if len(b.firstIndexes) != 2 {
+			t.Errorf("runs began at %v, want one of each request", b.firstIndexes)
+		}
+	})
+}
