Count heads and refusals in the memory of ended attempts

Cause: the table of attempts bounds the frames of ended attempts by 32 MiB, but counted only chunks and usage. An endpoint that answers with long headers, or with errors whose text is cut at 64 KiB, could fill 4,096 attempts with 268 MB. Change: all other frames count with their encoded size. Result: TestEndedAttemptsWithLongErrorsAreBounded failed before in both cases, with 100 of 100 attempts kept where 16 fit; it passes.

--- a/agent/execution/attempt.go
+++ b/agent/execution/attempt.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
 )
@@ -231,11 +233,10 @@
 
 func frameSize(f *rpc.Frame) int {
 	size := frameOverheadBytes
-	switch k := f.GetKind().(type) {
-	case *rpc.Frame_Chunk:
-		size += len(k.Chunk.GetData()) + len(k.Chunk.GetText())
-	case *rpc.Frame_Done:
-		size += len(k.Done.GetUsage())
+	if c := f.GetChunk(); c != nil {
+		return size + len(c.GetData()) + len(c.GetText())
 	}
-	return size
+	// An attempt has few other frames, but the headers of an answer and the message of a
+	// refusal may take 64 KiB each.
+	return size + proto.Size(f)
 }
--- a/agent/execution/execution_test.go
+++ b/agent/execution/execution_test.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/pistachiowind/pistachiowind/agent/execution"
@@ -201,3 +203,39 @@
 		}
 	})
 }
+
+// Guards against an endpoint that answers each request with long headers and a long error, which
+// fill the memory of its agent: ended attempts are kept for late readers.
+func TestEndedAttemptsWithLongErrorsAreBounded(t *testing.T) {
+	const messageBytes, maxBytes = 64 << 10, 1 << 20
+	table := execution.NewTable(execution.Options{MaxEndedBytes: maxBytes})
+	now := time.Unix(0, 0)
+	frames := map[string]*rpc.Frame{
+		"refusal": {Kind: &rpc.Frame_Refused{Refused: &rpc.Refused{Message: strings.Repeat("x", messageBytes)}}},
+		"head": {Kind: &rpc.Frame_Head{Head: &rpc.ResponseHead{
+			Headers: []*rpc.Header{{Name: "X", Value: strings.Repeat("x", messageBytes)}},
+		}}},
+	}
+	for kind, frame := range frames {
+		t.Run(kind, func(t *testing.T) {
+			const attempts = 100
+			for ticket := range uint64(attempts) {
+				a, err := table.Accept(now, execution.ID{Router: kind, Ticket: ticket})
+				if err != nil {
+					t.Fatal(err)
+				}
+				a.AppendControl(proto.CloneOf(frame))
+				table.End(now, a)
+			}
+			kept := 0
+			for ticket := range uint64(attempts) {
+				if _, ok := table.Get(execution.ID{Router: kind, Ticket: ticket}); ok {
+					kept++
+				}
+			}
+			if kept == 0 || kept*messageBytes > maxBytes {
+				t.Errorf("%d ended attempts with %d bytes each are kept, want some but at most %d bytes", kept, messageBytes, maxBytes)
+			}
+		})
+	}
+}
