Bound what an engine sends that is no part of an answer

Cause: an agent skipped comments, blank lines, unknown fields and events without a choice for as long as an engine sent them: a minute before the first event, and until the deadline if the events were valid. Nothing was kept, but such a stream was read at full speed and its caller waited. Change: at most 1 MiB of lines between two choices, then endpoint_failed.

--- a/agent/endpoint/engine.go
+++ b/agent/endpoint/engine.go
@@ -19,7 +19,7 @@
 
 const (
 	// maxEventBytes bounds one line, and so one server-sent event, of an
-	// engine's stream.
+	// engine's stream, and all lines between two choices of the answer.
 	maxEventBytes = 1 << 20
 
 	// firstEventTimeout bounds the time until the first server-sent event and
@@ -283,23 +283,38 @@
 func (s *engineStream) forward(body io.Reader) *resultcode.Error {
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
+	withoutChoice := 0
 	for scanner.Scan() {
-		data, ok := bytes.CutPrefix(scanner.Bytes(), dataPrefix)
-		if !ok {
-			continue
+		before := s.nextIndex
+		done, err := s.handleLine(scanner.Bytes())
+		if done || err != nil {
+			return err
 		}
-		data = bytes.TrimSpace(data)
-		s.eventTimer.Reset(eventTimeout)
-		if bytes.Equal(data, doneMarker) {
-			return s.finish()
+		withoutChoice += len(scanner.Bytes()) + 1
+		if s.nextIndex != before {
+			withoutChoice = 0
 		}
-		if err := s.handleEvent(data); err != nil {
-			return err
+		if withoutChoice > maxEventBytes {
+			return endpointFailed(nil, "the engine sent too much that is no answer")
 		}
 	}
 	return endpointFailed(scanner.Err(), "the engine's stream ended before its end marker")
 }
 
+// handleLine handles a line of the stream; done is set after its end marker.
+func (s *engineStream) handleLine(line []byte) (done bool, _ *resultcode.Error) {
+	data, ok := bytes.CutPrefix(line, dataPrefix)
+	if !ok {
+		return false, nil
+	}
+	data = bytes.TrimSpace(data)
+	s.eventTimer.Reset(eventTimeout)
+	if bytes.Equal(data, doneMarker) {
+		return true, s.finish()
+	}
+	return false, s.handleEvent(data)
+}
+
 func (s *engineStream) handleEvent(data []byte) *resultcode.Error {
 	var chunk engineChunk
 	if err := json.Unmarshal(data, &chunk); err != nil {
