Bound the bytes of frames that wait for a caller at a router

Cause: up to 32 events of a request wait while its caller does not read; only their number had a bound. Events of an engine of 1 MiB take 64 MB a request, frames of a faulty agent of 5 MiB 168 MB, so that a few callers that read late use up the memory. Change: at most 2 MiB of frames wait for one request, or a single larger frame; then the reader of the stream blocks, and the agent's replay buffer fills. The sizes of frames are computed by rpc.FrameBytes, at router and agent alike. Result: TestBacklogIsBoundedInBytes failed with the bytes not counted (32 frames of 5 MiB and of 500 KiB wait); it passes. go test ./router/... ./agent/execution passes.

--- a/agent/execution/attempt.go
+++ b/agent/execution/attempt.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
 )
@@ -16,9 +14,6 @@
 // token and 25 tokens per second it holds 100 s of a stream.
 const DefaultBufferBytes = 256 << 10
 
-// frameOverheadBytes is the assumed memory of a frame in addition to its payload.
-const frameOverheadBytes = 96
-
 type state int
 
 const (
@@ -153,7 +148,7 @@
 // Append adds a frame for the reader. While the buffer is full of frames that the
 // reader has not taken, it blocks until there is space or ctx ends.
 func (a *Attempt) Append(ctx context.Context, f *rpc.Frame) error {
-	size := frameSize(f)
+	size := rpc.FrameBytes(f)
 	for stalled := false; ; stalled = true {
 		if a.tryAppend(f, size) {
 			return nil
@@ -174,7 +169,7 @@
 func (a *Attempt) AppendControl(f *rpc.Frame) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.add(f, frameSize(f))
+	a.add(f, rpc.FrameBytes(f))
 }
 
 func (a *Attempt) tryAppend(f *rpc.Frame, size int) bool {
@@ -197,7 +192,7 @@
 }
 
 func (a *Attempt) dropFirst() {
-	a.bufferedBytes -= frameSize(a.frames[0])
+	a.bufferedBytes -= rpc.FrameBytes(a.frames[0])
 	a.frames[0] = nil
 	a.frames = a.frames[1:]
 	a.firstPos++
@@ -230,13 +225,3 @@
 	}
 	return a.detachedAt, true
 }
-
-func frameSize(f *rpc.Frame) int {
-	size := frameOverheadBytes
-	if c := f.GetChunk(); c != nil {
-		return size + len(c.GetData()) + len(c.GetText())
-	}
-	// An attempt has few other frames, but the headers of an answer and the message of a
-	// refusal may take 64 KiB each.
-	return size + proto.Size(f)
-}
--- a/router/dispatch/client.go
+++ b/router/dispatch/client.go
@@ -29,8 +29,7 @@
 	maxIdleConnections = 1024
 	// ackTimeout ends a connection whose peer acknowledges nothing for it while data waits for
 	// that; see acktimeout.
-	ackTimeout   = 5 * time.Second
-	frameBacklog = 16
+	ackTimeout = 5 * time.Second
 	// maxHeadBytes bounds the response header of an agent, which has a few lines.
 	maxHeadBytes = 16 << 10
 )
@@ -115,7 +114,7 @@
 	attached bool
 	// attachReported is set when the observer was notified of the result of the Attach.
 	attachReported bool
-	events         chan<- streamEvent
+	backlog        *backlog
 	cancel         context.CancelFunc
 }
 
@@ -165,15 +164,10 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// deliver sends an event to the request; false if the stream was closed.
+// deliver passes an event to the request; false if the stream was closed.
 func (s *stream) deliver(ctx context.Context, e streamEvent) bool {
 	e.stream = s
-	select {
-	case s.events <- e:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return s.backlog.put(ctx, e)
 }
 
 // exchange sends the message and passes each frame to handle until it returns
--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// eventBuffer is the number of events buffered before a stream reader blocks.
-	eventBuffer = 32
+	// renounceBuffer is the number of answers to Renounce that wait to be handled.
+	renounceBuffer = 32
 
 	// catalogWaitTimeout bounds the wait for a newer catalog version that an agent has.
 	catalogWaitTimeout = 2 * time.Second
@@ -82,7 +82,7 @@
 	req             *Request
 	sink            Sink
 	machine         *recovery.Machine
-	events          chan streamEvent
+	backlog         *backlog
 	renounceResults chan recovery.Event
 	attempts        map[uint64]*attempt
 	triedEndpoints  []string
@@ -132,8 +132,8 @@
 		ctx:             streams,
 		req:             req,
 		sink:            sink,
-		events:          make(chan streamEvent, eventBuffer),
-		renounceResults: make(chan recovery.Event, eventBuffer),
+		backlog:         newBacklog(),
+		renounceResults: make(chan recovery.Event, renounceBuffer),
 		attempts:        make(map[uint64]*attempt),
 		deadline:        deadline,
 		machine: recovery.New(recovery.Options{
@@ -162,11 +162,12 @@
 		if done {
 			return err
 		}
-		if len(f.events) == 0 {
+		if len(f.backlog.events) == 0 {
 			f.sink.Flush()
 		}
 		select {
-		case e := <-f.events:
+		case e := <-f.backlog.events:
+			f.backlog.release(e)
 			action = f.handle(e)
 		case e := <-f.renounceResults:
 			action = f.advance(e)
@@ -242,7 +243,7 @@
 	f.req.Trace.Attempts++
 	f.req.Trace.Endpoint = target.Endpoint
 	f.triedEndpoints = append(f.triedEndpoints, target.Endpoint)
-	att.stream = &stream{ticket: att.ticket, events: f.events}
+	att.stream = &stream{ticket: att.ticket, backlog: f.backlog}
 	f.opts.Client.open(f.ctx, att.stream, target.Address, rpc.RunPath, f.runRequest(att, a.From))
 	return recovery.Action{}
 }
@@ -309,7 +310,7 @@
 func (f *inFlightRequest) attach(a recovery.Action) {
 	att := f.attempts[a.Attempt]
 	att.stream.close()
-	att.stream = &stream{ticket: att.ticket, events: f.events, attached: true}
+	att.stream = &stream{ticket: att.ticket, backlog: f.backlog, attached: true}
 	f.opts.Client.open(f.ctx, att.stream, att.target.Address, rpc.AttachPath, &rpc.AttachRequest{
 		Attempt:   &rpc.AttemptID{Router: f.opts.Router, Ticket: att.ticket},
 		Agent:     att.target.Incarnation,
--- a/rpc/frame.go
+++ b/rpc/frame.go
@@ -70,3 +70,16 @@
 	}
 	return nil
 }
+
+// frameOverheadBytes is the assumed memory of a frame in addition to its payload.
+const frameOverheadBytes = 96
+
+// FrameBytes returns about how much memory a frame takes.
+func FrameBytes(f *Frame) int {
+	if c := f.GetChunk(); c != nil {
+		return frameOverheadBytes + len(c.GetData()) + len(c.GetText())
+	}
+	// A stream has few other frames, but the headers of an answer and the message of a
+	// refusal may be large.
+	return frameOverheadBytes + proto.Size(f)
+}
