Bound the frames without an answer that a router reads from an agent

Cause: a stream of frames that bring no chunk, such as empty ones or heartbeats, counted as alive and was read at full speed until the deadline of its request. Change: at most 1 MiB of frames between two chunks, counted by rpc.FrameBytes; then the stream counts as broken.

--- a/router/dispatch/client.go
+++ b/router/dispatch/client.go
@@ -32,8 +32,14 @@
 	ackTimeout = 5 * time.Second
 	// maxHeadBytes bounds the response header of an agent, which has a few lines.
 	maxHeadBytes = 16 << 10
+	// maxControlBytes bounds the frames between two chunks of an answer. A heartbeat each
+	// second takes hours for that.
+	maxControlBytes = 1 << 20
 )
 
+// errNoAnswer ends a stream that brings frames without end but no answer.
+var errNoAnswer = fmt.Errorf("agent sent %d bytes of frames without a chunk", maxControlBytes)
+
 // Client opens attempt streams to agents and provides the client for unary calls.
 type Client struct {
 	http *http.Client
@@ -191,11 +197,18 @@
 		return fmt.Errorf("agent answered with HTTP status %d", resp.StatusCode)
 	}
 	reader := rpc.NewReader(resp.Body)
+	controlBytes := 0
 	for {
 		f := new(rpc.Frame)
 		if err := reader.Read(f); err != nil {
 			return err
 		}
+		if controlBytes += rpc.FrameBytes(f); f.GetChunk() != nil {
+			controlBytes = 0
+		}
+		if controlBytes > maxControlBytes {
+			return errNoAnswer
+		}
 		if !handle(f) {
 			return context.Canceled
 		}
