Bound the time for a request at the listeners of router and agent

Cause: a body that arrives now and then for ever held its call, its connection and what it had sent so far, up to 5 MiB, at the peers' and operators' listeners; only the routes for callers and for attempts set a deadline. The heads had one. Change: a whole request has 30 s (ReadTimeout), unless its handler sets another deadline. net/http removes it when the body has been read, so that answers may take longer. Result: TestDrippingBodyEndsAtTheTimeout (virtual time) failed before: the call ended after 27 h, when the body was whole. Its part on late answers passed at once; it fails with a WriteTimeout instead. TestEndlessRequestIsCut (11 requests without end, with others beside them) passed at once; five fail without the bound on heads. Tests of sessions and e2e pass.

--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -22,6 +22,10 @@
 
 const (
 	readHeaderTimeout = 10 * time.Second
+	// readTimeout bounds the time for a whole request, unless its handler sets another
+	// deadline for the body. Peers and operators send a few MiB at most. net/http removes the
+	// deadline when the body has been read, so that an answer may take longer.
+	readTimeout = 30 * time.Second
 	// idleTimeout exceeds the idle timeout of the clients. With 600 endpoints an idle
 	// router uses each connection once in two minutes, and a new connection with
 	// mutual TLS costs ten times as much as a probe.
@@ -54,13 +58,18 @@
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
 	}
-	return &Server{name: name, listener: listener, http: &http.Server{
+	return &Server{name: name, listener: listener, http: newHTTPServer(handler)}, nil
+}
+
+func newHTTPServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           connend.Handler(handler),
 		ConnContext:       connend.WithConn,
 		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-	}}, nil
+	}
 }
 
 // LogTo logs the HTTP server's own messages, such as failed TLS handshakes, at debug
