Reserve memory for a body without a length as it is read

Change: what exceeds the reservation is reserved as it is read; if the memory for bodies is used up, the request is refused (body_memory, not run). Result: TestBodyWithoutALengthReservesWhatItTakes failed before: a body of 400 bytes was taken where 300 may be held. go test ./gateway/relay passes.

--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -358,15 +358,48 @@
 	if size < 0 {
 		size = x.bodyLimit() / unknownLengthDivisor
 	}
-	if total := x.heldBodyBytes.Add(size); x.options.MaxBodyMemory > 0 && total > x.options.MaxBodyMemory {
-		x.heldBodyBytes.Add(-size)
-		x.refuse(&Refusal{Reason: "body_memory", RetryAfter: bodyMemoryRetryAfter})
+	if !x.reserve(size) {
+		x.refuseForMemory()
 		return false
 	}
-	x.reservedBytes = size
 	return true
 }
 
+// reserve reserves n further bytes for the body; false if all bodies would exceed
+// MaxBodyMemory.
+func (x *exchange) reserve(n int64) bool {
+	if total := x.heldBodyBytes.Add(n); x.options.MaxBodyMemory > 0 && total > x.options.MaxBodyMemory {
+		x.heldBodyBytes.Add(-n)
+		return false
+	}
+	x.reservedBytes += n
+	return true
+}
+
+func (x *exchange) refuseForMemory() {
+	x.refuse(&Refusal{Reason: "body_memory", RetryAfter: bodyMemoryRetryAfter})
+}
+
+// errBodyMemory ends the reading of a body for which no memory can be reserved.
+var errBodyMemory = errors.New("request bodies exceed their memory")
+
+// reservingReader reads a body and reserves memory for what exceeds the reservation.
+type reservingReader struct {
+	io.Reader
+	exchange *exchange
+	read     int64
+}
+
+// Read implements io.Reader.
+func (r *reservingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.read += int64(n)
+	if further := r.read - r.exchange.reservedBytes; further > 0 && !r.exchange.reserve(further) {
+		return n, errBodyMemory
+	}
+	return n, err
+}
+
 func (x *exchange) releaseBody() { x.heldBodyBytes.Add(-x.reservedBytes) }
 
 func (x *exchange) bodyLimit() int64 {
@@ -396,12 +429,15 @@
 	if err := control.SetReadDeadline(until); err != nil {
 		x.record.Cause = err.Error()
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := io.ReadAll(&reservingReader{Reader: http.MaxBytesReader(x.w, x.r.Body, limit), exchange: x})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		x.fail(http.StatusRequestEntityTooLarge, "body_too_large", nil)
 		return false
+	case errors.Is(err, errBodyMemory):
+		x.refuseForMemory()
+		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.fail(http.StatusRequestTimeout, "body_timeout", err)
 		return false
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -18,6 +18,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/pistachiowind/pistachiowind/connend"
+	"github.com/pistachiowind/pistachiowind/endless"
 	"github.com/pistachiowind/pistachiowind/gateway/placement"
 	"github.com/pistachiowind/pistachiowind/gateway/routing"
 	"github.com/pistachiowind/pistachiowind/gateway/upstream"
@@ -618,6 +619,30 @@
 	}
 }
 
+// Guards against bodies without a length that together exceed the memory for bodies: each
+// reserved an eighth of the largest size, however much of it was read.
+func TestBodyWithoutALengthReservesWhatItTakes(t *testing.T) {
+	// The largest size is 1000 bytes, of which 125 are reserved first.
+	head := request("POST", "/charge/x", "", "Transfer-Encoding: chunked")
+	chunked := func(bytes int) string {
+		return head + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", bytes, strings.Repeat("x", bytes))
+	}
+	e := newScriptedEndpoint(t, completeResponse, completeResponse)
+	s := newHarness(t, testTable(), e, e)
+	s.relay.options.MaxBodyMemory = 300
+	for bytes, want := range map[int]string{100: "HTTP/1.1 200 ", 250: "HTTP/1.1 200 ", 400: "HTTP/1.1 429 "} {
+		if response := s.call(chunked(bytes)); !strings.HasPrefix(response, want) {
+			t.Errorf("%d bytes: response %q, want %q", bytes, response, want)
+		}
+		<-s.records.done
+	}
+	endless.Request(t, s.server.Listener.Addr().String(), endless.Answer{Beginning: head, Piece: "4\r\nxxxx\r\n"})
+	s.server.Close()
+	if held := s.relay.heldBodyBytes.Load(); held != 0 {
+		t.Errorf("%d bytes are still reserved", held)
+	}
+}
+
 // Guards against a Retry-After longer than callers honour: a third of their
 // remaining time.
 func TestRetryAfterFitsTheTimeLeft(t *testing.T) {
