--- a/router/dispatch/client.go
+++ b/router/dispatch/client.go
@@ -29,12 +29,17 @@
 	maxIdleConnections = 1024
 	// ackTimeout ends a connection whose peer acknowledges nothing for it while data waits for
 	// that; see acktimeout.
-	ackTimeout   = 5 * time.Second
-	frameBacklog = 16
+	ackTimeout = 5 * time.Second
 	// maxHeadBytes bounds the response header of an agent, which has a few lines.
 	maxHeadBytes = 16 << 10
+	// maxControlBytes bounds the frames between two chunks of an answer. A heartbeat each
+	// second takes hours for that.
+	maxControlBytes = 1 << 20
 )
 
+// errNoAnswer ends a stream that brings frames without end but no answer.
+var errNoAnswer = fmt.Errorf("agent sent %d bytes of frames without a chunk", maxControlBytes)
+
 // Client opens attempt streams to agents and provides the client for unary calls.
 type Client struct {
 	http *http.Client
@@ -115,7 +120,7 @@
 	attached bool
 	// attachReported is set when the observer was notified of the result of the Attach.
 	attachReported bool
-	events         chan<- streamEvent
+	backlog        *backlog
 	cancel         context.CancelFunc
 }
 
@@ -165,15 +170,10 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// deliver sends an event to the request; false if the stream was closed.
+// deliver passes an event to the request; false if the stream was closed.
 func (s *stream) deliver(ctx context.Context, e streamEvent) bool {
 	e.stream = s
-	select {
-	case s.events <- e:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return s.backlog.put(ctx, e)
 }
 
 // exchange sends the message and passes each frame to handle until it returns
@@ -197,11 +197,18 @@
 		return fmt.Errorf("agent answered with HTTP status %d", resp.StatusCode)
 	}
 	reader := rpc.NewReader(resp.Body)
+	controlBytes := 0
 	for {
 		f := new(rpc.Frame)
 		if err := reader.Read(f); err != nil {
 			return err
 		}
+		if controlBytes += rpc.FrameBytes(f); f.GetChunk() != nil {
+			controlBytes = 0
+		}
+		if controlBytes > maxControlBytes {
+			return errNoAnswer
+		}
 		if !handle(f) {
 			return context.Canceled
 		}
