Bound the entries of endpoints at a gateway

Cause: the answers of the store have bounds, but a store or writer that states further endpoints without end filled the registry, and what the dispatcher keeps of each endpoint. Change: at most 8,192 entries; a further one is logged as left_out and added when it is stated again after others have gone. Known ones are changed and replaced as before. Result: TestEntriesWithoutEndAreBounded failed before, with 16,384 entries known; it passes.

--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -60,6 +60,9 @@
 	StateLapsed = "lapsed"
 	// StateGone entries were removed.
 	StateGone = "gone"
+	// StateLeftOut entries were not added, since maxEntries others are known. They are added
+	// when the directory states them again after others have gone.
+	StateLeftOut = "left_out"
 )
 
 // Change is an added, replaced, lapsed or removed entry with its new state.
@@ -69,6 +72,9 @@
 }
 
 const (
+	// maxEntries bounds the entries, since a faulty directory or writer may state further
+	// ones without end. It is several times the endpoints of the largest planned site.
+	maxEntries = 8192
 	// maxDepartures bounds the remembered departures; the oldest are forgotten.
 	maxDepartures = 4096
 	// departureTTL is how long an entry from an older copy of the directory does not
@@ -153,10 +159,14 @@
 }
 
 // Put adds or replaces an entry; it returns false if nothing changed. The entry of an
-// incarnation that announced its leaving counts as draining.
+// incarnation that announced its leaving counts as draining. Beyond maxEntries a further one
+// is not added.
 func (r *Registry) Put(e Entry) (Change, bool) {
 	delete(r.deferred, e.ID)
 	old := r.records[e.ID]
+	if old == nil && len(r.records) >= maxEntries {
+		return Change{Entry: e, State: StateLeftOut}, true
+	}
 	if d, ok := r.departures.Peek(e.Incarnation()); ok && d.leaving {
 		e.Leaving = true
 	}
--- a/gateway/registry/registry_test.go
+++ b/gateway/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -208,3 +209,26 @@
 	expect(t, r.Expire(start.Add(ReregistrationGrace)))
 	expect(t, r.Expire(start.Add(1500*time.Millisecond+ReregistrationGrace)), "a gone")
 }
+
+// Guards against a directory that states further endpoints without end, which fill the memory
+// of each gateway, and against one that then can neither change nor replace the known ones.
+func TestEntriesWithoutEndAreBounded(t *testing.T) {
+	r := New()
+	left := 0
+	for i := range 2 * maxEntries {
+		if c, ok := r.Put(entry(fmt.Sprint("e-", i), 1)); !ok {
+			t.Fatalf("entry %d: no change", i)
+		} else if c.State == StateLeftOut {
+			left++
+		}
+	}
+	known := 0
+	r.Entries(func(Entry) { known++ })
+	if known != maxEntries || left != maxEntries {
+		t.Errorf("%d entries are known and %d were left out, want %d of each", known, left, maxEntries)
+	}
+	restarted, _ := r.Put(entry("e-0", 2))
+	gone, _ := r.Remove(start, "e-1")
+	added, _ := r.Put(entry("new", 1))
+	expect(t, []Change{restarted, gone, added}, "e-0 restarted", "e-1 gone", "new ready")
+}
