Copy the deltas of a collected tool call once

Cause: a router that collects an answer joined the name and the arguments of a tool call as strings, and so copied all of them with each delta: the square of the answer's length, at up to 16 MiB an answer. Found while the bound of collected answers was tested. Change: builders for each tool call.

--- a/router/ingress/buffered.go
+++ b/router/ingress/buffered.go
@@ -24,7 +24,7 @@
 	role         string
 	content      strings.Builder
 	refusal      strings.Builder
-	toolCalls    []toolCall
+	toolCalls    []*collectedCall
 	finishReason string
 	usage        json.RawMessage
 	bytes        int
@@ -36,6 +36,13 @@
 	Function toolFunction `json:"function"`
 }
 
+// collectedCall collects the deltas of a tool call. Joining strings would copy all that was
+// collected with each of them.
+type collectedCall struct {
+	id              string
+	name, arguments strings.Builder
+}
+
 type toolFunction struct {
 	Name      string `json:"name"`
 	Arguments string `json:"arguments"`
@@ -98,14 +105,24 @@
 		return
 	}
 	for len(s.toolCalls) <= delta.Index {
-		s.toolCalls = append(s.toolCalls, toolCall{Type: "function"})
+		s.toolCalls = append(s.toolCalls, &collectedCall{})
 	}
-	call := &s.toolCalls[delta.Index]
+	call := s.toolCalls[delta.Index]
 	if delta.ID != "" {
-		call.ID = delta.ID
+		call.id = delta.ID
+	}
+	call.name.WriteString(delta.Function.Name)
+	call.arguments.WriteString(delta.Function.Arguments)
+}
+
+// wholeToolCalls returns the tool calls as collected.
+func (s *bufferedSink) wholeToolCalls() []toolCall {
+	var calls []toolCall
+	for _, c := range s.toolCalls {
+		function := toolFunction{Name: c.name.String(), Arguments: c.arguments.String()}
+		calls = append(calls, toolCall{ID: c.id, Type: "function", Function: function})
 	}
-	call.Function.Name += delta.Function.Name
-	call.Function.Arguments += delta.Function.Arguments
+	return calls
 }
 
 // Done keeps the token usage.
@@ -137,7 +154,7 @@
 }
 
 func (s *bufferedSink) writeAnswer(c echo.Context) error {
-	message := completionMessage{Role: s.role, ToolCalls: s.toolCalls}
+	message := completionMessage{Role: s.role, ToolCalls: s.wholeToolCalls()}
 	if content := s.content.String(); content != "" || len(s.toolCalls) == 0 {
 		message.Content = &content
 	}
