Take nothing of a replaced agent for its successor

Cause: the router keeps health and the view's load by the name of an agent. Membership ignores late reports of an incarnation that was replaced, but the fleet still recorded the results of its attempts, and put the load in its frames into the view. Connections to a machine that went silent fail seconds later, so that an agent that had started again was ejected, and a frame that came late made it look full until the view was built again, up to a second.

Change: observations and failures of an incarnation that is known to have been replaced are left out, and ApplyReport tells whether a report was applied. What was recorded before the new incarnation was known stays: an agent that crashes again and again keeps its backoff.

--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -172,9 +172,11 @@
 }
 
 // recordReport records an agent's report. Its load replaces the count of unreported
-// attempts. The caller holds f.mu.
+// attempts. The report of an incarnation that was replaced is ignored. The caller holds f.mu.
 func (f *Fleet) recordReport(now time.Time, r membership.Report) {
-	f.members.ApplyReport(now, r)
+	if !f.members.ApplyReport(now, r) {
+		return
+	}
 	if c := f.view.find(r.Name); c != nil {
 		c.Load = r.Load
 		c.Unreported = 0
@@ -237,6 +239,9 @@
 func (f *Fleet) Failed(now time.Time, t dispatch.Target) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.members.WasReplaced(t.Endpoint, t.Incarnation) {
+		return
+	}
 	f.recordLocked(now, t, health.Failure, 0)
 	f.members.RecordFailure(now, t.Endpoint)
 }
@@ -247,8 +252,12 @@
 	f.recordLocked(now, t, kind, d)
 }
 
-// recordLocked passes an observation to the health tracker. The caller holds f.mu.
+// recordLocked passes an observation to the health tracker. One of an incarnation that was
+// replaced says nothing about the one that replaced it. The caller holds f.mu.
 func (f *Fleet) recordLocked(now time.Time, t dispatch.Target, kind health.Kind, d time.Duration) {
+	if f.members.WasReplaced(t.Endpoint, t.Incarnation) {
+		return
+	}
 	f.health.Record(now, health.Observation{Endpoint: t.Endpoint, Kind: kind, Duration: d, Sent: t.Sent})
 }
 
--- a/router/membership/report.go
+++ b/router/membership/report.go
@@ -11,19 +11,19 @@
 // suspect; a single one is often a lost connection.
 const suspectFailures = 2
 
-// ApplyReport applies an agent's report about itself, which takes effect at once. A
-// report of an incarnation that has been replaced is ignored, and an incarnation
-// that reported leaving does not serve again.
-func (s *Set) ApplyReport(now time.Time, r Report) {
+// ApplyReport applies an agent's report about itself, which takes effect at once, and
+// reports whether it did. A report of an incarnation that has been replaced is ignored,
+// and an incarnation that reported leaving does not serve again.
+func (s *Set) ApplyReport(now time.Time, r Report) bool {
 	m := s.members[r.Name]
 	if m == nil {
-		return
+		return false
 	}
 	if r.Incarnation == "" {
 		r.Incarnation = m.incarnation
 	}
-	if r.Incarnation != "" && slices.Contains(m.replaced[:], r.Incarnation) {
-		return
+	if s.WasReplaced(r.Name, r.Incarnation) {
+		return false
 	}
 	notServing := m.state != rpc.AgentState_AGENT_STATE_SERVING || s.suspect(now, m)
 	if r.Incarnation != m.incarnation {
@@ -54,6 +54,13 @@
 	if notServing && state == rpc.AgentState_AGENT_STATE_SERVING {
 		m.rampStart = now.Add(time.Duration(s.rng.Float64() * float64(s.options.RampJitter)))
 	}
+	return true
+}
+
+// WasReplaced reports whether a member is known to have started again since an incarnation.
+func (s *Set) WasReplaced(name, incarnation string) bool {
+	m := s.members[name]
+	return m != nil && incarnation != "" && slices.Contains(m.replaced[:], incarnation)
 }
 
 // startIncarnation resets the member for a new incarnation. The state Leaving of
