End an engine's pause as the engine goes down

Cause: an engine that is full names a Retry-After, for which the agent starts nothing, up to a minute. The pause outlived the process: an engine that crashed and came up empty within a second got no work until the end, and requests that could not wait were refused.

Change: the worker tells its limiter that the endpoint crashed or fails its health checks, and the scheduler ends the pause. One that is named later holds. The learned limit stays, as it follows what is observed.

--- a/agent/concurrency/scheduler.go
+++ b/agent/concurrency/scheduler.go
@@ -161,6 +161,10 @@
 	}
 }
 
+// EndpointDown ends a pause that the endpoint asked for. The learned limit and latencies stay:
+// they follow what is observed of the next process.
+func (s *Scheduler) EndpointDown() { s.pausedUntil = time.Time{} }
+
 func outcomeOf(err *resultcode.Error) Outcome {
 	if err == nil {
 		return Completed
--- a/agent/concurrency/scheduler_test.go
+++ b/agent/concurrency/scheduler_test.go
@@ -169,3 +169,24 @@
 		t.Error("no work was started after the pause")
 	}
 }
+
+// Guards against a pause of up to a minute that outlives the process which asked for it, and
+// against one of the next process that is dropped.
+func TestPauseEndsAsTheEndpointGoesDown(t *testing.T) {
+	s := concurrency.NewScheduler(concurrency.SchedulerOptions{})
+	request := &rpc.RunRequest{WaitLimitMs: 500}
+	full := resultcode.New(resultcode.EndpointOverloaded, "full").WithRetryAfter(time.Minute)
+	refuse := func() {
+		s.Started(start, request)
+		s.Ended(start, request, 0, full)
+	}
+	refuse()
+	s.EndpointDown()
+	if err := s.Admit(start, request, queue.New(queue.Options{}), nil); err != nil {
+		t.Errorf("the next process gets no work: %v", err)
+	}
+	refuse()
+	if err := s.Admit(start, request, queue.New(queue.Options{}), nil); err == nil {
+		t.Error("the pause of the next process is not kept")
+	}
+}
--- a/agent/worker/limiter.go
+++ b/agent/worker/limiter.go
@@ -25,6 +25,10 @@
 	FirstToken(now time.Time, req *rpc.RunRequest, took time.Duration)
 	Token(now time.Time, gap time.Duration)
 	Ended(now time.Time, req *rpc.RunRequest, used time.Duration, err *resultcode.Error)
+	// EndpointDown reports that the endpoint has crashed or fails its health checks. The one
+	// that comes up again may be another process, for which what the endpoint asked for
+	// before does not hold.
+	EndpointDown()
 	// Limit returns the current concurrency limit in attempts.
 	Limit(now time.Time) int
 	// Describe sets the limit and the latencies in a load message.
@@ -71,6 +75,9 @@
 // Ended does nothing.
 func (l FixedLimiter) Ended(time.Time, *rpc.RunRequest, time.Duration, *resultcode.Error) {}
 
+// EndpointDown does nothing.
+func (l FixedLimiter) EndpointDown() {}
+
 // Limit returns Slots.
 func (l FixedLimiter) Limit(time.Time) int { return l.Slots }
 
--- a/agent/worker/worker.go
+++ b/agent/worker/worker.go
@@ -369,6 +369,7 @@
 		w.crashRecorded = false
 	}
 	if s == rpc.AgentState_AGENT_STATE_DOWN && w.state == rpc.AgentState_AGENT_STATE_SERVING {
+		w.limiter.EndpointDown()
 		w.opts.Observer.Crashed()
 	}
 	if w.state != rpc.AgentState_AGENT_STATE_LEAVING {
--- a/agent/worker/worker_test.go
+++ b/agent/worker/worker_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/pistachiowind/pistachiowind/agent/endpoint"
 	"github.com/pistachiowind/pistachiowind/agent/execution"
+	"github.com/pistachiowind/pistachiowind/agent/queue"
 	"github.com/pistachiowind/pistachiowind/agent/worker"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
@@ -80,9 +81,13 @@
 func (noCatalog) NoteRouter(string)          {}
 
 func newWorker(t *testing.T, b endpoint.Backend, slots int) *worker.Worker {
+	return newWorkerWith(t, b, worker.FixedLimiter{Slots: slots})
+}
+
+func newWorkerWith(t *testing.T, b endpoint.Backend, limiter worker.Limiter) *worker.Worker {
 	w := worker.New(worker.Options{
 		Backend: b, Endpoint: "e", Catalog: noCatalog{}, Observer: noObserver{},
-		Limiter: worker.FixedLimiter{Slots: slots},
+		Limiter: limiter,
 	})
 	w.SetState(rpc.AgentState_AGENT_STATE_SERVING)
 	ctx, stop := context.WithCancel(t.Context())
@@ -247,3 +252,47 @@
 		}
 	})
 }
+
+// pausedLimiter starts nothing while the endpoint is paused.
+type pausedLimiter struct {
+	worker.FixedLimiter
+	paused atomic.Bool
+}
+
+func (l *pausedLimiter) Next(now time.Time, q *queue.Queue, running []queue.Running) (queue.Item, bool) {
+	if l.paused.Load() {
+		return queue.Item{}, false
+	}
+	return l.FixedLimiter.Next(now, q, running)
+}
+
+func (l *pausedLimiter) EndpointDown() { l.paused.Store(false) }
+
+// Guards against an endpoint that is up again and gets no work because the process before asked
+// for a pause: failed health checks, or a crash between two of them, end the pause.
+func TestPauseEndsWithTheEndpointThatAskedForIt(t *testing.T) {
+	for _, crash := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			limiter, backend := &pausedLimiter{FixedLimiter: worker.FixedLimiter{Slots: 4}}, &pacedBackend{tokens: 3}
+			w := newWorkerWith(t, backend, limiter)
+			if crash {
+				running, refusal := w.Submit(time.Now(), request(1, 1))
+				if refusal != nil {
+					t.Fatal(refusal)
+				}
+				synctest.Wait()
+				backend.down.Store(true)
+				limiter.paused.Store(true)
+				read(t, running)
+				backend.down.Store(false)
+			} else {
+				limiter.paused.Store(true)
+				w.SetState(rpc.AgentState_AGENT_STATE_DOWN)
+			}
+			w.SetState(rpc.AgentState_AGENT_STATE_SERVING)
+			if limiter.paused.Load() {
+				t.Errorf("crash %t: the pause of the process before goes on", crash)
+			}
+		})
+	}
+}
