Ask an engine that may have restarted for its models at once

Cause: the agent asks its engine for its models every 5 s. An engine that started again with others while the agent lived was offered to the routers with those of the process before for as long: requests got 404, or texts went on at an engine whose model had changed.

Change: the models are asked at the next check (every 500 ms) if the check before failed, a run has shown a crash, or the connection kept for checks has ended, as a connection leads to one process. If the engine then does not answer, none are offered until it does. Checks now keep their connection: the body of the answer was not read, so that each opened one. An engine that closes its connections itself is asked every 5 s, as before.

Left: routers learn of a change by their next probe of the agent, 10 s at most.

TestProbeConnectionIsKeptUntilTheEngineClosesIt fails if the body is left unread.

--- a/agent/endpoint/engine.go
+++ b/agent/endpoint/engine.go
@@ -8,8 +8,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pistachiowind/pistachiowind/resultcode"
@@ -38,18 +40,32 @@
 	url string
 	// runs opens a connection for each run, like that of a Service; probes keeps them.
 	runs, probes *http.Client
+	// probeConnections is the number of connections that probes opened.
+	probeConnections atomic.Uint64
 }
 
 // NewEngine returns the Backend for the engine at a base URL, given without a
 // trailing slash.
 func NewEngine(url string) *Engine {
-	return &Engine{
-		url:    url,
-		runs:   &http.Client{Transport: newTransport(false)},
-		probes: &http.Client{Transport: newTransport(true)},
+	e := &Engine{url: url, runs: &http.Client{Transport: newTransport(false)}}
+	probes := newTransport(true)
+	dial := probes.DialContext
+	probes.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err == nil {
+			e.probeConnections.Add(1)
+		}
+		return c, err
 	}
+	e.probes = &http.Client{Transport: probes}
+	return e
 }
 
+// ProbeConnections returns the number of connections that were opened for health checks and
+// lists of models. They are kept, so that a further one shows that the engine, or its process,
+// has closed the one before.
+func (e *Engine) ProbeConnections() uint64 { return e.probeConnections.Load() }
+
 // Check queries the engine's health route.
 func (e *Engine) Check(ctx context.Context) error {
 	return checkHealth(ctx, e.probes, e.url+"/health")
@@ -69,9 +85,12 @@
 			ID string `json:"id"`
 		} `json:"data"`
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxModelsBodyBytes)).Decode(&list)
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxModelsBodyBytes))
+	if err == nil {
+		err = json.Unmarshal(text, &list)
+	}
 	if err != nil {
-		return nil, fmt.Errorf("decode the engine's models: %w", err)
+		return nil, fmt.Errorf("read the engine's models: %w", err)
 	}
 	models := make([]string, 0, len(list.Data))
 	for _, m := range list.Data {
--- a/agent/endpoint/engine_test.go
+++ b/agent/endpoint/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -73,3 +74,30 @@
 		}
 	}
 }
+
+// Guards against an engine whose restart between two checks is not seen, because each check opens
+// a connection anyway: the answers to checks have a body.
+func TestProbeConnectionIsKeptUntilTheEngineClosesIt(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"data":[{"id":"m:1"}]}`+"\n")
+	}))
+	defer server.Close()
+	e := NewEngine(server.URL)
+	probe := func(want uint64) {
+		t.Helper()
+		for range 3 {
+			if err := e.Check(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			if models, err := e.Models(t.Context()); err != nil || len(models) != 1 {
+				t.Fatal(models, err)
+			}
+		}
+		if got := e.ProbeConnections(); got != want {
+			t.Errorf("%d connections, want %d", got, want)
+		}
+	}
+	probe(1)
+	server.CloseClientConnections()
+	probe(2)
+}
--- a/agent/endpoint/service.go
+++ b/agent/endpoint/service.go
@@ -12,7 +12,11 @@
 	"github.com/pistachiowind/pistachiowind/rpc"
 )
 
-const serviceChunkBytes = 32 << 10
+const (
+	serviceChunkBytes = 32 << 10
+	// maxHealthBodyBytes bounds what is read of the response to a health check.
+	maxHealthBodyBytes = 4 << 10
+)
 
 // Service is the Backend for a plain HTTP service.
 type Service struct {
@@ -148,6 +152,9 @@
 	if err != nil {
 		return err
 	}
+	// A connection whose response was not read to its end is not kept. The status alone decides
+	// on the check, so that an error is of no interest.
+	_, _ = io.CopyN(io.Discard, resp.Body, maxHealthBodyBytes)
 	return resp.Body.Close()
 }
 
--- a/agent/monitor.go
+++ b/agent/monitor.go
@@ -35,6 +35,12 @@
 	failedChecks  int
 	up            atomic.Bool
 	modelsAskedAt time.Time
+	// modelsOutdated is set while the models may be those of the engine's process before.
+	modelsOutdated bool
+	// connections is the number of connections for checks at the last one, and
+	// newConnection whether it opened one.
+	connections   uint64
+	newConnection bool
 
 	mu     sync.Mutex
 	models []string
@@ -63,6 +69,7 @@
 		m.checkFailed(err)
 		return
 	}
+	m.modelsOutdated = m.modelsOutdated || m.mayHaveRestarted()
 	m.failedChecks = 0
 	m.refreshModels(ctx)
 	// The worker may have set another state after a crash between two checks.
@@ -73,6 +80,27 @@
 	m.states.Report(telemetry.StateChange{Subject: "endpoint", State: "up"})
 }
 
+// connectionCounter is implemented by a Backend that keeps its connection between checks.
+// ProbeConnections returns the number of connections that were opened for checks.
+type connectionCounter interface {
+	ProbeConnections() uint64
+}
+
+// mayHaveRestarted reports whether the endpoint may be another process than at the check
+// before: that one failed, a run has shown a crash since, or the connection that was kept has
+// ended. An endpoint that closes each connection shows nothing by that.
+func (m *monitor) mayHaveRestarted() bool {
+	crashed := m.failedChecks > 0 || m.up.Load() && m.worker.State() == rpc.AgentState_AGENT_STATE_DOWN
+	counter, ok := m.backend.(connectionCounter)
+	if !ok {
+		return crashed
+	}
+	n := counter.ProbeConnections()
+	opened, keeps := n != m.connections, !m.newConnection
+	m.connections, m.newConnection = n, opened
+	return crashed || opened && keeps
+}
+
 // checkFailed counts a failed check and reports the endpoint as down after
 // failedChecksUntilDown of them in a row.
 func (m *monitor) checkFailed(err error) {
@@ -84,19 +112,24 @@
 	m.states.Report(telemetry.StateChange{Subject: "endpoint", State: "down", Cause: err.Error(), Warn: true})
 }
 
-// refreshModels asks the engine for its models. After an error the last list stays.
+// refreshModels asks the engine for its models. After an error the last list stays, unless the
+// engine may have started again, which is then asked at the next check.
 func (m *monitor) refreshModels(ctx context.Context) {
 	if len(m.configuredModels) > 0 {
 		m.setModels(m.configuredModels)
 		return
 	}
-	if time.Since(m.modelsAskedAt) < modelsRefreshInterval {
+	if !m.modelsOutdated && time.Since(m.modelsAskedAt) < modelsRefreshInterval {
 		return
 	}
 	m.modelsAskedAt = time.Now()
 	models, err := m.backend.Models(ctx)
-	if err == nil {
+	switch {
+	case err == nil:
 		m.setModels(models)
+		m.modelsOutdated = false
+	case m.modelsOutdated:
+		m.setModels(nil)
 	}
 }
 
