Continue no text at the next process of an engine

Cause: a preempted stream, and one that a router continues, waits in the agent's queue with its text. If the engine crashed meanwhile and came up with another version of the model, the text went on there; the router had checked the version before it sent the request.

Change: as the engine goes down, queued attempts with a text are refused as endpoint_down, which routers continue at an endpoint of the version that began the text. A preempted one has run in part, so its execution is unknown.

Left: an engine that starts again unnoticed between two health checks and without a failed run, and a stream whose preemption ends after the crash was recorded.

Seen to fail before: TestTextDoesNotGoOnAtTheNextProcessOfTheEngine, after failed health checks; with the call after a crash left out, there too.

--- a/agent/worker/crash.go
+++ b/agent/worker/crash.go
@@ -80,7 +80,7 @@
 		return
 	}
 	w.crashRecorded = true
-	w.limiter.EndpointDown()
+	w.endpointDown(now)
 	w.opts.Observer.Crashed()
 	if w.state == rpc.AgentState_AGENT_STATE_SERVING {
 		w.state = rpc.AgentState_AGENT_STATE_DOWN
--- a/agent/worker/worker.go
+++ b/agent/worker/worker.go
@@ -369,7 +369,7 @@
 		w.crashRecorded = false
 	}
 	if s == rpc.AgentState_AGENT_STATE_DOWN && w.state == rpc.AgentState_AGENT_STATE_SERVING {
-		w.limiter.EndpointDown()
+		w.endpointDown(time.Now())
 		w.opts.Observer.Crashed()
 	}
 	if w.state != rpc.AgentState_AGENT_STATE_LEAVING {
@@ -377,6 +377,23 @@
 	}
 }
 
+// endpointDown drops what holds only for the process of the endpoint that is down. A text goes
+// on only at the version of the model that began it, which the next process may not serve: the
+// queued attempts that have one are refused, and routers send them to an endpoint that does. The
+// caller holds w.mu.
+func (w *Worker) endpointDown(now time.Time) {
+	w.limiter.EndpointDown()
+	for id, j := range w.jobs {
+		// The progress of a running attempt belongs to its run.
+		if w.running[id] != nil || len(j.progress.text) == 0 {
+			continue
+		}
+		if it, waiting := w.queue.Remove(id); waiting {
+			w.refuseWaiting(now, it, resultcode.New(resultcode.EndpointDown, "the endpoint went down before the text went on"))
+		}
+	}
+}
+
 // State returns the current state.
 func (w *Worker) State() rpc.AgentState {
 	w.mu.Lock()
--- a/agent/worker/worker_test.go
+++ b/agent/worker/worker_test.go
@@ -296,3 +296,43 @@
 		})
 	}
 }
+
+// Guards against a text that goes on at another process of the engine, whose model may be of
+// another version: a preempted stream, or one that began at another agent, waits while the engine
+// crashes or fails its health checks.
+func TestTextDoesNotGoOnAtTheNextProcessOfTheEngine(t *testing.T) {
+	for _, crash := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			b := &pacedBackend{tokens: 50}
+			w := newWorker(t, b, 1)
+			preempted := submit(t, w, request(1, 2))
+			time.Sleep(time.Second + time.Millisecond)
+			submit(t, w, request(2, 0))
+			begun := request(3, 2)
+			begun.GetChat().FirstIndex, begun.GetChat().TextSoFar = 20, "text"
+			elsewhere := submit(t, w, begun)
+			fresh := submit(t, w, request(4, 2))
+			time.Sleep(time.Second)
+			if crash {
+				b.down.Store(true)
+				time.Sleep(time.Second)
+				b.down.Store(false)
+			} else {
+				w.SetState(rpc.AgentState_AGENT_STATE_DOWN)
+			}
+			w.SetState(rpc.AgentState_AGENT_STATE_SERVING)
+			for name, a := range map[string]*execution.Attempt{"preempted": preempted, "begun elsewhere": elsewhere} {
+				_, refused := read(t, a)
+				if resultcode.Code(refused.GetCode()) != resultcode.EndpointDown {
+					t.Errorf("%s, crash %t: end %v, want a refusal so that it goes on elsewhere", name, crash, refused)
+				}
+			}
+			if _, refused := read(t, preempted); refused.GetExecution() != rpc.Execution_EXECUTION_UNKNOWN {
+				t.Errorf("crash %t: execution %v of a preempted stream, want unknown", crash, refused.GetExecution())
+			}
+			if got, refused := read(t, fresh); !crash && len(got) != 50 {
+				t.Errorf("a request without text got %d chunks, %v", len(got), refused)
+			}
+		})
+	}
+}
