--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -151,6 +151,7 @@
 	g.dispatcher.onEndpointChanges, g.dispatcher.onPause, g.dispatcher.onLimit = g.logEndpointChanges, g.logPause, g.logLimit
 	g.dispatcher.onSuspects, g.dispatcher.onTrial, g.dispatcher.onVersion = g.logSuspects, g.logTrial, g.logVersion
 	g.dispatcher.onSpill, g.dispatcher.onStandstill = g.logSpill, g.stoodStill
+	g.dispatcher.onProcess = func(s upstream.ProcessState) { o.Metrics.Processes.Add(1, telemetry.ResultLabels{Outcome: s.String()}) }
 	g.gracePeriod.Store(int64(o.Settings.GracePeriod()))
 	g.storeStatus = follow.NewStoreStatus(rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())))
 	g.pool = upstream.NewPool(upstream.Options{OnDial: func(address string, err error) {
@@ -256,12 +257,7 @@
 	supervisor := suture.New("gateway", suture.Spec{EventHook: func(e suture.Event) {
 		g.log.Warn().Str("event", e.String()).Msg("supervised service ended")
 	}})
-	readyServer := &http.Server{
-		Handler:           g.readyHandler(),
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       headerTimeout,
-		MaxHeaderBytes:    maxControlHeaderBytes,
-	}
+	readyServer := newControlServer(g.readyHandler())
 	defer readyServer.Close()
 	for _, s := range g.services() {
 		supervisor.Add(s)
@@ -285,6 +281,16 @@
 	return nil
 }
 
+// newControlServer returns a server for a listener other than the callers' one.
+func newControlServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       headerTimeout,
+		MaxHeaderBytes:    maxControlHeaderBytes,
+	}
+}
+
 // services returns the supervised services that run beside the listeners for callers
 // and readiness. Each has its own random source, as *rand.Rand is not safe for
 // concurrent use.
--- a/rpc/frame.go
+++ b/rpc/frame.go
@@ -18,6 +18,11 @@
 	// largest request body of a caller (4 MiB) and the fields around it.
 	MaxFrameBytes = 5 << 20
 
+	// MaxTextSoFarBytes limits the text with which a stream is continued at another engine,
+	// or after a preemption. A Run message with it and the largest body fits into a frame. A
+	// longer text is not kept, since an engine may generate without end.
+	MaxTextSoFarBytes = 512 << 10
+
 	// MaxUnaryBytes limits the request and response bodies of a unary call. The
 	// largest one holds a catalog, which is smaller than the largest request body of a
 	// caller.
@@ -65,3 +70,16 @@
 	}
 	return nil
 }
+
+// frameOverheadBytes is the assumed memory of a frame in addition to its payload.
+const frameOverheadBytes = 96
+
+// FrameBytes returns about how much memory a frame takes.
+func FrameBytes(f *Frame) int {
+	if c := f.GetChunk(); c != nil {
+		return frameOverheadBytes + len(c.GetData()) + len(c.GetText())
+	}
+	// A stream has few other frames, but the headers of an answer and the message of a
+	// refusal may be large.
+	return frameOverheadBytes + proto.Size(f)
+}
