Refuse a text whose preemption ends after a crash

A preempted run that returned only after the engine went down was queued again with its text and went on at the next process, which may serve another version of the model. It is now refused like the others that waited.

Seen to fail before: TestTextPreemptedAsTheEngineGoesDownDoesNotGoOn, where the run takes 300 ms to stop and the engine goes down meanwhile.

--- a/agent/worker/run.go
+++ b/agent/worker/run.go
@@ -304,6 +304,9 @@
 		return
 	}
 	w.refuseDisplaced(now, displaced)
+	if w.state == rpc.AgentState_AGENT_STATE_DOWN {
+		w.refuseTexts(now)
+	}
 }
 
 // Serve refuses expired attempts, cancels orphaned ones and preempts running ones
--- a/agent/worker/worker.go
+++ b/agent/worker/worker.go
@@ -377,12 +377,17 @@
 	}
 }
 
-// endpointDown drops what holds only for the process of the endpoint that is down. A text goes
-// on only at the version of the model that began it, which the next process may not serve: the
-// queued attempts that have one are refused, and routers send them to an endpoint that does. The
-// caller holds w.mu.
+// endpointDown drops what holds only for the process of the endpoint that is down. The caller
+// holds w.mu.
 func (w *Worker) endpointDown(now time.Time) {
 	w.limiter.EndpointDown()
+	w.refuseTexts(now)
+}
+
+// refuseTexts refuses the queued attempts that go on with a text. A text goes on only at the
+// version of the model that began it, which the next process may not serve; routers send these
+// attempts to an endpoint that does. The caller holds w.mu.
+func (w *Worker) refuseTexts(now time.Time) {
 	for id, j := range w.jobs {
 		// The progress of a running attempt belongs to its run.
 		if w.running[id] != nil || len(j.progress.text) == 0 {
--- a/agent/worker/worker_test.go
+++ b/agent/worker/worker_test.go
@@ -374,3 +374,34 @@
 		})
 	}
 }
+
+// slowToStop is a pacedBackend that returns a while after its context has ended.
+type slowToStop struct{ pacedBackend }
+
+func (b *slowToStop) Run(ctx context.Context, req *rpc.RunRequest, emit endpoint.Emit) *resultcode.Error {
+	err := b.pacedBackend.Run(ctx, req, emit)
+	if ctx.Err() != nil {
+		time.Sleep(300 * time.Millisecond)
+	}
+	return err
+}
+
+// Guards against a preempted text that goes on at the next process of the engine because its run
+// ended only after the engine went down.
+func TestTextPreemptedAsTheEngineGoesDownDoesNotGoOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &slowToStop{pacedBackend{tokens: 50}}
+		w := newWorker(t, b, 1)
+		preempted := submit(t, w, request(1, 2))
+		time.Sleep(time.Second + time.Millisecond)
+		urgent := submit(t, w, request(2, 0))
+		time.Sleep(200 * time.Millisecond)
+		w.SetState(rpc.AgentState_AGENT_STATE_DOWN)
+		time.Sleep(time.Second)
+		w.SetState(rpc.AgentState_AGENT_STATE_SERVING)
+		if _, refused := read(t, preempted); resultcode.Code(refused.GetCode()) != resultcode.EndpointDown {
+			t.Errorf("end %v, want a refusal so that the text goes on elsewhere", refused)
+		}
+		read(t, urgent)
+	})
+}
