--- a/gateway/restarts.go
+++ b/gateway/restarts.go
@@ -19,6 +19,7 @@
 //     are load of the new process. Without a sign they may wait at a machine that went silent.
 //   - A pause or a limit is kept, as the new process may have stated it, unless a sign that the
 //     process before ended came later than the response.
+//   - A crash is one of another process if a connection was refused before the request was sent.
 //   - That an endpoint leaves counts only for the process that the request was sent to: a
 //     process announces it near its end, and it would hold for all of the next one.
 
