--- a/agent/worker/worker_test.go
+++ b/agent/worker/worker_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/pistachiowind/pistachiowind/agent/endpoint"
 	"github.com/pistachiowind/pistachiowind/agent/execution"
+	"github.com/pistachiowind/pistachiowind/agent/queue"
 	"github.com/pistachiowind/pistachiowind/agent/worker"
 	"github.com/pistachiowind/pistachiowind/resultcode"
 	"github.com/pistachiowind/pistachiowind/rpc"
@@ -82,9 +83,13 @@
 func (noCatalog) NoteRouter(string)          {}
 
 func newWorker(t *testing.T, b endpoint.Backend, slots int) *worker.Worker {
+	return newWorkerWith(t, b, worker.FixedLimiter{Slots: slots})
+}
+
+func newWorkerWith(t *testing.T, b endpoint.Backend, limiter worker.Limiter) *worker.Worker {
 	w := worker.New(worker.Options{
 		Backend: b, Endpoint: "e", Catalog: noCatalog{}, Observer: noObserver{},
-		Limiter: worker.FixedLimiter{Slots: slots},
+		Limiter: limiter,
 	})
 	w.SetState(rpc.AgentState_AGENT_STATE_SERVING)
 	ctx, stop := context.WithCancel(t.Context())
@@ -285,3 +290,118 @@
 		}
 	})
 }
+
+// pausedLimiter starts nothing while the endpoint is paused.
+type pausedLimiter struct {
+	worker.FixedLimiter
+	paused atomic.Bool
+}
+
+func (l *pausedLimiter) Next(now time.Time, q *queue.Queue, running []queue.Running) (queue.Item, bool) {
+	if l.paused.Load() {
+		return queue.Item{}, false
+	}
+	return l.FixedLimiter.Next(now, q, running)
+}
+
+func (l *pausedLimiter) EndpointDown() { l.paused.Store(false) }
+
+// Guards against an endpoint that is up again and gets no work because the process before asked
+// for a pause: failed health checks, or a crash between two of them, end the pause.
+func TestPauseEndsWithTheEndpointThatAskedForIt(t *testing.T) {
+	for _, crash := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			limiter, backend := &pausedLimiter{FixedLimiter: worker.FixedLimiter{Slots: 4}}, &pacedBackend{tokens: 3}
+			w := newWorkerWith(t, backend, limiter)
+			if crash {
+				running, refusal := w.Submit(time.Now(), request(1, 1))
+				if refusal != nil {
+					t.Fatal(refusal)
+				}
+				synctest.Wait()
+				backend.down.Store(true)
+				limiter.paused.Store(true)
+				read(t, running)
+				backend.down.Store(false)
+			} else {
+				limiter.paused.Store(true)
+				w.SetState(rpc.AgentState_AGENT_STATE_DOWN)
+			}
+			w.SetState(rpc.AgentState_AGENT_STATE_SERVING)
+			if limiter.paused.Load() {
+				t.Errorf("crash %t: the pause of the process before goes on", crash)
+			}
+		})
+	}
+}
+
+// Guards against a text that goes on at another process of the engine, whose model may be of
+// another version: a preempted stream, or one that began at another agent, waits while the engine
+// crashes or fails its health checks.
+func TestTextDoesNotGoOnAtTheNextProcessOfTheEngine(t *testing.T) {
+	for _, crash := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			b := &pacedBackend{tokens: 50}
+			w := newWorker(t, b, 1)
+			preempted := submit(t, w, request(1, 2))
+			time.Sleep(time.Second + time.Millisecond)
+			submit(t, w, request(2, 0))
+			begun := request(3, 2)
+			begun.GetChat().FirstIndex, begun.GetChat().TextSoFar = 20, "text"
+			elsewhere := submit(t, w, begun)
+			fresh := submit(t, w, request(4, 2))
+			time.Sleep(time.Second)
+			if crash {
+				b.down.Store(true)
+				time.Sleep(time.Second)
+				b.down.Store(false)
+			} else {
+				w.SetState(rpc.AgentState_AGENT_STATE_DOWN)
+			}
+			w.SetState(rpc.AgentState_AGENT_STATE_SERVING)
+			for name, a := range map[string]*execution.Attempt{"preempted": preempted, "begun elsewhere": elsewhere} {
+				_, refused := read(t, a)
+				if resultcode.Code(refused.GetCode()) != resultcode.EndpointDown {
+					t.Errorf("%s, crash %t: end %v, want a refusal so that it goes on elsewhere", name, crash, refused)
+				}
+			}
+			if _, refused := read(t, preempted); refused.GetExecution() != rpc.Execution_EXECUTION_UNKNOWN {
+				t.Errorf("crash %t: execution %v of a preempted stream, want unknown", crash, refused.GetExecution())
+			}
+			if got, refused := read(t, fresh); !crash && len(got) != 50 {
+				t.Errorf("a request without text got %d chunks, %v", len(got), refused)
+			}
+		})
+	}
+}
+
+// slowToStop is a pacedBackend that returns a while after its context has ended.
+type slowToStop struct{ pacedBackend }
+
+func (b *slowToStop) Run(ctx context.Context, req *rpc.RunRequest, emit endpoint.Emit) *resultcode.Error {
+	err := b.pacedBackend.Run(ctx, req, emit)
+	if ctx.Err() != nil {
+		time.Sleep(300 * time.Millisecond)
+	}
+	return err
+}
+
+// Guards against a preempted text that goes on at the next process of the engine because its run
+// ended only after the engine went down.
+func TestTextPreemptedAsTheEngineGoesDownDoesNotGoOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &slowToStop{pacedBackend{tokens: 50}}
+		w := newWorker(t, b, 1)
+		preempted := submit(t, w, request(1, 2))
+		time.Sleep(time.Second + time.Millisecond)
+		urgent := submit(t, w, request(2, 0))
+		time.Sleep(200 * time.Millisecond)
+		w.SetState(rpc.AgentState_AGENT_STATE_DOWN)
+		time.Sleep(time.Second)
+		w.SetState(rpc.AgentState_AGENT_STATE_SERVING)
+		if _, refused := read(t, preempted); resultcode.Code(refused.GetCode()) != resultcode.EndpointDown {
+			t.Errorf("end %v, want a refusal so that the text goes on elsewhere", refused)
+		}
+		read(t, urgent)
+	})
+}
