Do not take an unanswered question for an endpoint that states nothing

Cause: one failed question counted as an endpoint that states nothing, for as long as its entry stayed; a late answer was applied to whatever the directory showed by then. Change: a service counts as one without statements only after three endpoints gave none and no other has within a minute; the end of a request says nothing; a kept connection that ends is replaced before that; an answer is applied only to the process and address at which the attempt was placed; unlisted endpoints are asked again after 3 s. Endpoints that close after their statement are served by a connection opened before the one that they state it on.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -259,6 +259,7 @@
 	d.fleet.RefreshZones(now)
 	changes := d.registry.Expire(now)
 	d.applyChanges(now, changes)
+	d.askUnlisted(now)
 	if d.mixed || len(d.proposed) > 0 {
 		d.observeVersions(now)
 	}
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -291,6 +291,14 @@
 	s.sortMembers()
 }
 
+// AllowVersion lets an endpoint whose version is outdated get requests of that version until it
+// is put again.
+func (f *Fleet) AllowVersion(id string) {
+	if e := f.endpoints[id]; e != nil {
+		e.VersionOutdated = false
+	}
+}
+
 // Name returns the id of the endpoint with the given hash; empty for none.
 func (f *Fleet) Name(hash uint64) string {
 	if e := f.byHash[hash]; e != nil {
--- a/gateway/processes.go
+++ b/gateway/processes.go
@@ -10,29 +10,101 @@
 	"github.com/pistachiowind/pistachiowind/gateway/upstream"
 )
 
-// maxSilentProcesses bounds the processes that are remembered as not stating their start. One
-// that is forgotten is asked again.
-const maxSilentProcesses = 4096
+const (
+	// maxSilentProcesses bounds the processes that are not asked for a while, and
+	// maxStatementServices the services whose statements are remembered.
+	maxSilentProcesses   = 4096
+	maxStatementServices = 1024
+	// minSilentEndpoints is the number of endpoints without a statement from which a service
+	// counts as one that states none; all of them if it has fewer.
+	minSilentEndpoints = 3
+	// statesFor is how long a statement of one endpoint shows that its service states
+	// processes.
+	statesFor = time.Minute
+	// silentPause is how long a process of a service without statements is not asked again.
+	silentPause = 10 * time.Second
+	// unlistedPause is how long an unlisted endpoint gets no stream that may be resumed. The next
+	// one asks it again: what it stated last may have been said by another process.
+	unlistedPause = 3 * time.Second
+)
+
+// serviceStatements is what is known of the statements of a service's endpoints.
+type serviceStatements struct {
+	// statedAt is when an endpoint last stated its process.
+	statedAt time.Time
+	// without are the endpoints that did not since then, at most minSilentEndpoints.
+	without map[string]struct{}
+}
 
-// processStatements tells which endpoints state the start of their process. Without that, a
-// gateway can only take the version of the directory's entry for that of the process.
+// processStatements tells which services have endpoints that state the start of their process.
+// Of others, a gateway can only take the version of the directory's entry for that of the
+// process. A single endpoint without a statement may have just started, or fail.
 type processStatements struct {
-	// services are those of which an endpoint stated its start.
-	services map[string]bool
-	// silent are the incarnations that answered without stating it.
-	silent *simplelru.LRU[registry.Incarnation, struct{}]
+	services map[string]*serviceStatements
+	// silent holds when the processes of services without statements were asked.
+	silent *simplelru.LRU[registry.Incarnation, time.Time]
 }
 
 func newProcessStatements() processStatements {
 	// NewLRU fails only if the size is not positive.
-	silent, _ := simplelru.NewLRU[registry.Incarnation, struct{}](maxSilentProcesses, nil)
-	return processStatements{services: make(map[string]bool), silent: silent}
+	silent, _ := simplelru.NewLRU[registry.Incarnation, time.Time](maxSilentProcesses, nil)
+	return processStatements{services: make(map[string]*serviceStatements), silent: silent}
+}
+
+// service returns what is known of a service; nil at maxStatementServices.
+func (s processStatements) service(name string) *serviceStatements {
+	known := s.services[name]
+	if known == nil && len(s.services) < maxStatementServices {
+		known = &serviceStatements{}
+		s.services[name] = known
+	}
+	return known
+}
+
+// states reports whether the endpoints of a service state their process.
+func (s *serviceStatements) states(now time.Time) bool {
+	return !s.statedAt.IsZero() && now.Sub(s.statedAt) < statesFor
 }
 
-// asks reports whether an incarnation is to be asked. An entry without a start can't be
+// asks reports whether a process of a service is to be asked. An entry without a start can't be
 // compared with an answer.
-func (s processStatements) asks(i registry.Incarnation) bool {
-	return i.Born != 0 && !s.silent.Contains(i)
+func (s processStatements) asks(now time.Time, service string, i registry.Incarnation) bool {
+	if i.Born == 0 {
+		return false
+	}
+	if known := s.services[service]; known != nil && known.states(now) {
+		return true
+	}
+	askedAt, ok := s.silent.Peek(i)
+	return !ok || now.Sub(askedAt) >= silentPause
+}
+
+// recordStated records that an endpoint of a service stated its process.
+func (s processStatements) recordStated(now time.Time, service string) {
+	if known := s.service(service); known != nil {
+		known.statedAt, known.without = now, nil
+	}
+}
+
+// recordSilent records that an endpoint did not state its process and reports whether that is
+// so of its service, which has a number of endpoints.
+func (s processStatements) recordSilent(now time.Time, service string, endpoints int, i registry.Incarnation) bool {
+	known := s.service(service)
+	if known == nil || known.states(now) {
+		return false
+	}
+	if known.without == nil {
+		known.without = make(map[string]struct{}, minSilentEndpoints)
+	}
+	enough := min(minSilentEndpoints, endpoints)
+	if len(known.without) < enough {
+		known.without[i.ID] = struct{}{}
+	}
+	if len(known.without) < enough {
+		return false
+	}
+	s.silent.Add(i, now)
+	return true
 }
 
 // AsksProcess implements relay.PlacedAttempt.
@@ -40,12 +112,11 @@
 	d := a.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.processes.asks(a.incarnation)
+	return d.processes.asks(time.Now(), a.choice.Endpoint.Service, a.incarnation)
 }
 
 // AcceptProcess implements relay.PlacedAttempt. The process of an endpoint that does not state
-// its start is taken for the one that the directory shows, and so is that of one without an
-// answer as long as no other endpoint of its service states its start.
+// its start is taken for the one that the directory shows only if its service states none.
 func (a *placedAttempt) AcceptProcess(p upstream.Process) bool {
 	accepted, changes := a.dispatcher.acceptProcess(a, p)
 	a.dispatcher.onEndpointChanges(changes)
@@ -56,44 +127,55 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
+	service := a.choice.Endpoint.Service
 	if p.Asked {
 		d.limits.Take(now, placement.Hash(a.choice.Endpoint.ID))
 		d.onProcess(p.State)
 	}
 	switch p.State {
 	case upstream.ProcessStated:
-		d.processes.services[a.choice.Endpoint.Service] = true
+		d.processes.recordStated(now, service)
 		return d.acceptStated(now, a, p)
-	case upstream.ProcessSilent:
-	case upstream.ProcessNoAnswer:
-		if d.processes.services[a.choice.Endpoint.Service] {
-			return false, nil
-		}
-	default:
-		return false, nil
+	case upstream.ProcessSilent, upstream.ProcessNoAnswer:
+		endpoints := 0
+		d.fleet.EachOf(service, func(uint64) { endpoints++ })
+		return d.processes.recordSilent(now, service, endpoints, a.incarnation), nil
 	}
-	d.processes.silent.Add(a.incarnation, struct{}{})
-	return true, nil
+	return false, nil
 }
 
 // acceptStated reports whether the process is of the version at which the attempt was placed.
-// An answer to an earlier request says nothing of the process that has the address now. The
-// mutex is held.
+// An answer on a kept connection says nothing of the process that has the address now, nor does
+// one of an address at which the directory does not show the endpoint any more. The mutex is held.
 func (d *dispatcher) acceptStated(now time.Time, a *placedAttempt, p upstream.Process) (bool, []registry.Change) {
 	id := a.choice.Endpoint.ID
+	e, known := d.registry.Entry(id)
+	if !known {
+		return false, nil
+	}
 	var changes []registry.Change
-	if p.Asked {
-		if c, changed := d.registry.Observe(id, p.Born); changed {
+	if p.Asked && e.Incarnation() == a.incarnation && e.Address == a.choice.Endpoint.Address {
+		if c, changed := d.registry.Observe(now, id, p.Born); changed {
 			changes = []registry.Change{c}
 			d.applyChanges(now, changes)
+			e = c.Entry
 		}
-		a.incarnation = registry.Incarnation{ID: id, Born: p.Born}
 	}
-	e, known := d.registry.Entry(id)
-	accepted := known && e.Born == p.Born && !e.Unlisted && e.Version == a.choice.Endpoint.Version
+	if e.Unlisted {
+		d.putEndpoint(now, e)
+		d.drainEndpoint(e)
+	}
+	a.incarnation = registry.Incarnation{ID: id, Born: p.Born}
+	accepted := e.Born == p.Born && !e.Unlisted && e.Version == a.choice.Endpoint.Version
 	if accepted {
 		// The request goes to the listed process, whatever the gateway saw end.
 		a.refusals = 0
 	}
 	return accepted, changes
 }
+
+// askUnlisted lets unlisted endpoints that were not asked lately get streams that may be
+// resumed, which ask them. The mutex is held.
+func (d *dispatcher) askUnlisted(now time.Time) {
+	d.registry.Unlisted(now.Add(-unlistedPause), func(e registry.Entry) { d.fleet.AllowVersion(e.ID) })
+}
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -107,6 +107,8 @@
 	// listed is the start of the process that the directory shows. It differs from that of
 	// entry while an endpoint that started again has not registered yet.
 	listed int64
+	// observedAt is when the endpoint last stated its process.
+	observedAt time.Time
 	// removeAt is when a lapsed entry is dropped; zero for entries in the directory.
 	removeAt time.Time
 }
@@ -167,11 +169,15 @@
 
 // Observe records the start of its process, in Unix milliseconds, that an endpoint stated. An
 // endpoint that started again under its id, and whose entry still shows the process before, is
-// unlisted until the directory shows another process than that. Observe returns false if this
-// changes no entry.
-func (r *Registry) Observe(id string, born int64) (Change, bool) {
+// unlisted until the directory shows another process than that, or the endpoint states the
+// listed one again. Observe returns false if this changes no entry.
+func (r *Registry) Observe(now time.Time, id string, born int64) (Change, bool) {
 	rec := r.records[id]
-	if rec == nil || rec.entry.Born == born {
+	if rec == nil {
+		return Change{}, false
+	}
+	rec.observedAt = now
+	if rec.entry.Born == born {
 		return Change{}, false
 	}
 	e := rec.entry
@@ -204,7 +210,11 @@
 		e.Leaving = true
 	}
 	e.Draining = e.Draining || e.Leaving
-	r.records[e.ID] = &record{entry: e, listed: listed}
+	rec := &record{entry: e, listed: listed}
+	if old != nil {
+		rec.observedAt = old.observedAt
+	}
+	r.records[e.ID] = rec
 	state := StateReady
 	if e.Draining {
 		state = StateDraining
@@ -256,9 +266,7 @@
 		if r.outdated(now, e) {
 			r.deferred[e.ID] = deferredEntry{entry: e, until: now.Add(departureTTL)}
 			if rec := r.records[e.ID]; rec != nil && rec.entry.Born == e.Born {
-				known := rec.entry
-				known.Unlisted = false
-				current = append(current, known)
+				current = append(current, rec.entry)
 			}
 			continue
 		}
@@ -274,6 +282,10 @@
 // entry shows: a later incarnation, that it is draining, or its recent departure.
 func (r *Registry) outdated(now time.Time, e Entry) bool {
 	if rec := r.records[e.ID]; rec != nil {
+		if rec.entry.Unlisted {
+			// What else is known of the endpoint is that of the process before.
+			return false
+		}
 		return e.Born < rec.entry.Born || e.Born == rec.entry.Born && rec.entry.Draining && !e.Draining
 	}
 	d, known := r.departures.Peek(e.Incarnation())
@@ -352,6 +364,15 @@
 	return Incarnation{}, false
 }
 
+// Unlisted calls f for each unlisted endpoint that last stated its process before a time.
+func (r *Registry) Unlisted(before time.Time, f func(Entry)) {
+	for _, rec := range r.records {
+		if rec.entry.Unlisted && rec.observedAt.Before(before) {
+			f(rec.entry)
+		}
+	}
+}
+
 // Entries calls f for each known entry.
 func (r *Registry) Entries(f func(Entry)) {
 	for _, rec := range r.records {
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -173,6 +173,8 @@
 				end.resultName, result = "other_process", ResultOtherProcess
 			case errors.Is(err, upstream.ErrOtherEndpoint):
 				end.resultName, result = "other_endpoint", ResultReplaced
+			case errors.Is(err, upstream.ErrStatementRefused):
+				end.resultName, result = "statement_refused", ResultRejected
 			}
 		case upstream.InvalidResponse:
 			end.resultName = "answer_spoiled"
--- a/gateway/upstream/identify.go
+++ b/gateway/upstream/identify.go
@@ -16,9 +16,6 @@
 	identifyTimeout = 400 * time.Millisecond
 	// maxIdentifyBytes bounds the answer. A report of an engine takes some hundred bytes.
 	maxIdentifyBytes = 64 << 10
-	// maxIdentifyTries bounds the connections that are opened for one request because the
-	// endpoint closes them with its answer.
-	maxIdentifyTries = 2
 )
 
 var (
@@ -27,10 +24,10 @@
 	ErrOtherProcess = errors.New("the process at the endpoint's address is not the expected one")
 	// ErrOtherEndpoint is the cause of a *Failure if another endpoint has the address.
 	ErrOtherEndpoint = errors.New("another endpoint responds at the address")
-	errNoStatement   = errors.New("the endpoint did not state its process")
-	// errClosesAfterAnswer fails a request to an endpoint that states its process and then
-	// closes the connection, time and again.
-	errClosesAfterAnswer = errors.New("the endpoint closes each connection on which it states its process")
+	// ErrStatementRefused is the cause of a *Failure if the endpoint refuses to state its
+	// process now.
+	ErrStatementRefused = errors.New("the endpoint refused to state its process")
+	errNoStatement      = errors.New("the endpoint did not state its process")
 )
 
 // ProcessState is what is known of the process behind a connection.
@@ -45,13 +42,15 @@
 	ProcessSilent
 	// ProcessNoAnswer means that there was no usable answer.
 	ProcessNoAnswer
+	// ProcessRefused means that the endpoint refused the question, as one that is full does.
+	ProcessRefused
 	// ProcessOfOther means that another endpoint has the address.
 	ProcessOfOther
 )
 
 // String returns the outcome of the question as metrics name it.
 func (s ProcessState) String() string {
-	return [...]string{"not_asked", "stated", "silent", "no_answer", "other_endpoint"}[s]
+	return [...]string{"not_asked", "stated", "silent", "no_answer", "refused", "other_endpoint"}[s]
 }
 
 // Process is the process behind a connection, as the endpoint states it. A connection leads to
@@ -75,36 +74,75 @@
 	Accept func(Process) bool
 }
 
-// identified returns a connection to a process that the request accepts, c or a new one. It
-// closes c if it does not return it.
+// identified returns a connection to a process that the request accepts: c, which is kept or
+// new, or another one. It closes c if it does not return it.
 func (p *Pool) identified(ctx context.Context, c *conn, q *Identification) (*conn, error) {
-	for range maxIdentifyTries + 1 {
-		usable := true
-		if c.process.State == ProcessNotAsked {
-			usable = c.ask(ctx, q)
-		}
-		process := c.process
-		c.process.Asked = false
-		accepted := q.Accept(process)
-		if accepted && usable {
+	if c.process.State == ProcessStated {
+		if q.Accept(c.process) {
 			return c, nil
 		}
-		if !accepted && process.Asked {
-			p.release(c, usable)
-			return nil, process.rejection()
-		}
+		// The directory has shown another process since.
+		return p.reopened(ctx, c, q)
+	}
+	kept := c.hadRequest
+	usable := c.ask(ctx, q)
+	if kept && c.process.State == ProcessNoAnswer && ctx.Err() == nil {
+		// The endpoint may have closed it as idle.
+		return p.reopened(ctx, c, q)
+	}
+	return p.accepted(ctx, c, usable, q)
+}
+
+// reopened closes c and returns an accepted new connection in its place.
+func (p *Pool) reopened(ctx context.Context, c *conn, q *Identification) (*conn, error) {
+	c.Close()
+	c, err := p.open(ctx, c.address)
+	if err != nil {
+		return nil, err
+	}
+	return p.accepted(ctx, c, c.ask(ctx, q), q)
+}
+
+// accepted returns a connection on which a request may follow the question that was sent on c.
+func (p *Pool) accepted(ctx context.Context, c *conn, usable bool, q *Identification) (*conn, error) {
+	// What the end of the request did to the question says nothing about the endpoint.
+	if err := ctx.Err(); err != nil {
 		c.Close()
-		var err error
-		if c, err = p.open(ctx, c.address); err != nil {
-			return nil, err
-		}
-		if accepted && process.State != ProcessStated {
-			// The endpoint would say no more on this connection.
-			c.process = Process{State: process.State}
-		}
+		return nil, err
+	}
+	asked := c.process
+	asked.Asked = true
+	switch accepted := q.Accept(asked); {
+	case !accepted:
+		p.release(c, usable)
+		return nil, asked.rejection()
+	case usable:
+		return c, nil
 	}
 	c.Close()
-	return nil, errClosesAfterAnswer
+	if asked.State != ProcessStated {
+		return p.open(ctx, c.address)
+	}
+	return p.witnessed(ctx, c.address, q)
+}
+
+// witnessed returns a connection on which nothing was asked, for an endpoint that closes after
+// its statement. What is stated on a connection that was opened later holds for it: had another
+// process accepted it, that one would have ended, and the connection with it.
+func (p *Pool) witnessed(ctx context.Context, address string, q *Identification) (*conn, error) {
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	witness, err := p.open(ctx, address)
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	witness.ask(ctx, q)
+	witness.Close()
+	c.process = witness.process
+	return p.accepted(ctx, c, c.process.State == ProcessStated, q)
 }
 
 // rejection returns why a request is not sent to the process.
@@ -114,6 +152,8 @@
 		return ErrOtherProcess
 	case ProcessOfOther:
 		return ErrOtherEndpoint
+	case ProcessRefused:
+		return ErrStatementRefused
 	}
 	return errNoStatement
 }
@@ -137,11 +177,10 @@
 	c.hadRequest = true
 	response, body, err := c.exchange(q)
 	if err != nil {
-		c.process = Process{State: ProcessNoAnswer, Asked: true}
+		c.process = Process{State: ProcessNoAnswer}
 		return false
 	}
 	c.process = q.Decode(response.StatusCode, response.Header, body)
-	c.process.Asked = true
 	return stop() && !isStream(response.Header) && !response.Close && framingOf(response) != FramedByClose && c.reader.Buffered() == 0
 }
 
--- a/telemetry/gateway.go
+++ b/telemetry/gateway.go
@@ -46,7 +46,7 @@
 		Attempts:        newCounter[ResultLabels](p, "gateway_attempts", maxOutcomes, "Attempts at endpoints that ended, by result as in the log."),
 		ShareRefusals:   newCounter[ResultLabels](p, "gateway_share_refusals", maxOutcomes, "Streams refused while their class was short of capacity, by the share of their client account. Outcomes: within_share, above_share."),
 		Connections:     newCounter[ResultLabels](p, "gateway_connections", maxOutcomes, "New connections to endpoints. Outcomes: ok, failed."),
-		Processes:       newCounter[ResultLabels](p, "gateway_process_questions", maxOutcomes, "Questions for the process behind a connection, before the first stream that may be resumed. Outcomes: stated, silent, no_answer, other_endpoint."),
+		Processes:       newCounter[ResultLabels](p, "gateway_process_questions", maxOutcomes, "Questions for the process behind a connection, before the first stream that may be resumed. Outcomes: stated, silent, no_answer, refused, other_endpoint."),
 		ConfigVersion:   newGauge[NoLabels](p, "gateway_config_version", "", 1, "Version of the configuration in force; 0 before the first."),
 		Endpoints:       newGauge[StateLabels](p, "gateway_endpoints", "", maxOutcomes, "Known endpoints by state: ready, draining; paused ones, which are full and want no requests, and limited ones, which name a rate of requests, count again."),
 		Peers:           newGauge[NoLabels](p, "gateway_peers", "", 1, "Other gateways heard within 5 s."),
