--- a/gateway/registry/registry_test.go
+++ b/gateway/registry/registry_test.go
@@ -271,6 +271,9 @@
 	}
 	c, _ := peer.Put(entry("a", 2))
 	expect(t, []Change{c}, "a ready")
+	if c.Entry.Unlisted {
+		t.Error("the directory shows the process at a peer, and the endpoint is unlisted")
+	}
 }
 
 // Guards against a directory that states further endpoints without end, which fill the memory
--- a/gateway/upstream/identify_test.go
+++ b/gateway/upstream/identify_test.go
@@ -166,7 +166,8 @@
 	}{{"the same process", 7, nil, 2, "7"}, {"the next process", 8, ErrOtherProcess, 2, ""}} {
 		t.Run(c.name, func(t *testing.T) {
 			var asked, served []string
-			address := scriptedServer(t, closingProcess(7, &asked, &served), closingProcess(c.second, &asked, &served), closingProcess(c.second, &asked, &served))
+			later := closingProcess(c.second, &asked, &served)
+			address := scriptedServer(t, closingProcess(7, &asked, &served), later, later, closingProcess(9, &asked, &served))
 			resp, err := NewPool(Options{}).RoundTrip(context.Background(), address, askingRequest("a", 7))
 			if !errors.Is(err, c.want) {
 				t.Fatalf("error %v, want %v", err, c.want)
