Ask endpoints of an unknown service for a short time only

Cause: three endpoints without an answer are needed before a service counts as one without statements, and each question took 400 ms. Change: a question takes at most 60 ms as long as no endpoint of the service has stated its process within a minute.

--- a/gateway/processes.go
+++ b/gateway/processes.go
@@ -23,6 +23,10 @@
 	statesFor = time.Minute
 	// silentPause is how long a process of a service without statements is not asked again.
 	silentPause = 10 * time.Second
+	// firstQuestionTimeout bounds the question at a service of which no endpoint has stated its
+	// process. One that does answers in a few round trips; others may take the question for a
+	// request, which must not cost the caller much of its time.
+	firstQuestionTimeout = 60 * time.Millisecond
 	// unlistedPause is how long an unlisted endpoint gets no stream that may be resumed. The next
 	// one asks it again: what it stated last may have been said by another process.
 	unlistedPause = 3 * time.Second
@@ -107,12 +111,22 @@
 	return true
 }
 
+// timeout returns how long a question at a service may take; zero means as long as usual.
+func (s processStatements) timeout(now time.Time, service string) time.Duration {
+	if known := s.services[service]; known != nil && known.states(now) {
+		return 0
+	}
+	return firstQuestionTimeout
+}
+
 // AsksProcess implements relay.PlacedAttempt.
-func (a *placedAttempt) AsksProcess() bool {
+func (a *placedAttempt) AsksProcess() (timeout time.Duration, asks bool) {
 	d := a.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.processes.asks(time.Now(), a.choice.Endpoint.Service, a.incarnation)
+	now := time.Now()
+	service := a.choice.Endpoint.Service
+	return d.processes.timeout(now, service), d.processes.asks(now, service, a.incarnation)
 }
 
 // AcceptProcess implements relay.PlacedAttempt. The process of an endpoint that does not state
--- a/gateway/processes_test.go
+++ b/gateway/processes_test.go
@@ -39,6 +39,12 @@
 	}
 }
 
+// asks reports whether an endpoint is asked for its process before a stream is sent to it.
+func (s processSite) asks(id string) bool {
+	_, asks := s.attempt(id).AsksProcess()
+	return asks
+}
+
 // takesStreams reports whether streams of version v1 are placed.
 func (s processSite) takesStreams() bool {
 	_, found := s.fleet.Choose(time.Now(), &placement.Work{Service: "s", Streaming: true, OnlyVersion: true, Version: "v1"})
@@ -97,14 +103,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newProcessSite("a", "b", "c", "d")
 		for i, id := range []string{"a", "a", "b"} {
-			if s.attempt(id).AcceptProcess(unanswered) || !s.attempt(id).AsksProcess() {
+			if s.attempt(id).AcceptProcess(unanswered) || !s.asks(id) {
 				t.Fatalf("question %d: endpoint %s without an answer is trusted", i, id)
 			}
 		}
-		if !s.attempt("c").AcceptProcess(silent) || s.attempt("c").AsksProcess() {
+		if !s.attempt("c").AcceptProcess(silent) || s.asks("c") {
 			t.Error("three endpoints state nothing, and the service is not served, or is asked each time")
 		}
-		if !s.attempt("d").AcceptProcess(stated(7)) || !s.attempt("c").AsksProcess() || s.attempt("c").AcceptProcess(silent) {
+		if !s.attempt("d").AcceptProcess(stated(7)) || !s.asks("c") || s.attempt("c").AcceptProcess(silent) {
 			t.Error("one endpoint states its process, and others without a statement are trusted")
 		}
 		time.Sleep(statesFor)
@@ -150,3 +156,16 @@
 		}
 	})
 }
+
+// Guards against callers who wait long for endpoints that take the question for a request, and
+// against giving up on a slow endpoint of a service that states its processes.
+func TestFirstQuestionAtAServiceIsShort(t *testing.T) {
+	s := newProcessSite("e")
+	if timeout, _ := s.attempt("e").AsksProcess(); timeout != firstQuestionTimeout {
+		t.Errorf("the first question may take %v, want %v", timeout, firstQuestionTimeout)
+	}
+	s.attempt("e").AcceptProcess(stated(7))
+	if timeout, _ := s.attempt("e").AsksProcess(); timeout != 0 {
+		t.Errorf("a question may take %v where processes are stated, want as long as usual", timeout)
+	}
+}
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -119,9 +119,10 @@
 	// another endpoint.
 	AttemptTimeout() time.Duration
 	// AsksProcess reports whether the endpoint is to be asked for its process before a stream
-	// that may be resumed is sent to it. AcceptProcess reports whether the stream may be sent
+	// that may be resumed is sent to it, and how long a question may take; zero means as long
+	// as usual. AcceptProcess reports whether the stream may be sent
 	// to the process that answers: it is of the version at which the attempt was placed.
-	AsksProcess() bool
+	AsksProcess() (timeout time.Duration, asks bool)
 	AcceptProcess(upstream.Process) bool
 	// HandleNotice handles what the endpoint states about itself. It is called for each
 	// response that has such a notice, also for a late one to another request.
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -245,7 +245,7 @@
 	target string
 }
 
-func (*fakeAttempt) AsksProcess() bool { return false }
+func (*fakeAttempt) AsksProcess() (time.Duration, bool) { return 0, false }
 
 func (*fakeAttempt) AcceptProcess(upstream.Process) bool { return true }
 
--- a/gateway/relay/send.go
+++ b/gateway/relay/send.go
@@ -116,8 +116,8 @@
 			return correlation
 		},
 	}
-	if x.route.Resumable && placed.AsksProcess() {
-		req.Identification = x.identification(placed)
+	if timeout, asks := placed.AsksProcess(); x.route.Resumable && asks {
+		req.Identification = x.identification(placed, timeout)
 	}
 	if !x.state.Repeatable {
 		req.MaxIdleTime = maxIdleNonRepeatable
@@ -127,11 +127,12 @@
 
 // identification returns the question for the endpoint's process, without which the version of
 // a stream would be that of an entry which may be outdated.
-func (x *exchange) identification(placed PlacedAttempt) *upstream.Identification {
+func (x *exchange) identification(placed PlacedAttempt, timeout time.Duration) *upstream.Identification {
 	target, header := x.options.Protocol.ProcessQuery(placed.Choice().Endpoint.ID)
 	return &upstream.Identification{
-		Target: target,
-		Header: header,
+		Target:  target,
+		Header:  header,
+		Timeout: timeout,
 		Decode: func(status int, h http.Header, body []byte) upstream.Process {
 			notice := x.options.Protocol.DecodeResponse(status, h).Notice
 			process := x.options.Protocol.DecodeProcess(status, h, body)
--- a/gateway/upstream/identify.go
+++ b/gateway/upstream/identify.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -11,9 +12,9 @@
 )
 
 const (
-	// identifyTimeout bounds the question for an endpoint's process. It is as long as that for
-	// a connection: in that time another endpoint can be tried.
-	identifyTimeout = 400 * time.Millisecond
+	// defaultIdentifyTimeout bounds the question for an endpoint's process. It is as long as that
+	// for a connection: in that time another endpoint can be tried.
+	defaultIdentifyTimeout = 400 * time.Millisecond
 	// maxIdentifyBytes bounds the answer. A report of an engine takes some hundred bytes.
 	maxIdentifyBytes = 64 << 10
 )
@@ -68,6 +69,8 @@
 	// Target and Header are those of the GET request that asks for the process.
 	Target string
 	Header http.Header
+	// Timeout bounds each question; zero means 400 ms.
+	Timeout time.Duration
 	// Decode returns what an answer states. The body of a stream of events is not read.
 	Decode func(status int, h http.Header, body []byte) Process
 	// Accept reports whether the request may be sent to the process.
@@ -170,7 +173,7 @@
 // ask asks the endpoint for the process behind the connection and reports whether the
 // connection can be used for a request after that.
 func (c *conn) ask(ctx context.Context, q *Identification) bool {
-	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(q.Timeout, defaultIdentifyTimeout))
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
