--- a/review/standins-2/silentstore_test.go
+++ b/review/standins-2/silentstore_test.go
@@ -12,13 +12,13 @@
 	"time"
 )
 
-func init() { cases["silent-store"] = silentStore }
+func init() {
+	cases["silent-store"] = silentDrain
+	cases["silent-store-gone"] = silentRemoval
+}
 
 // The times of a round of silentStore.
 const (
-	// deployments is the number of deployments, and gatewaysEach that of their gateways.
-	deployments  = 16
-	gatewaysEach = 2
 	// silentRounds is the number of times that the connections go silent in each.
 	silentRounds = 1
 	// silenceToDrain is the time from the silence to the report of the leaving replica.
@@ -37,26 +37,44 @@
 	replica               *replica
 }
 
-// silentStore: all open connections between the gateways and the platform's store go silent for
-// good, while new ones work. Right after that a replica reports that it is draining. DRAIN: once
-// the machines are in touch again, no request may reach that replica later than drainTimeoutMs
-// after the store has acknowledged the report. Several deployments play this side by side.
-func silentStore(s *site) (bool, error) {
+// plan is how silentStore is played.
+type plan struct {
+	// deployments play side by side, with a number of gateways each.
+	deployments, gateways int
+	// announce has the leaving replica report that it is draining. Otherwise its entry is removed.
+	announce bool
+}
+
+// silentDrain: all open connections between the gateways and the platform's store go silent for
+// good, while new ones work. Right after that a replica reports that it is draining.
+func silentDrain(s *site) (bool, error) {
+	return s.silentStore(plan{deployments: 16, gateways: 2, announce: true})
+}
+
+// silentRemoval is the same with a replica that never reports that it is draining: its entry is
+// removed, and it serves on for the same time.
+func silentRemoval(s *site) (bool, error) {
+	return s.silentStore(plan{deployments: 4, gateways: 4})
+}
+
+// silentStore plays one of the two. DRAIN: once the machines are in touch again, no request may
+// reach the replica later than drainTimeoutMs after the store has acknowledged that it leaves.
+func (s *site) silentStore(p plan) (bool, error) {
 	var wait sync.WaitGroup
-	results := make([]bool, deployments)
-	errs := make([]error, deployments)
-	for i := range deployments {
+	results := make([]bool, p.deployments)
+	errs := make([]error, p.deployments)
+	for i := range p.deployments {
 		child, err := s.child(fmt.Sprintf("deployment-%d", i+1))
 		if err != nil {
 			return false, err
 		}
-		wait.Go(func() { results[i], errs[i] = silentDeployment(child) })
+		wait.Go(func() { results[i], errs[i] = child.silentDeployment(p) })
 	}
 	wait.Wait()
 	return slices.Contains(results, true), errors.Join(errs...)
 }
 
-func silentDeployment(s *site) (bool, error) {
+func (s *site) silentDeployment(how plan) (bool, error) {
 	if _, err := s.configure(config(1, []map[string]any{tenant("acme", "key-acme")})); err != nil {
 		return false, err
 	}
@@ -64,7 +82,7 @@
 	if err != nil {
 		return false, err
 	}
-	if err := s.addGateways(gatewaysEach); err != nil {
+	if err := s.addGateways(how.gateways); err != nil {
 		return false, err
 	}
 	if err := s.startGateways(); err != nil {
@@ -77,7 +95,7 @@
 	var played []leaving
 	for i := range silentRounds {
 		time.Sleep(betweenRounds)
-		p, err := s.silentRound(ledger[0])
+		p, err := s.silentRound(ledger[0], how.announce)
 		if err != nil {
 			return false, err
 		}
@@ -117,7 +135,7 @@
 }
 
 // silentRound lets the connections go silent and a replica leave.
-func (s *site) silentRound(r *replica) (leaving, error) {
+func (s *site) silentRound(r *replica, announce bool) (leaving, error) {
 	p := leaving{replica: r, silent: time.Now()}
 	if s.trouble {
 		n, err := s.store.silence()
@@ -128,16 +146,22 @@
 		s.note("%d connections to the store went silent; new ones work", n)
 	}
 	time.Sleep(silenceToDrain)
+	leave, what := r.remove, "gone"
+	if announce {
+		leave, what = r.drain, "draining"
+	}
 	var err error
-	if p.acked, err = r.drain(); err != nil {
+	if p.acked, err = leave(); err != nil {
 		return p, err
 	}
-	s.note("%s: the store has acknowledged that it is draining", r.id)
+	s.note("%s: the store has acknowledged that it is %s", r.id, what)
 	time.Sleep(time.Until(p.acked.Add(drainTimeout + servesOn)))
 	r.stop()
 	p.exited = time.Now()
 	s.note("%s: has ended", r.id)
-	_, err = r.remove()
+	if announce {
+		_, err = r.remove()
+	}
 	return p, err
 }
 
